--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,11 @@
+#include "plantainwall/plantainwall.h"
+#include <CLI/CLI.hpp>
+
+int main(int argc, char** argv)
+{
+    CLI::App app { "Database proxy with session consistency", "plantainwall" };
+    app.set_version_flag("--version", PLANTAINWALL_VERSION);
+    app.require_subcommand(1);
+    CLI11_PARSE(app, argc, argv);
+    return 0;
+}
