--- /dev/null
+++ b/src/clock.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "plantainwall/plantainwall.h"
+
+namespace plantainwall {
+
+/// Returns the time of the host's monotonic clock. Only adapters call it; decisions get the time passed in.
+inline Instant now()
+{
+    return Instant(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+} // namespace plantainwall
--- a/src/request_context.h
+++ b/src/request_context.h
@@ -17,7 +17,7 @@
     bool idempotent = false;
     bool outcomeLookup = false; ///< GET .../requests/{id}
     TransactionStep step = TransactionStep::None;
-    std::string transaction; ///< <host>.<member>.<id>, as given to the caller.
+    std::string transaction; ///< The owner's id <host>.<member>.<id>; callers see it with the prefix "<group>.".
     std::optional<Duration> maxAge;
     std::string sessionToken;
     std::optional<Duration> timeLeft;
--- /dev/null
+++ b/tests/unit_caller_api.cpp
@@ -0,0 +1,99 @@
+#include "caller_api.h"
+#include "member_codec.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace plantainwall;
+
+namespace {
+
+CallerHttpRequest post(const std::string& path, const std::string& body)
+{
+    return { "POST", path, { { "authorization", "Bearer pw_a_b" } }, body };
+}
+
+ResultCode refusalOf(const CallerHttpRequest& request)
+{
+    try {
+        parseCallerRequest(request);
+    } catch (const RequestRefused& refused) {
+        BOOST_TEST((resultCodeInfo(refused.code()).runState == RunState::NotRun));
+        return refused.code();
+    }
+    return ResultCode::Ok;
+}
+
+} // namespace
+
+// Guards against malformed input that is accepted, ignored or answered with the wrong code.
+BOOST_AUTO_TEST_CASE(malformed_requests_are_refused_with_their_code)
+{
+    const std::string path = "/v1/groups/g1/query";
+    BOOST_TEST((refusalOf(post(path, "{\"statements\":[\"GET a\"]}")) == ResultCode::Ok));
+    for (const char* body : { "", "{", "[]", "{\"statements\":[]}", "{\"statements\":[1]}",
+             "{\"statements\":\"GET a\"}", "{\"statements\":[\"GET a\"],\"surprise\":1}",
+             "{\"statements\":[\"GET a\"],\"read_only\":1}", "{\"statements\":[\"GET a\"],\"max_age_ms\":5}",
+             "{\"statements\":[\"GET a\"],\"read_only\":true,\"max_age_ms\":-1}",
+             "{\"statements\":[\"GET a\"],\"request_id\":\"\"}" })
+        BOOST_TEST((refusalOf(post(path, body)) == ResultCode::BadRequest), body);
+    BOOST_TEST((refusalOf({ "GET", path, {}, "" }) == ResultCode::MethodNotAllowed));
+    BOOST_TEST((refusalOf(post("/v1/groups/g1/elsewhere", "{}")) == ResultCode::UnknownRoute));
+    BOOST_TEST((refusalOf(post("/v2/groups/g1/query", "{}")) == ResultCode::UnknownRoute));
+    CallerHttpRequest request = post(path, "{\"statements\":[\"GET a\"]}");
+    request.headers["plantainwall-deadline-ms"] = "5s";
+    BOOST_TEST((refusalOf(request) == ResultCode::BadRequest));
+}
+
+BOOST_AUTO_TEST_CASE(transaction_path_names_group_and_owner)
+{
+    const RequestContextPtr context = parseCallerRequest(post("/v1/transactions/g1.host-a.db-2.77/commit", ""));
+    BOOST_TEST(context->group == "g1");
+    BOOST_TEST(context->transaction == "host-a.db-2.77");
+    BOOST_TEST((context->step == TransactionStep::Commit));
+    BOOST_TEST((refusalOf(post("/v1/transactions/none/commit", "")) == ResultCode::TransactionUnknown));
+}
+
+// Guards against a field that one side of the peer protocol writes and the other drops.
+BOOST_AUTO_TEST_CASE(peer_messages_survive_a_round_trip)
+{
+    MemberRequest request;
+    request.group = "g1";
+    request.member = "db-1";
+    request.customer = "c";
+    request.weight = 2.5;
+    request.requestId = "r-1";
+    request.statements = { "PUT a \"x\"", "GET \xc3\xa9" };
+    request.readOnly = true;
+    request.idempotent = true;
+    request.step = TransactionStep::Continue;
+    request.transaction = "h.db-1.5";
+    request.minPosition = { 3, 1ull << 52 };
+    request.maxAge = std::chrono::milliseconds(7);
+    request.waitLimit = Duration(12);
+    request.timeLeft = std::chrono::seconds(3);
+    request.traceParent = "00-ab-cd-01";
+    const MemberRequest copy = decodeMemberRequest(encodeMemberRequest(request));
+    BOOST_TEST(encodeMemberRequest(copy) == encodeMemberRequest(request));
+    BOOST_TEST((copy.minPosition == request.minPosition));
+    BOOST_TEST((copy.statements == request.statements));
+    BOOST_TEST(
+        (copy.maxAge == request.maxAge && copy.waitLimit == request.waitLimit && copy.timeLeft == request.timeLeft));
+    BOOST_TEST((copy.step == request.step && copy.readOnly && copy.idempotent));
+
+    MemberAnswer answer;
+    answer.code = ResultCode::ReplicaBehind;
+    answer.runState = RunState::NotRun;
+    answer.results = { std::nullopt, std::string("v") };
+    answer.position = { 2, 9 };
+    answer.primaryHint = "db-2";
+    answer.replicaHint = "db-3";
+    answer.term = 2;
+    answer.retryAfter = Duration(1500);
+    answer.servedByReplica = true;
+    const MemberAnswer answerCopy = decodeMemberAnswer(encodeMemberAnswer(answer));
+    BOOST_TEST(encodeMemberAnswer(answerCopy) == encodeMemberAnswer(answer));
+    BOOST_TEST((answerCopy.results == answer.results && answerCopy.code == answer.code
+        && answerCopy.position == answer.position));
+    BOOST_CHECK_THROW(decodeMemberRequest("[]"), std::invalid_argument);
+    BOOST_CHECK_THROW(decodeMemberRequest("{\"group\":1}"), std::invalid_argument);
+    BOOST_CHECK_THROW(decodeMemberAnswer("{"), std::invalid_argument);
+}
