--- a/src/filters.h
+++ b/src/filters.h
@@ -34,6 +34,9 @@
     virtual bool allowRetry(Instant now) = 0;
 };
 
+/// Returns a retry budget for the whole entry host, behind one lock.
+std::shared_ptr<RetryPolicy> makeRetryPolicy(const RequestSettings&, Instant now);
+
 /// What the dispatch filter needs; everything outlives the filter.
 struct DispatchParts {
     std::string dataCentre;
