--- /dev/null
+++ b/src/store_http.cpp
@@ -0,0 +1,179 @@
+#include "store_http.h"
+#include <cpprest/base_uri.h>
+#include <cpprest/json.h>
+
+namespace plantainwall {
+
+namespace {
+
+    using web::json::value;
+
+    std::string encodeQuery(std::string_view text) { return web::uri::encode_data_string(std::string(text)); }
+
+    StoreEntry readEntry(const value& json)
+    {
+        StoreEntry entry;
+        entry.key = json.at("key").as_string();
+        if (!json.at("value").is_null())
+            entry.value = json.at("value").as_string();
+        entry.revision = json.at("revision").as_number().to_uint64();
+        return entry;
+    }
+
+    StoreListing readListing(const value& json)
+    {
+        StoreListing listing;
+        listing.revision = json.at("revision").as_number().to_uint64();
+        for (const value& item : json.at("entries").as_array())
+            listing.entries.push_back(readEntry(item));
+        return listing;
+    }
+
+    PlatformHost readHost(const value& json)
+    {
+        const std::string state = json.at("state").as_string();
+        return { json.at("name").as_string(),
+            state == "leaving" ? PlatformHostState::Leaving : PlatformHostState::Live };
+    }
+
+    /// Throws CallFailed unless the reply has one of two statuses.
+    void requireStatus(const HttpReply& reply, int first, int second)
+    {
+        if (reply.sendState != SendState::Answered)
+            throw CallFailed(reply.sendState, "store: " + reply.error);
+        if (reply.status == first || reply.status == second)
+            return;
+        // A gateway or a store that fails half way answers 5xx after the change may have been applied.
+        const SendState state = reply.status >= 500 ? SendState::MaybeSent : SendState::Answered;
+        throw CallFailed(state, "store answered with status " + std::to_string(reply.status));
+    }
+
+    value parseBody(const HttpReply& reply) { return reply.body.empty() ? value::object() : value::parse(reply.body); }
+
+    class HttpStore final : public Store {
+    public:
+        HttpStore(std::shared_ptr<HttpCaller> caller, Duration timeout)
+            : m_caller(std::move(caller))
+            , m_timeout(timeout)
+        {
+        }
+
+        pplx::task<std::optional<StoreEntry>> get(std::string_view key) override
+        {
+            return run<std::optional<StoreEntry>>(
+                { "GET", keyPath(key) }, { 200, 404 }, [](const HttpReply& reply) -> std::optional<StoreEntry> {
+                    if (reply.status == 404)
+                        return std::nullopt;
+                    return readEntry(parseBody(reply));
+                });
+        }
+
+        pplx::task<StoreListing> list(std::string_view prefix) override
+        {
+            return run<StoreListing>({ "GET", "/v1/list?prefix=" + encodeQuery(prefix) }, { 200, 200 },
+                [](const HttpReply& reply) { return readListing(parseBody(reply)); });
+        }
+
+        pplx::task<SwapResult> compareAndSwap(std::string_view key, uint64_t expectedRevision,
+            std::optional<std::string> newValue, std::string_view lease) override
+        {
+            value body = value::object();
+            body["value"] = newValue ? value::string(*newValue) : value::null();
+            body["expected_revision"] = value::number(expectedRevision);
+            body["lease"] = value::string(std::string(lease));
+            return run<SwapResult>({ "PUT", keyPath(key), body.serialize() }, { 200, 409 }, [](const HttpReply& reply) {
+                const value json = parseBody(reply);
+                return SwapResult { json.at("applied").as_bool(), json.at("revision").as_number().to_uint64() };
+            });
+        }
+
+        pplx::task<StoreListing> watch(std::string_view prefix, uint64_t afterRevision, Duration wait) override
+        {
+            const int64_t waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+            return run<StoreListing>({ "GET",
+                                         "/v1/watch?prefix=" + encodeQuery(prefix) + "&after="
+                                             + std::to_string(afterRevision) + "&wait_ms=" + std::to_string(waitMs),
+                                         {}, wait },
+                { 200, 200 }, [](const HttpReply& reply) { return readListing(parseBody(reply)); });
+        }
+
+        pplx::task<std::string> grantLease(Duration ttl) override
+        {
+            value body = value::object();
+            body["ttl_ms"] = value::number(
+                static_cast<int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(ttl).count()));
+            return run<std::string>({ "POST", "/v1/leases", body.serialize() }, { 200, 201 },
+                [](const HttpReply& reply) { return parseBody(reply).at("lease").as_string(); });
+        }
+
+        pplx::task<bool> renewLease(std::string_view lease) override
+        {
+            return run<bool>({ "POST", "/v1/leases/" + encodeQuery(lease) + "/renew", "{}" }, { 200, 404 },
+                [](const HttpReply& reply) { return reply.status == 200; });
+        }
+
+        pplx::task<void> revokeLease(std::string_view lease) override
+        {
+            // 404: the lease has already ended, which is what the caller wants.
+            return run<bool>({ "DELETE", "/v1/leases/" + encodeQuery(lease) }, { 200, 404 }, [](const HttpReply&) {
+                return true;
+            }).then([](bool) {});
+        }
+
+        pplx::task<std::vector<PlatformHost>> hosts() override
+        {
+            return run<std::vector<PlatformHost>>({ "GET", "/v1/hosts" }, { 200, 200 }, [](const HttpReply& reply) {
+                std::vector<PlatformHost> hosts;
+                const value json = parseBody(reply);
+                for (const value& item : json.at("hosts").as_array())
+                    hosts.push_back(readHost(item));
+                return hosts;
+            });
+        }
+
+    private:
+        struct Request {
+            std::string method;
+            std::string path;
+            std::string body {};
+            Duration extraTime {};
+        };
+
+        static std::string keyPath(std::string_view key)
+        {
+            return "/v1/kv/" + web::uri::encode_uri(std::string(key), web::uri::components::path);
+        }
+
+        template <typename Result, typename Reader>
+        pplx::task<Result> run(const Request& request, std::pair<int, int> statuses, Reader reader)
+        {
+            HttpCall call;
+            call.method = request.method;
+            call.path = request.path;
+            call.body = request.body;
+            call.timeout = m_timeout + request.extraTime;
+            if (!request.body.empty())
+                call.headers["Content-Type"] = "application/json";
+            return m_caller->call(std::move(call)).then([statuses, reader](const HttpReply& reply) -> Result {
+                requireStatus(reply, statuses.first, statuses.second);
+                try {
+                    return reader(reply);
+                } catch (const web::json::json_exception& error) {
+                    // A change with an unreadable confirmation may have been applied.
+                    throw CallFailed(SendState::MaybeSent, std::string("store answer is malformed: ") + error.what());
+                }
+            });
+        }
+
+        std::shared_ptr<HttpCaller> m_caller;
+        Duration m_timeout;
+    };
+
+} // namespace
+
+std::shared_ptr<Store> makeHttpStore(std::shared_ptr<HttpCaller> caller, Duration timeout)
+{
+    return std::make_shared<HttpStore>(std::move(caller), timeout);
+}
+
+} // namespace plantainwall
--- /dev/null
+++ b/tests/unit_store_http.cpp
@@ -0,0 +1,82 @@
+#include "store_http.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace plantainwall;
+
+namespace {
+
+class FakeCaller final : public HttpCaller {
+public:
+    pplx::task<HttpReply> call(HttpCall call) override
+    {
+        last = std::move(call);
+        return pplx::task_from_result(reply);
+    }
+
+    void answer(int status, const std::string& body)
+    {
+        reply = {};
+        reply.sendState = SendState::Answered;
+        reply.status = status;
+        reply.body = body;
+    }
+
+    HttpCall last;
+    HttpReply reply;
+};
+
+struct Fixture {
+    std::shared_ptr<FakeCaller> caller = std::make_shared<FakeCaller>();
+    std::shared_ptr<Store> store = makeHttpStore(caller);
+
+    SendState swapFailure()
+    {
+        try {
+            store->compareAndSwap("config/a", 1, "v", "").get();
+        } catch (const CallFailed& error) {
+            return error.sendState();
+        }
+        return SendState::Count;
+    }
+};
+
+} // namespace
+
+// Guards against requests the store would not understand and answers read wrongly.
+BOOST_FIXTURE_TEST_CASE(calls_follow_the_protocol, Fixture)
+{
+    caller->answer(200, R"({"applied":true,"revision":12})");
+    BOOST_TEST(store->compareAndSwap("config/teams/a/limits", 11, "v", "l1").get().revision == 12);
+    BOOST_TEST(caller->last.method == "PUT");
+    BOOST_TEST(caller->last.path == "/v1/kv/config/teams/a/limits");
+    BOOST_TEST(caller->last.body.find("\"expected_revision\":11") != std::string::npos);
+    caller->answer(409, R"({"applied":false,"revision":15})");
+    BOOST_TEST(!store->compareAndSwap("config/a", 11, std::nullopt, "").get().applied);
+    BOOST_TEST(caller->last.body.find("\"value\":null") != std::string::npos);
+    caller->answer(404, "");
+    BOOST_TEST(!store->get("config/a").get());
+    BOOST_TEST(!store->renewLease("l1").get());
+    caller->answer(200, R"({"revision":9,"entries":[{"key":"config/a","value":null,"revision":8}]})");
+    const StoreListing listing = store->watch("config/", 7, std::chrono::seconds(3)).get();
+    BOOST_TEST(listing.entries.size() == 1);
+    BOOST_TEST(!listing.entries[0].value);
+    BOOST_TEST(caller->last.path == "/v1/watch?prefix=config%2F&after=7&wait_ms=3000");
+    BOOST_TEST(caller->last.timeout.count() == 5000000);
+    caller->answer(200, R"({"hosts":[{"name":"h1","state":"leaving"}]})");
+    BOOST_TEST((store->hosts().get().at(0).state == PlatformHostState::Leaving));
+}
+
+// Guards against a change that may have been applied being reported as not applied.
+BOOST_FIXTURE_TEST_CASE(failures_keep_their_send_state, Fixture)
+{
+    caller->reply.sendState = SendState::NotSent;
+    BOOST_TEST((swapFailure() == SendState::NotSent));
+    caller->reply.sendState = SendState::MaybeSent;
+    BOOST_TEST((swapFailure() == SendState::MaybeSent));
+    caller->answer(400, "{}");
+    BOOST_TEST((swapFailure() == SendState::Answered));
+    caller->answer(503, "");
+    BOOST_TEST((swapFailure() == SendState::MaybeSent));
+    caller->answer(200, "{");
+    BOOST_TEST((swapFailure() == SendState::MaybeSent));
+}
