Distribute the configuration through relays

Cause: 750 hosts cannot all watch the store, and an old copy, a late answer or a crossing message must never revert the configuration in force. Change: Configuration keeps a copy that is complete up to a store revision and takes single later entries by the greatest revision of each key. Relays watch and push single entries; every host fetches from a relay each second, which carries the age and finds what a push lost.

--- a/src/config_schema.cpp
+++ b/src/config_schema.cpp
@@ -498,6 +498,11 @@
         m_faults[key] = std::move(parsed.faults);
 }
 
+void ConfigSnapshotBuilder::reject(std::string_view path, std::string_view reason)
+{
+    m_faults[std::string(path)] = { { std::string(path), std::string(reason) } };
+}
+
 std::shared_ptr<const ConfigSnapshot> ConfigSnapshotBuilder::build(uint64_t revision) const
 {
     std::shared_ptr<ConfigSnapshot> snapshot = std::make_shared<ConfigSnapshot>();
--- a/src/config_schema.h
+++ b/src/config_schema.h
@@ -72,6 +72,9 @@
     /// Sets the value of a path; an absent value removes it.
     void set(std::string_view path, std::optional<std::string_view> toml);
 
+    /// Reports an entry that could not be read; its previous value stays.
+    void reject(std::string_view path, std::string_view reason);
+
     std::shared_ptr<const ConfigSnapshot> build(uint64_t revision) const;
 
     /// Returns the faults of the entries whose latest value is not in force.
--- /dev/null
+++ b/src/configuration.cpp
@@ -0,0 +1,298 @@
+#include "configuration.h"
+#include <algorithm>
+
+namespace plantainwall {
+
+Configuration::Configuration(uint64_t seed, Instant now, const ConfigTiming& timing)
+    : m_timing(timing)
+    , m_random(seed)
+    , m_startedAt(now)
+{
+}
+
+bool Configuration::merge(const StoreEntry& entry)
+{
+    // The copy already contains the outcome of every change up to m_complete.
+    if (entry.revision <= m_complete)
+        return false;
+    const auto it = m_entries.find(entry.key);
+    if (it != m_entries.end() && it->second.revision >= entry.revision)
+        return false;
+    m_entries[entry.key] = entry;
+    m_latest = std::max(m_latest, entry.revision);
+    setValue(entry);
+    return true;
+}
+
+void Configuration::setValue(const StoreEntry& entry)
+{
+    if (entry.key.compare(0, configPrefix.size(), configPrefix) != 0)
+        return;
+    const std::string_view path = std::string_view(entry.key).substr(configPrefix.size());
+    if (!entry.value) {
+        m_builder.set(path, std::nullopt);
+        return;
+    }
+    const std::optional<ConfigEnvelope> envelope = decodeEnvelope(*entry.value);
+    if (envelope)
+        m_builder.set(path, envelope->value);
+    else
+        m_builder.reject(path, "the stored envelope cannot be read");
+}
+
+bool Configuration::removeAbsent(const ConfigBatch& batch)
+{
+    std::set<std::string_view> present;
+    bool removed = false;
+    for (const StoreEntry& entry : batch.entries)
+        present.insert(entry.key);
+    for (std::pair<const std::string, StoreEntry>& entry : m_entries) {
+        if (!entry.second.value || entry.second.revision > batch.to || present.count(entry.first))
+            continue;
+        entry.second.value.reset();
+        entry.second.revision = batch.to;
+        m_latest = std::max(m_latest, batch.to);
+        setValue(entry.second);
+        removed = true;
+    }
+    m_listedAt = std::max(m_listedAt, batch.to);
+    return removed;
+}
+
+void Configuration::apply(const ConfigBatch& batch)
+{
+    std::vector<const StoreEntry*> changed;
+    for (const StoreEntry& entry : batch.entries) {
+        if (merge(entry))
+            changed.push_back(&entry);
+    }
+    const bool first = !m_hasCopy && batch.full;
+    bool removed = false;
+    if (batch.full && (batch.to > m_complete || first))
+        removed = removeAbsent(batch);
+    if ((batch.full || batch.from <= m_complete) && batch.to > m_complete)
+        m_complete = batch.to;
+    m_hasCopy = m_hasCopy || first;
+    if (m_hasCopy && (!m_snapshot || removed || !changed.empty()))
+        m_snapshot = m_builder.build(m_latest);
+    if (!m_topology.relay || changed.empty() || changed.size() > m_timing.maxPushedEntries)
+        return;
+    for (const StoreEntry* entry : changed)
+        m_toPush[entry->key] = *entry;
+    m_pushTargets.insert(m_topology.localHosts.begin(), m_topology.localHosts.end());
+}
+
+void Configuration::confirm(Instant at)
+{
+    if (!m_confirmedAt || *m_confirmedAt < at)
+        m_confirmedAt = at;
+}
+
+void Configuration::storeAnswered(uint64_t id, Instant sentAt, uint64_t revision, uint64_t completeBefore)
+{
+    if (m_storeCall && m_storeCall->id == id)
+        m_storeCall.reset();
+    m_storeFailures = 0;
+    // An answer from before the copy's own revision says nothing about changes since.
+    if (revision < completeBefore)
+        return;
+    confirm(sentAt);
+    if (!m_storeConfirmedAt || *m_storeConfirmedAt < sentAt)
+        m_storeConfirmedAt = sentAt;
+}
+
+void Configuration::storeFailed(uint64_t id, Instant now)
+{
+    if (!m_storeCall || m_storeCall->id != id)
+        return;
+    m_storeCall.reset();
+    const Duration delay
+        = std::min<Duration>(m_timing.minRetry * (1LL << std::min(m_storeFailures, 10U)), m_timing.maxRetry);
+    ++m_storeFailures;
+    // Jitter keeps the relays from calling a recovering store at the same moment.
+    const uint64_t half = static_cast<uint64_t>(delay.count()) / 2;
+    m_nextStoreCall = now + Duration(half + m_random() % (half + 1));
+}
+
+void Configuration::watchAnswered(const WatchStore& asked, const StoreListing& listing)
+{
+    const uint64_t completeBefore = m_complete;
+    apply({ asked.after, listing.revision, false, {}, listing.entries });
+    storeAnswered(asked.id, asked.sentAt, listing.revision, completeBefore);
+}
+
+void Configuration::watchFailed(const WatchStore& asked, StoreFailure failure, Instant now)
+{
+    if (failure == StoreFailure::Gap)
+        m_needList = true;
+    storeFailed(asked.id, now);
+}
+
+void Configuration::listAnswered(const ListStore& asked, const StoreListing& listing)
+{
+    const uint64_t completeBefore = m_complete;
+    apply({ 0, listing.revision, true, {}, listing.entries });
+    storeAnswered(asked.id, asked.sentAt, listing.revision, completeBefore);
+    m_needList = false;
+}
+
+void Configuration::listFailed(const ListStore& asked, Instant now) { storeFailed(asked.id, now); }
+
+void Configuration::fetchAnswered(const FetchFromPeer& asked, const ConfigBatch& batch)
+{
+    apply(batch);
+    // Every change the peer's confirmation covers is in this copy too, so it is confirmed since the same time.
+    if (m_hasCopy && batch.to <= m_complete && batch.age != Duration::max())
+        confirm(asked.sentAt - batch.age);
+    if (m_fetch && m_fetch->id == asked.id) {
+        m_fetch.reset();
+        m_fetchFailures = batch.age > m_timing.staleAge ? m_fetchFailures + 1 : 0;
+    }
+}
+
+void Configuration::fetchFailed(const FetchFromPeer& asked)
+{
+    if (!m_fetch || m_fetch->id != asked.id)
+        return;
+    m_fetch.reset();
+    ++m_fetchFailures;
+    m_nextFetch = asked.sentAt + m_timing.startFetchInterval;
+}
+
+void Configuration::pushReceived(const ConfigBatch& batch)
+{
+    // Single entries: others may be missing, so the complete revision does not move.
+    apply({ 0, 0, false, {}, batch.entries });
+}
+
+void Configuration::digestReceived(std::string_view host, const ConfigDigest& digest)
+{
+    if (m_hasCopy && digest.revision > std::max(m_latest, m_complete))
+        m_hint = std::string(host);
+}
+
+void Configuration::changeAccepted(const StoreEntry& entry)
+{
+    apply({ 0, 0, false, {}, { entry } });
+    m_toPush[entry.key] = entry;
+    m_pushTargets.insert(m_topology.relays.begin(), m_topology.relays.end());
+    if (m_topology.relays.empty())
+        m_pushTargets.insert(m_topology.localHosts.begin(), m_topology.localHosts.end());
+}
+
+std::optional<ConfigBatch> Configuration::changesSince(uint64_t after, Instant now) const
+{
+    if (!m_hasCopy)
+        return std::nullopt;
+    ConfigBatch batch;
+    batch.from = after;
+    batch.to = m_complete;
+    batch.full = after < m_listedAt || after == 0;
+    batch.age = age(now);
+    for (const std::pair<const std::string, StoreEntry>& entry : m_entries) {
+        if (batch.full || entry.second.revision > after)
+            batch.entries.push_back(entry.second);
+    }
+    return batch;
+}
+
+std::vector<StoreEntry> Configuration::entries(std::string_view keyPrefix) const
+{
+    std::vector<StoreEntry> found;
+    for (auto it = m_entries.lower_bound(keyPrefix); it != m_entries.end(); ++it) {
+        if (it->first.compare(0, keyPrefix.size(), keyPrefix) != 0)
+            break;
+        found.push_back(it->second);
+    }
+    return found;
+}
+
+std::vector<ConfigAction> Configuration::tick(Instant now)
+{
+    std::vector<ConfigAction> actions;
+    tickStore(now, actions);
+    tickFetch(now, actions);
+    tickPush(now, actions);
+    return actions;
+}
+
+void Configuration::tickStore(Instant now, std::vector<ConfigAction>& actions)
+{
+    if (m_storeCall && now >= m_storeCall->deadline)
+        storeFailed(m_storeCall->id, now);
+    if (m_storeCall || now < m_nextStoreCall)
+        return;
+    const uint64_t id = m_nextId;
+    if (!m_hasCopy || (m_topology.relay && m_needList)) {
+        actions.emplace_back(ListStore { id, now });
+        m_storeCall = StoreCall { id, now + m_timing.listTimeout };
+    } else if (m_topology.relay) {
+        actions.emplace_back(WatchStore { id, m_complete, m_timing.watchWait, now });
+        m_storeCall = StoreCall { id, now + m_timing.watchWait + m_timing.watchGrace };
+    } else {
+        return;
+    }
+    ++m_nextId;
+}
+
+bool Configuration::watchIsHealthy(Instant now) const
+{
+    return m_topology.relay && m_storeConfirmedAt
+        && now - *m_storeConfirmedAt <= m_timing.watchWait + m_timing.watchGrace;
+}
+
+void Configuration::tickFetch(Instant now, std::vector<ConfigAction>& actions)
+{
+    if (m_fetch && now >= m_fetch->deadline) {
+        m_fetch.reset();
+        ++m_fetchFailures;
+        m_nextFetch = now;
+    }
+    if (!m_hasCopy && now < m_startedAt + m_timing.listTimeout)
+        return;
+    if (m_fetch || m_topology.peers.empty())
+        return;
+    const bool hinted = !m_hint.empty() && now - m_lastFetch >= m_timing.hintInterval;
+    const bool due = now >= m_nextFetch && !watchIsHealthy(now);
+    if (!hinted && !due)
+        return;
+    std::string host = hinted ? std::move(m_hint) : chooseFetchHost();
+    m_hint.clear();
+    m_fetch = StoreCall { m_nextId, now + m_timing.fetchTimeout };
+    m_lastFetch = now;
+    m_nextFetch = now + (m_hasCopy ? m_timing.fetchInterval : m_timing.startFetchInterval);
+    actions.emplace_back(FetchFromPeer { m_nextId, std::move(host), m_hasCopy ? m_complete : 0, now });
+    ++m_nextId;
+}
+
+const std::string& Configuration::pick(const std::vector<std::string>& hosts)
+{
+    return hosts[m_random() % hosts.size()];
+}
+
+std::string Configuration::chooseFetchHost()
+{
+    // Two fruitless attempts: the local relays may be cut off, so hosts elsewhere are asked too.
+    if (!m_topology.localRelays.empty() && !m_topology.relay && m_fetchFailures < 2)
+        return pick(m_topology.localRelays);
+    if (!m_topology.relays.empty() && m_random() % 2 == 0)
+        return pick(m_topology.relays);
+    return pick(m_topology.peers);
+}
+
+void Configuration::tickPush(Instant now, std::vector<ConfigAction>& actions)
+{
+    if (m_toPush.empty() || now < m_nextPush)
+        return;
+    PushToPeers push;
+    push.hosts.assign(m_pushTargets.begin(), m_pushTargets.end());
+    for (const std::pair<const std::string, StoreEntry>& entry : m_toPush)
+        push.batch.entries.push_back(entry.second);
+    m_toPush.clear();
+    m_pushTargets.clear();
+    m_nextPush = now + m_timing.pushInterval;
+    if (!push.hosts.empty())
+        actions.emplace_back(std::move(push));
+}
+
+} // namespace plantainwall
