--- /dev/null
+++ b/src/filter_approval.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "request_context.h"
+
+namespace plantainwall {
+
+/// Returns whether the customer lists the service and the service has approved the customer.
+bool isApproved(const ConfigSnapshot&, std::string_view customer, std::string_view service);
+
+/// Finds the service of the request and refuses with NotApproved unless both sides agreed, with GroupUnknown if there
+/// is no such group. A request within a transaction names no group; it is found by the member in the transaction id.
+class ApprovalFilter final : public Filter {
+public:
+    std::string_view name() const override { return "approval"; }
+    void handle(const RequestContextPtr&, FilterChain&) override;
+};
+
+} // namespace plantainwall
--- /dev/null
+++ b/src/filter_key.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "request_context.h"
+#include <unordered_map>
+
+namespace plantainwall {
+
+/// Takes the key out of the request and names the customer it belongs to. Refuses with KeyMissing, KeyInvalid,
+/// KeyWithdrawn, ConfigurationMissing, or ConfigurationTooOld if the customer's cutoff asks for it. Reads on open
+/// routes pass without a key; a wrong key is refused on them too.
+class KeyFilter final : public Filter {
+public:
+    explicit KeyFilter(std::shared_ptr<const ConfigView> config);
+
+    std::string_view name() const override { return "key"; }
+    void handle(const RequestContextPtr&, FilterChain&) override;
+
+private:
+    struct KeyOwner {
+        std::string customer;
+        KeyConfig key;
+    };
+    /// The keys of one snapshot by key id.
+    struct KeyIndex {
+        std::shared_ptr<const ConfigSnapshot> snapshot;
+        std::unordered_multimap<std::string, KeyOwner> keys;
+    };
+
+    std::shared_ptr<const KeyIndex> indexOf(const std::shared_ptr<const ConfigSnapshot>&);
+    ResultCode identify(RequestContext&, const std::string& key);
+
+    std::shared_ptr<const ConfigView> m_config;
+    std::shared_ptr<const KeyIndex> m_index; ///< Accessed with std::atomic_load and std::atomic_store.
+};
+
+} // namespace plantainwall
