Add the operators' interface and command line

Cause: operators change the configuration through any entry host, and a lost answer must neither hide nor repeat a change.

--- /dev/null
+++ b/src/cli_operator.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "http_caller.h"
+#include <functional>
+#include <iosfwd>
+
+namespace CLI {
+class App;
+}
+
+namespace plantainwall {
+
+/// What the operator commands use of their surroundings.
+struct OperatorCommandContext {
+    std::function<std::shared_ptr<HttpCaller>(const std::string& server)> makeCaller;
+    std::function<void(Duration)> pause;
+    std::ostream* out = nullptr;
+    std::ostream* error = nullptr;
+};
+
+/// Adds the operator commands: config, team, key, approve, limits, operator. A command that fails writes its error and
+/// throws CLI::RuntimeError with the exit code (see OperatorExit).
+void addOperatorCommands(CLI::App&);
+void addOperatorCommands(CLI::App&, const OperatorCommandContext&);
+
+/// Parses the command line, runs the chosen command and returns the exit code: 2 for wrong usage.
+int runCommandLine(CLI::App&, int argc, const char* const* argv);
+
+} // namespace plantainwall
