Add decision objects of database groups and the HTTP database

Cause: the owner side of a group needs promotion, acknowledgement, read routing, session tokens, retry budget and connection accounting as plain objects that can be checked in virtual time.

Change: Promotion, AckTracker, SessionToken, ReadRouter, RetryBudget, ConnectionLedger and the JSON/HTTP Database, with unit tests. The promotion model runs two candidates against 3 to 5 members with lost, late and reordered messages, crashes and cuts.

The candidate name is random per process: in the model a name shared by two processes leads to a later primary that lacks an acknowledged write or to two primaries in a term.

--- /dev/null
+++ b/src/connection_ledger.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "plantainwall/plantainwall.h"
+#include <deque>
+#include <map>
+#include <optional>
+
+#include <variant>
+
+namespace plantainwall {
+
+/// Decides which request uses which logical connection of one database. A decision object. Opens at most half of the
+/// database's limit, so that two hosts that both believe to own it stay below the limit.
+class ConnectionLedger {
+public:
+    using Waiter = uint64_t;
+
+    /// Open one connection and report it by opened() or openFailed().
+    struct Open { };
+    struct Close {
+        std::string connection;
+    };
+    struct Grant {
+        Waiter waiter = 0;
+        std::string connection;
+    };
+    /// The waiter's deadline passed without a connection.
+    struct Expire {
+        Waiter waiter = 0;
+    };
+    using Action = std::variant<Open, Close, Grant, Expire>;
+    using Actions = std::vector<Action>;
+
+    /// Limit of the database itself; half of it is used, rounded down.
+    void setLimit(unsigned databaseLimit) { m_limit = databaseLimit / 2; }
+
+    Actions acquire(Waiter, Instant deadline, Instant now);
+
+    /// Removes a waiter whose request has ended.
+    void cancel(Waiter);
+
+    Actions opened(const std::string& connection, Instant now);
+    Actions openFailed(Instant now);
+
+    /// Gives back a connection granted to waiter; without effect if another holds it by now. reusable must be false if
+    /// anything about its state is in doubt; it is then closed.
+    Actions release(Waiter, const std::string& connection, bool reusable, Instant now);
+
+    /// Closes what has been idle for long, expires waiters and retries failed opens.
+    Actions tick(Instant now);
+
+    /// Closes every idle connection and opens none from now on.
+    Actions close();
+
+    unsigned limit() const { return m_limit; }
+    size_t open() const { return m_idle.size() + m_inUse.size(); }
+    size_t inUse() const { return m_inUse.size(); }
+    size_t opening() const { return m_opening; }
+    size_t waiting() const { return m_waiters.size(); }
+
+private:
+    struct Idle {
+        std::string connection;
+        Instant since {};
+    };
+    struct Waiting {
+        Waiter waiter = 0;
+        Instant deadline {};
+    };
+
+    void serve(Instant now, Actions&);
+
+    unsigned m_limit = 1;
+    bool m_closed = false;
+    std::vector<Idle> m_idle;
+    std::map<std::string, Waiter> m_inUse;
+    size_t m_opening = 0;
+    std::deque<Waiting> m_waiters;
+    Instant m_openNotBefore {};
+};
+
+} // namespace plantainwall
--- /dev/null
+++ b/src/promotion.cpp
@@ -0,0 +1,337 @@
+#include "promotion.h"
+#include <algorithm>
+
+namespace plantainwall {
+
+namespace {
+
+    // Time for the slower members to answer a fence call after a majority has: their logs may be longer, and a round
+    // trip between regions takes about 60 ms.
+    constexpr Duration settleTime = std::chrono::milliseconds(100);
+
+    // A promoted member that does not answer this many calls is taken for dead, and a higher term is tried.
+    constexpr unsigned maxPromoteCalls = 3;
+
+    constexpr std::string_view phaseNames[] = { "watching", "waiting", "fencing", "promoting" };
+    static_assert(sizeof(phaseNames) / sizeof(phaseNames[0]) == static_cast<size_t>(Promotion::Phase::Count),
+        "one entry for each Phase");
+
+} // namespace
+
+std::string_view promotionPhaseName(Promotion::Phase phase) { return phaseNames[static_cast<size_t>(phase)]; }
+
+Promotion::Promotion(const GroupSettings& settings, std::string_view host, std::vector<std::string> members,
+    std::mt19937_64& random, Instant now)
+    : m_settings(settings)
+    , m_candidate(std::string(host) + "." + std::to_string(random()))
+    , m_random(random)
+    , m_lastPrimaryContact(now)
+    , m_notBefore(now)
+{
+    for (std::string& name : members)
+        m_members.emplace(std::move(name), Member {});
+}
+
+void Promotion::setCandidates(unsigned rank, std::vector<std::string> otherOwners)
+{
+    m_rank = rank;
+    m_otherOwners = std::move(otherOwners);
+}
+
+std::vector<PromotionAction> Promotion::onStatus(
+    std::string_view name, const MemberStatus& status, Instant sent, Instant now)
+{
+    std::vector<PromotionAction> actions;
+    const std::map<std::string, Member, std::less<>>::iterator it = m_members.find(name);
+    if (it == m_members.end() || sent < it->second.sent || (it->second.status && it->second.status->term > status.term))
+        return actions;
+    it->second.status = status;
+    it->second.sent = sent;
+    it->second.heard = now;
+    noteTerm(status.term, now);
+    updatePrimary(now, actions);
+    noteStranded(now);
+    return actions;
+}
+
+std::vector<PromotionAction> Promotion::onFenceReply(
+    std::string_view member, uint64_t term, const FenceReply& reply, Instant now)
+{
+    std::vector<PromotionAction> actions;
+    if (m_members.find(member) == m_members.end())
+        return actions;
+    m_highestTerm = std::max(m_highestTerm, reply.term);
+    if (!m_round || m_round->term != term || !m_round->chosen.empty())
+        return actions;
+    if (reply.granted)
+        m_round->granted[std::string(member)] = reply.received;
+    else
+        m_round->denied[std::string(member)] = reply.term;
+    continueRound(now, actions);
+    return actions;
+}
+
+std::vector<PromotionAction> Promotion::onPromoteReply(
+    std::string_view member, uint64_t term, bool promoted, Instant now)
+{
+    std::vector<PromotionAction> actions;
+    if (!m_round || m_round->term != term || m_round->chosen != member)
+        return actions;
+    if (!promoted) {
+        abandonRound(now, m_settings.candidateStagger);
+        return actions;
+    }
+    const std::string chosen = m_round->chosen;
+    m_round.reset();
+    m_phase = Phase::Watching;
+    ++m_promotions;
+    m_lastPrimaryContact = now;
+    m_members.find(chosen)->second.sent = now; // A status asked for earlier still shows the role before.
+    if (term > m_primaryTerm)
+        setPrimary(chosen, term, actions);
+    return actions;
+}
+
+void Promotion::onPeerReach(std::string_view host, Duration age, Instant now)
+{
+    m_peers[std::string(host)] = PeerReach { now - age, now };
+}
+
+std::vector<PromotionAction> Promotion::tick(Instant now)
+{
+    std::vector<PromotionAction> actions;
+    if (m_round) {
+        continueRound(now, actions);
+        return actions;
+    }
+    if (!shouldReplace(now)) {
+        m_phase = Phase::Watching;
+        return actions;
+    }
+    if (m_phase == Phase::Watching) {
+        m_phase = Phase::Waiting;
+        m_startAt = now + m_settings.candidateStagger * m_rank + jitter(m_settings.candidateStagger / 3);
+        for (const std::pair<const std::string, Member>& entry : m_members)
+            actions.emplace_back(ProbeMember { entry.first });
+    }
+    if (now >= m_startAt && now >= m_notBefore)
+        startRound(now, actions);
+    return actions;
+}
+
+bool Promotion::isFresh(const Member& member, Instant now) const
+{
+    return member.status && now - member.heard <= m_settings.primaryUnreachable;
+}
+
+bool Promotion::isSilent(const Member& member, Instant now, Duration silence) const
+{
+    return isFresh(member, now) && member.status->role != MemberRole::Primary
+        && member.status->primarySilence >= silence;
+}
+
+size_t Promotion::silentMembers(Instant now, Duration silence) const
+{
+    size_t n = 0;
+    for (const std::pair<const std::string, Member>& entry : m_members)
+        n += isSilent(entry.second, now, silence) ? 1 : 0;
+    return n;
+}
+
+bool Promotion::unreachableByEveryOwner(Instant now) const
+{
+    if (m_primary.empty() || now - m_lastPrimaryContact < m_settings.unreachableByAllOwners)
+        return false;
+    for (const std::string& host : m_otherOwners) {
+        const std::map<std::string, PeerReach, std::less<>>::const_iterator it = m_peers.find(host);
+        if (it == m_peers.end() || now - it->second.heard > m_settings.unreachableByAllOwners / 2
+            || now - it->second.reached < m_settings.unreachableByAllOwners)
+            return false;
+    }
+    return true;
+}
+
+/// Returns whether a member has been fenced above the primary's term for so long that its candidate must have died. The
+/// member refuses the primary until some member is promoted in a higher term.
+bool Promotion::memberStranded(Instant now) const
+{
+    for (const std::pair<const std::string, Member>& entry : m_members) {
+        if (entry.second.strandedSince && isFresh(entry.second, now)
+            && now - *entry.second.strandedSince >= 2 * m_settings.primaryUnreachable)
+            return true;
+    }
+    return false;
+}
+
+bool Promotion::shouldReplace(Instant now) const
+{
+    // Also replaces a primary that this host reaches while a majority of the members does not: it cannot acknowledge.
+    if (silentMembers(now, m_settings.unreachableByAllOwners) >= majority())
+        return true;
+    if (now - m_lastPrimaryContact >= m_settings.primaryUnreachable
+        && silentMembers(now, m_settings.primarySilence) >= majority())
+        return true;
+    return unreachableByEveryOwner(now) || memberStranded(now);
+}
+
+bool Promotion::hearsNewerPrimary(uint64_t term, Instant now) const
+{
+    for (const std::pair<const std::string, Member>& entry : m_members) {
+        if (isFresh(entry.second, now) && entry.second.status->term > term
+            && entry.second.status->role == MemberRole::Replica
+            && entry.second.status->primarySilence < m_settings.primarySilence)
+            return true;
+    }
+    return false;
+}
+
+void Promotion::noteStranded(Instant now)
+{
+    for (std::pair<const std::string, Member>& entry : m_members) {
+        Member& member = entry.second;
+        const bool stranded = !m_primary.empty() && member.status && member.status->role != MemberRole::Primary
+            && member.status->term > m_primaryTerm && member.status->primarySilence >= m_settings.primarySilence;
+        if (!stranded)
+            member.strandedSince.reset();
+        else if (!member.strandedSince)
+            member.strandedSince = now;
+    }
+}
+
+/// The primary is the member that reports the role in the highest term, unless a majority has moved past that term.
+void Promotion::updatePrimary(Instant now, std::vector<PromotionAction>& actions)
+{
+    const std::pair<const std::string, Member>* best = nullptr;
+    for (const std::pair<const std::string, Member>& entry : m_members) {
+        if (entry.second.status && entry.second.status->role == MemberRole::Primary
+            && (!best || entry.second.status->term > best->second.status->term))
+            best = &entry;
+    }
+    const std::map<std::string, Member, std::less<>>::const_iterator current = m_members.find(m_primary);
+    // A member just promoted here keeps the role until it reports its status in that term itself.
+    const bool currentPending
+        = current != m_members.end() && (!current->second.status || current->second.status->term < m_primaryTerm);
+    if (currentPending && (!best || best->second.status->term <= m_primaryTerm))
+        return;
+    size_t beyond = 0;
+    for (const std::pair<const std::string, Member>& entry : m_members)
+        beyond += best && entry.second.status && entry.second.status->term > best->second.status->term ? 1 : 0;
+    if (!best || beyond >= majority() || hearsNewerPrimary(best->second.status->term, now)) {
+        if (!m_primary.empty())
+            setPrimary({}, m_primaryTerm, actions);
+        return;
+    }
+    const uint64_t term = best->second.status->term;
+    m_lastPrimaryContact = std::max(m_lastPrimaryContact, best->second.heard);
+    if (m_round && term >= m_round->term) {
+        if (best->first == m_round->chosen && term == m_round->term)
+            ++m_promotions;
+        m_round.reset();
+        m_phase = Phase::Watching;
+    } else if (m_round && m_round->granted.empty() && best->second.heard == now && !shouldReplace(now)) {
+        abandonRound(now, Duration::zero()); // The primary is back and nobody has been fenced.
+    }
+    if (best->first != m_primary || term != m_primaryTerm)
+        setPrimary(best->first, term, actions);
+}
+
+void Promotion::setPrimary(const std::string& member, uint64_t term, std::vector<PromotionAction>& actions)
+{
+    m_primary = member;
+    m_primaryTerm = term;
+    m_highestTerm = std::max(m_highestTerm, term);
+    actions.emplace_back(PrimaryKnown { member, term });
+}
+
+void Promotion::startRound(Instant now, std::vector<PromotionAction>& actions)
+{
+    m_round.emplace();
+    m_round->term = ++m_highestTerm;
+    m_round->started = now;
+    m_phase = Phase::Fencing;
+    ++m_rounds;
+    sendFences(now, actions);
+}
+
+void Promotion::sendFences(Instant now, std::vector<PromotionAction>& actions)
+{
+    for (const std::pair<const std::string, Member>& entry : m_members) {
+        if (m_round->granted.count(entry.first) || m_round->denied.count(entry.first))
+            continue;
+        const std::map<std::string, Instant>::const_iterator it = m_round->sent.find(entry.first);
+        if (it != m_round->sent.end() && now - it->second < m_settings.fenceTimeout)
+            continue;
+        m_round->sent[entry.first] = now;
+        actions.emplace_back(FenceMember { entry.first, m_round->term, m_candidate });
+    }
+}
+
+void Promotion::continueRound(Instant now, std::vector<PromotionAction>& actions)
+{
+    if (!m_round->chosen.empty()) {
+        if (now - m_round->promoteSent < m_settings.fenceTimeout)
+            return;
+        if (m_round->promoteCalls >= maxPromoteCalls)
+            abandonRound(now, Duration::zero());
+        else
+            sendPromote(now, actions);
+        return;
+    }
+    // A member above the round's term would not follow a primary of this term; another candidate may be at work.
+    const bool overtaken = m_highestTerm > m_round->term;
+    if (overtaken || m_members.size() - m_round->denied.size() < majority()) {
+        abandonRound(now, m_settings.candidateStagger);
+        return;
+    }
+    const bool allAnswered = m_round->granted.size() + m_round->denied.size() == m_members.size();
+    if (m_round->granted.size() >= majority() && (allAnswered || now - m_round->started >= settleTime))
+        choose(now, actions);
+    else
+        sendFences(now, actions);
+}
+
+void Promotion::choose(Instant now, std::vector<PromotionAction>& actions)
+{
+    const std::pair<const std::string, LogPosition>* best = nullptr;
+    for (const std::pair<const std::string, LogPosition>& entry : m_round->granted) {
+        const bool longer = !best || best->second < entry.second;
+        if (longer || (best->second == entry.second && entry.first == m_primary))
+            best = &entry;
+    }
+    m_round->chosen = best->first;
+    m_phase = Phase::Promoting;
+    sendPromote(now, actions);
+}
+
+void Promotion::sendPromote(Instant now, std::vector<PromotionAction>& actions)
+{
+    ++m_round->promoteCalls;
+    m_round->promoteSent = now;
+    actions.emplace_back(PromoteMember { m_round->chosen, m_round->term, m_candidate });
+}
+
+/// Ends the round without a result. A later round uses a higher term, so a late answer to this one cannot matter.
+void Promotion::abandonRound(Instant now, Duration pause)
+{
+    m_round.reset();
+    m_phase = Phase::Watching;
+    if (pause > Duration::zero())
+        m_notBefore = now + pause * (m_rank + 1) + jitter(2 * pause);
+}
+
+/// A term that this host did not start belongs to another candidate, which gets time to finish.
+void Promotion::noteTerm(uint64_t term, Instant now)
+{
+    if (term <= m_highestTerm)
+        return;
+    m_highestTerm = term;
+    m_notBefore = now + m_settings.fenceTimeout + m_settings.candidateStagger * (m_rank + 1)
+        + jitter(m_settings.candidateStagger);
+}
+
+Duration Promotion::jitter(Duration limit)
+{
+    return Duration(std::uniform_int_distribution<Duration::rep>(0, limit.count())(m_random));
+}
+
+} // namespace plantainwall
