--- a/src/fair_queue.h
+++ b/src/fair_queue.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "plantainwall/plantainwall.h"
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
+#include <unordered_map>
 
 namespace plantainwall {
 
@@ -36,8 +39,44 @@
     unsigned running() const { return m_running; }
 
 private:
+    // Times are doubles in microseconds; virtual time is microseconds per unit of weight.
+    struct Customer {
+        double weight = 1;
+        double cost = 0; // Estimated database time of one request.
+        double nextStart = 0; // Start tag of the first queued request.
+        unsigned running = 0;
+        std::deque<Ticket> queue;
+    };
+    using CustomerMap = std::map<std::string, Customer, std::less<>>;
+
+    struct Request {
+        CustomerMap::iterator customer;
+        Instant deadline {};
+        double chargedCost = 0;
+        bool started = false;
+    };
+
+    CustomerMap::iterator customerFor(std::string_view name, double weight);
+    double expectedDuration(const Customer&) const;
+    void addBacklogged(CustomerMap::iterator);
+    void removeBacklogged(CustomerMap::iterator);
+    void removeQueued(Ticket);
+    void refuseExpired(Instant now, std::vector<Decision>&);
+    Decision startNext(Instant now);
+    void forgetIdleCustomers();
+
+    QueueSettings m_settings;
     unsigned m_slots;
     unsigned m_running = 0;
+    unsigned m_runningBacklogged = 0; // Running requests of customers that also have queued ones.
+    double m_virtualTime = 0;
+    double m_activeWeight = 0; // Customers with queued or running requests.
+    double m_backloggedWeight = 0; // Customers with queued requests.
+    Ticket m_lastTicket = 0;
+    CustomerMap m_customers;
+    std::unordered_map<Ticket, Request> m_requests;
+    std::set<std::pair<Instant, Ticket>> m_deadlines; // Queued requests only.
+    std::set<std::pair<double, Ticket>> m_heads; // Start tag and first queued request of each backlogged customer.
 };
 
 } // namespace plantainwall
