--- a/src/connection_ledger.h
+++ b/src/connection_ledger.h
@@ -52,6 +52,9 @@
     /// Closes every idle connection and opens none from now on.
     Actions close();
 
+    /// Ends the effect of close().
+    void reopen() { m_closed = false; }
+
     unsigned limit() const { return m_limit; }
     size_t open() const { return m_idle.size() + m_inUse.size(); }
     size_t inUse() const { return m_inUse.size(); }
--- a/src/promotion.cpp
+++ b/src/promotion.cpp
@@ -245,7 +245,7 @@
 
 void Promotion::startRound(Instant now, std::vector<PromotionAction>& actions)
 {
-    m_round.emplace();
+    m_round = Round();
     m_round->term = ++m_highestTerm;
     m_round->started = now;
     m_phase = Phase::Fencing;
