--- /dev/null
+++ b/tests/unit_http_caller.cpp
@@ -0,0 +1,209 @@
+#include "http_caller.h"
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+using namespace plantainwall;
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// Server with one blocking thread for each connection; serve is called for every request read.
+class TcpFake {
+public:
+    /// Returns false to close the connection.
+    using Serve = std::function<bool(tcp::socket&, int requestsOnConnection)>;
+
+    explicit TcpFake(Serve serve)
+        : m_acceptor(m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+        , m_serve(std::move(serve))
+        , m_thread([this] { acceptAll(); })
+    {
+    }
+
+    ~TcpFake()
+    {
+        ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+        m_thread.join();
+        for (const std::shared_ptr<tcp::socket>& socket : m_sockets)
+            ::shutdown(socket->native_handle(), SHUT_RDWR);
+        for (std::thread& thread : m_connections)
+            thread.join();
+    }
+
+    std::string address() const { return "http://127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+
+    std::atomic<int> requests { 0 };
+    std::atomic<int> accepted { 0 };
+
+private:
+    void acceptAll()
+    {
+        boost::system::error_code ec;
+        while (true) {
+            const std::shared_ptr<tcp::socket> socket = std::make_shared<tcp::socket>(m_context);
+            if (m_acceptor.accept(*socket, ec))
+                return;
+            ++accepted;
+            m_sockets.push_back(socket);
+            m_connections.emplace_back([this, socket] { serveConnection(*socket); });
+        }
+    }
+
+    void serveConnection(tcp::socket& socket)
+    {
+        boost::system::error_code ec;
+        std::string data;
+        for (int n = 1;; ++n) {
+            const size_t head = boost::asio::read_until(socket, boost::asio::dynamic_buffer(data), "\r\n\r\n", ec);
+            if (ec)
+                return;
+            const size_t field = data.find("Content-Length: ");
+            const size_t length = field < head ? std::stoul(data.substr(field + 16)) : 0;
+            if (data.size() < head + length)
+                boost::asio::read(socket, boost::asio::dynamic_buffer(data),
+                    boost::asio::transfer_exactly(head + length - data.size()), ec);
+            if (ec)
+                return;
+            data.erase(0, head + length);
+            ++requests;
+            if (!m_serve(socket, n)) {
+                socket.shutdown(tcp::socket::shutdown_both, ec);
+                return;
+            }
+        }
+    }
+
+    boost::asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    Serve m_serve;
+    std::vector<std::shared_ptr<tcp::socket>> m_sockets;
+    std::vector<std::thread> m_connections;
+    std::thread m_thread;
+};
+
+bool send(tcp::socket& socket, const std::string& text)
+{
+    boost::system::error_code ec;
+    boost::asio::write(socket, boost::asio::buffer(text), ec);
+    return !ec;
+}
+
+const std::string okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Test: Yes\r\n\r\n{}";
+
+HttpCall post(Duration timeout = std::chrono::seconds(5))
+{
+    HttpCall call;
+    call.method = "POST";
+    call.path = "/execute";
+    call.body = R"({"statement":"PUT k v"})";
+    call.timeout = timeout;
+    return call;
+}
+
+} // namespace
+
+// Guards against the client library executing a write twice when a reused connection closes before the answer.
+BOOST_AUTO_TEST_CASE(reused_connection_closed_after_request_is_sent_once)
+{
+    TcpFake fake([](tcp::socket& socket, int n) { return n == 1 && send(socket, okAnswer); });
+    const std::shared_ptr<HttpCaller> caller = makeHttpCaller(fake.address(), 1);
+    const HttpReply first = caller->call(post()).get();
+    BOOST_TEST((first.sendState == SendState::Answered));
+    BOOST_TEST(first.body == "{}");
+    BOOST_TEST(first.headers.at("x-test") == "Yes");
+    BOOST_TEST((caller->call(post()).get().sendState == SendState::MaybeSent));
+    BOOST_TEST(fake.requests == 2);
+    BOOST_TEST(fake.accepted == 1);
+}
+
+// Guards against a call without a body, which has no stream to make unseekable, being sent twice.
+BOOST_AUTO_TEST_CASE(call_without_body_is_sent_once)
+{
+    TcpFake fake([](tcp::socket& socket, int n) { return n == 1 && send(socket, okAnswer); });
+    const std::shared_ptr<HttpCaller> caller = makeHttpCaller(fake.address(), 1);
+    HttpCall call = post();
+    call.body.clear();
+    BOOST_TEST((caller->call(call).get().sendState == SendState::Answered));
+    BOOST_TEST((caller->call(call).get().sendState == SendState::MaybeSent));
+    BOOST_TEST(fake.requests == 2);
+}
+
+// Guards against unknown outcomes only because the server closed a connection while it was idle.
+BOOST_AUTO_TEST_CASE(connection_closed_while_idle_is_replaced)
+{
+    TcpFake fake([](tcp::socket& socket, int) { return send(socket, okAnswer) && false; });
+    const std::shared_ptr<HttpCaller> caller = makeHttpCaller(fake.address(), 1);
+    for (int i = 0; i < 3; ++i) {
+        BOOST_TEST((caller->call(post()).get().sendState == SendState::Answered));
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    BOOST_TEST(fake.requests == 3);
+}
+
+// Guards against a write that was never sent being reported as of unknown outcome.
+BOOST_AUTO_TEST_CASE(refused_connection_is_not_sent)
+{
+    std::string address;
+    {
+        TcpFake fake([](tcp::socket&, int) { return false; });
+        address = fake.address();
+    }
+    BOOST_TEST((makeHttpCaller(address, 1)->call(post()).get().sendState == SendState::NotSent));
+}
+
+// Guards against calls that hang on a silent connection, and against that connection being used again.
+BOOST_AUTO_TEST_CASE(silent_server_times_out_and_connection_is_replaced)
+{
+    std::atomic<bool> silent { true };
+    TcpFake fake([&silent](tcp::socket& socket, int) { return silent || send(socket, okAnswer); });
+    const std::shared_ptr<HttpCaller> caller = makeHttpCaller(fake.address(), 1);
+    const std::chrono::steady_clock::time_point begin = std::chrono::steady_clock::now();
+    BOOST_TEST((caller->call(post(std::chrono::milliseconds(150))).get().sendState == SendState::MaybeSent));
+    const std::chrono::steady_clock::duration elapsed = std::chrono::steady_clock::now() - begin;
+    BOOST_TEST((elapsed >= std::chrono::milliseconds(150) && elapsed < std::chrono::milliseconds(900)));
+    silent = false;
+    BOOST_TEST((caller->call(post()).get().sendState == SendState::Answered));
+    BOOST_TEST(fake.accepted == 2);
+}
+
+// Guards against half an answer being taken for a whole one.
+BOOST_AUTO_TEST_CASE(truncated_answer_is_maybe_sent)
+{
+    for (const char* answer : { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n", "HTTP/1.1 200 OK\r\n\r\n{}",
+             "HTTP/1.1 200 OK\r\nContent-Le", "" }) {
+        TcpFake fake([answer](tcp::socket& socket, int) { return send(socket, answer) && false; });
+        BOOST_TEST((makeHttpCaller(fake.address(), 1)->call(post()).get().sendState == SendState::MaybeSent), answer);
+    }
+}
+
+// Guards against more connections than the database allows, and against waiting calls being lost.
+BOOST_AUTO_TEST_CASE(concurrent_calls_share_limited_connections)
+{
+    TcpFake fake([](tcp::socket& socket, int) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        return send(socket, okAnswer);
+    });
+    const std::shared_ptr<HttpCaller> caller = makeHttpCaller(fake.address(), 5);
+    std::vector<pplx::task<HttpReply>> calls;
+    calls.reserve(100);
+    for (int i = 0; i < 100; ++i)
+        calls.push_back(caller->call(post()));
+    for (const pplx::task<HttpReply>& call : calls)
+        BOOST_TEST((call.get().sendState == SendState::Answered));
+    BOOST_TEST(fake.requests == 100);
+    BOOST_TEST(fake.accepted <= 5);
+}
+
+// Guards against a call that never got a connection waiting forever or being reported as sent.
+BOOST_AUTO_TEST_CASE(call_that_waits_too_long_is_not_sent)
+{
+    TcpFake fake([](tcp::socket&, int) { return true; });
+    const std::shared_ptr<HttpCaller> caller = makeHttpCaller(fake.address(), 1);
+    const pplx::task<HttpReply> running = caller->call(post(std::chrono::milliseconds(400)));
+    BOOST_TEST((caller->call(post(std::chrono::milliseconds(100))).get().sendState == SendState::NotSent));
+    BOOST_TEST((running.get().sendState == SendState::MaybeSent));
+    BOOST_TEST(fake.requests == 1);
+}
