--- a/src/filter_approval.h
+++ b/src/filter_approval.h
@@ -8,7 +8,7 @@
 bool isApproved(const ConfigSnapshot&, std::string_view customer, std::string_view service);
 
 /// Finds the service of the request and refuses with NotApproved unless both sides agreed, with GroupUnknown if there
-/// is no such group. A request within a transaction names no group; it is found by the member in the transaction id.
+/// is no such group.
 class ApprovalFilter final : public Filter {
 public:
     std::string_view name() const override { return "approval"; }
