--- a/src/caller_api.h
+++ b/src/caller_api.h
@@ -8,6 +8,7 @@
 struct CallerHttpRequest {
     std::string method;
     std::string path; ///< Decoded, without query string.
+    std::string query; ///< Not decoded.
     std::map<std::string, std::string> headers; ///< Names in lower case.
     std::string body;
 };
--- a/tests/unit_caller_api.cpp
+++ b/tests/unit_caller_api.cpp
@@ -8,7 +8,7 @@
 
 CallerHttpRequest post(const std::string& path, const std::string& body)
 {
-    return { "POST", path, { { "authorization", "Bearer pw_a_b" } }, body };
+    return { "POST", path, "", { { "authorization", "Bearer pw_a_b" } }, body };
 }
 
 ResultCode refusalOf(const CallerHttpRequest& request)
@@ -35,7 +35,7 @@
              "{\"statements\":[\"GET a\"],\"read_only\":true,\"max_age_ms\":-1}",
              "{\"statements\":[\"GET a\"],\"request_id\":\"\"}" })
         BOOST_TEST((refusalOf(post(path, body)) == ResultCode::BadRequest), body);
-    BOOST_TEST((refusalOf({ "GET", path, {}, "" }) == ResultCode::MethodNotAllowed));
+    BOOST_TEST((refusalOf({ "GET", path, "", {}, "" }) == ResultCode::MethodNotAllowed));
     BOOST_TEST((refusalOf(post("/v1/groups/g1/elsewhere", "{}")) == ResultCode::UnknownRoute));
     BOOST_TEST((refusalOf(post("/v2/groups/g1/query", "{}")) == ResultCode::UnknownRoute));
     CallerHttpRequest request = post(path, "{\"statements\":[\"GET a\"]}");
