--- a/src/http_glue.cpp
+++ b/src/http_glue.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-pplx::task<CallerHttpRequest> readHttpRequest(const web::http::http_request& request)
+pplx::task<CallerHttpRequest> readHttpRequest(web::http::http_request request)
 {
     CallerHttpRequest result;
     result.method = request.method();
--- a/src/http_glue.h
+++ b/src/http_glue.h
@@ -10,7 +10,7 @@
 namespace plantainwall {
 
 /// Reads method, path, headers and whole body of a request that a cpprestsdk listener received.
-pplx::task<CallerHttpRequest> readHttpRequest(const web::http::http_request&);
+pplx::task<CallerHttpRequest> readHttpRequest(web::http::http_request);
 
 /// Answers a request. A caller that has gone away is ignored.
 void replyTo(const web::http::http_request&, const CallerHttpAnswer&);
