--- a/src/cli_operator.cpp
+++ b/src/cli_operator.cpp
@@ -3,6 +3,7 @@
 #include "config_schema.h"
 #include "key_digest.h"
 #include "operator_api.h"
+#include "status_report.h"
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <fstream>
@@ -258,6 +259,15 @@
             *m_context.out << "credential " << credential << "\ndigest " << keyDigest(credential) << std::endl;
         }
 
+        void status()
+        {
+            const value report = client().status();
+            if (m_arguments.json)
+                printJson(report);
+            else
+                *m_context.out << statusText(report);
+        }
+
     private:
         std::string limitsPath() const { return "teams/" + m_arguments.team + "/limits"; }
         std::string keyPath(const std::string& id) const { return "teams/" + m_arguments.team + "/keys/" + id; }
@@ -373,19 +383,21 @@
 
     using CommandsPtr = std::shared_ptr<Commands>;
 
+    void addServerOptions(CLI::App* app, Arguments& arguments)
+    {
+        app->add_option("--server", arguments.server, "Entry host, http://<ip>:<port>")->envname("PLANTAINWALL_SERVER");
+        app->add_option("--operator-credential-file", arguments.credentialFile, "File with the operator's credential");
+        app->add_option("--operator-credential", arguments.credential, "Read from the environment only")
+            ->envname("PLANTAINWALL_OPERATOR")
+            ->group("");
+        app->add_flag("--json", arguments.json, "Print JSON");
+    }
+
     CLI::App* addGroup(CLI::App& app, const CommandsPtr& commands, const std::string& name, const std::string& text)
     {
-        Arguments& arguments = commands->arguments();
         CLI::App* group = app.add_subcommand(name, text);
         group->require_subcommand(1);
-        group->add_option("--server", arguments.server, "Entry host, http://<ip>:<port>")
-            ->envname("PLANTAINWALL_SERVER");
-        group->add_option(
-            "--operator-credential-file", arguments.credentialFile, "File with the operator's credential");
-        group->add_option("--operator-credential", arguments.credential, "Read from the environment only")
-            ->envname("PLANTAINWALL_OPERATOR")
-            ->group("");
-        group->add_flag("--json", arguments.json, "Print JSON");
+        addServerOptions(group, commands->arguments());
         return group;
     }
 
@@ -491,6 +503,13 @@
             ->required();
     }
 
+    void addStatus(CLI::App& app, const CommandsPtr& commands)
+    {
+        CLI::App* status = app.add_subcommand("status", "Show what an entry host believes");
+        addServerOptions(status, commands->arguments());
+        status->callback([commands] { commands->run(&Commands::status); });
+    }
+
 } // namespace
 
 void addOperatorCommands(CLI::App& app, const OperatorCommandContext& context)
@@ -502,6 +521,7 @@
     addApprove(app, commands);
     addLimits(app, commands);
     addOperator(app, commands);
+    addStatus(app, commands);
 }
 
 int runCommandLine(CLI::App& app, int argc, const char* const* argv)
--- a/src/cli_operator_client.cpp
+++ b/src/cli_operator_client.cpp
@@ -105,6 +105,8 @@
     return read("list?prefix=" + web::uri::encode_data_string(prefix), readTimeout);
 }
 
+value OperatorClient::status() { return read("status", readTimeout); }
+
 value OperatorClient::watch(const std::string& prefix, uint64_t after, Duration wait)
 {
     const int64_t waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
--- a/src/cli_operator_client.h
+++ b/src/cli_operator_client.h
@@ -35,6 +35,7 @@
     /// Returns the entry with its revision; deleted and unknown paths have the value null.
     web::json::value get(const std::string& path);
     web::json::value list(const std::string& prefix);
+    web::json::value status(); ///< What the entry host believes.
     web::json::value watch(const std::string& prefix, uint64_t after, Duration wait);
 
     /// Writes a value (absent: deletes) and returns the answer. A lost answer is asked for again under the same change
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,3 +1,5 @@
+#include "cli_operator.h"
+#include "cli_serve.h"
 #include "plantainwall/plantainwall.h"
 #include <CLI/CLI.hpp>
 
@@ -6,6 +8,7 @@
     CLI::App app { "Database proxy with session consistency", "plantainwall" };
     app.set_version_flag("--version", PLANTAINWALL_VERSION);
     app.require_subcommand(1);
-    CLI11_PARSE(app, argc, argv);
-    return 0;
+    plantainwall::addServeCommands(app);
+    plantainwall::addOperatorCommands(app);
+    return plantainwall::runCommandLine(app, argc, argv);
 }
--- a/src/operator_api.cpp
+++ b/src/operator_api.cpp
@@ -240,6 +240,8 @@
                 operatorError(ResultCode::PermissionDenied, "no role of " + identity.name + " covers the path"));
         return reading ? read(entryPath, query) : startChange(method == "DELETE", entryPath, identity, body, query);
     }
+    if (path == "status" && m_options.status)
+        return ready({ 200, m_options.status() });
     if (path != "list" && path != "watch")
         return ready(operatorError(ResultCode::UnknownRoute, {}));
     if (method != "GET")
--- a/src/operator_api.h
+++ b/src/operator_api.h
@@ -33,6 +33,7 @@
     Duration retryDelay = std::chrono::milliseconds(100); ///< After a failed store call; doubles each time.
     unsigned maxAttempts = 4;
     Duration maxWatchWait = std::chrono::seconds(30);
+    std::function<std::string()> status; ///< JSON of what this entry host believes; absent: no status route.
 };
 
 struct OperatorReply {
