Add the HTTP server on Boost.Beast behind cpprestsdk's listeners

Cause: cpprestsdk's own listener holds incomplete requests forever, accepts 64 MB of headers, answers requests with conflicting lengths and aborts requests when closed.

Change: a server behind http_server_api with limits on head, body, times and connections; each refusal is a JSON answer with its result code, followed by a half-close that discards input, so that the answer is not lost to a reset. One request at a time per connection; draining lets every request finish. An idle connection waits without a buffer.

--- /dev/null
+++ b/src/http_server_connection.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "http_server.h"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cpprest/http_msg.h>
+
+namespace plantainwall {
+
+class HttpConnection;
+
+using HttpConnectionPtr = std::shared_ptr<HttpConnection>;
+using HttpAnswer = boost::beast::http::response<boost::beast::http::string_body>;
+
+/// What a connection needs from the server that accepted it.
+class HttpConnectionHost {
+public:
+    virtual ~HttpConnectionHost() = default;
+    virtual const HttpSettings& settings() const = 0;
+    virtual bool draining() const = 0;
+    virtual void countRefusal(ResultCode) = 0;
+    virtual void countCallerGone() = 0;
+    virtual void requestStarted() = 0;
+    virtual void requestEnded() = 0;
+
+    /// Passes a request to the listener of its path; endpoint (ip:port) identifies the acceptor.
+    virtual void dispatch(const web::http::http_request&, const std::string& endpoint) = 0;
+    virtual void connectionClosed(HttpConnection&) = 0;
+};
+
+/// Part of a request that leads back to its connection. Answers with InternalError when it is dropped unanswered.
+class HttpRequestContext final : public web::http::details::_http_server_context {
+public:
+    explicit HttpRequestContext(HttpConnectionPtr connection)
+        : m_connection(std::move(connection))
+    {
+    }
+    ~HttpRequestContext() override;
+    HttpRequestContext(const HttpRequestContext&) = delete;
+    HttpRequestContext& operator=(const HttpRequestContext&) = delete;
+
+    /// Returns the connection once; null afterwards.
+    HttpConnectionPtr take() { return std::move(m_connection); }
+
+private:
+    HttpConnectionPtr m_connection;
+};
+
+/// Returns an answer with a JSON body that carries a result code.
+HttpAnswer refusalAnswer(ResultCode, const std::string& message);
+
+/// One accepted connection; reads, dispatches and answers one request at a time. All work runs on the socket's strand.
+class HttpConnection final : public std::enable_shared_from_this<HttpConnection> {
+public:
+    HttpConnection(boost::asio::ip::tcp::socket, std::string endpoint, std::shared_ptr<HttpConnectionHost>);
+    ~HttpConnection();
+    HttpConnection(const HttpConnection&) = delete;
+    HttpConnection& operator=(const HttpConnection&) = delete;
+
+    const std::string& address() const { return m_address; }
+
+    void start();
+
+    /// Answers at once with a refusal and closes.
+    void startRefused(ResultCode, const std::string& message);
+
+    /// Answers the request in progress. The task is done when the answer is written or the caller is gone; it never
+    /// fails, since an exception that no handler observes would end the process.
+    pplx::task<void> answer(HttpAnswer);
+
+    void beginDrain();
+    void closeNow();
+
+private:
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    enum class Phase : uint8_t { Idle, Head, Body, Running, Answering, Closing, Closed };
+
+    struct Exchange {
+        Parser parser;
+        HttpAnswer answer;
+        pplx::task_completion_event<void> written;
+        bool keepAlive = false;
+        bool counted = false;
+    };
+
+    void waitForRequest();
+    void readHead();
+    void headRead(const boost::system::error_code&);
+    void readBody();
+    void bodyRead(const boost::system::error_code&);
+    void run();
+    void refuse(ResultCode, const std::string& message);
+    void refuseAfter(const boost::system::error_code&);
+    void write();
+    void answerWritten(const boost::system::error_code&);
+    void linger();
+    void discard();
+    void close();
+    void armTimer(Duration);
+    void disarmTimer();
+    void expired();
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<HttpConnectionHost> m_host;
+    std::string m_endpoint;
+    std::string m_address;
+    boost::beast::flat_buffer m_buffer;
+    std::unique_ptr<Exchange> m_exchange; ///< Null while idle, which keeps idle connections small.
+    uint32_t m_timerEpoch = 0;
+    Phase m_phase = Phase::Idle;
+    bool m_expired = false;
+};
+
+} // namespace plantainwall
