Keep the log and the granted term of a database stand-in over a restart

Cause: a killed member came back without the term it had granted and without its log, so that a majority with it could promote a primary that lacks acknowledged writes; tests would have blamed the proxy for that. Conclusion: DatabaseGroup::restart() gives a member that keeps its promises.

--- a/tests/integration_standins.cpp
+++ b/tests/integration_standins.cpp
@@ -144,6 +144,33 @@
     BOOST_TEST(getJson(group.directAddress(0), "/v1/requests/kept").body.at("found").as_bool());
 }
 
+// Guards against a killed member that forgets entries, outcomes or the term it granted when it starts again.
+BOOST_AUTO_TEST_CASE(restarted_member_keeps_log_and_grants)
+{
+    DatabaseGroup group;
+    const std::string connection = group.connect(0);
+    BOOST_REQUIRE(group.execute(0, connection, "r1", 1, { "ADD n 1" }).ok());
+    BOOST_REQUIRE(group.waitForReplication(0, { 1, 2 }));
+    group.process(2).kill();
+    BOOST_REQUIRE(group.promote(1, 4, { 0, 1 }));
+    BOOST_REQUIRE(group.execute(1, group.connect(1), "r2", 4, { "ADD n 1" }).ok());
+    BOOST_REQUIRE(group.waitForReplication(1, { 0 }));
+    group.process(1).kill();
+    group.restart(1);
+    const value status = group.status(1);
+    BOOST_TEST(text(status, "role") == "replica");
+    BOOST_TEST(integer(status, "term") == 4);
+    BOOST_TEST(integer(status, "received") == 4);
+    BOOST_TEST(dumped(group, 1, "n") == "2");
+    BOOST_TEST(getJson(group.directAddress(1), "/v1/requests/r2").body.at("found").as_bool());
+    const value other = json("{'term':4,'candidate':'other'}");
+    BOOST_TEST(!postJson(group.directAddress(1), "/v1/fence", other).body.at("granted").as_bool());
+    BOOST_REQUIRE(group.promote(1, 5, { 0, 1 }));
+    group.restart(2);
+    BOOST_TEST(group.waitForReplication(1, { 0, 2 }));
+    BOOST_TEST(dumped(group, 2, "n") == "2");
+}
+
 // Guards against a second execution of a request id, on the same primary, beside the first one, and after a promotion.
 BOOST_AUTO_TEST_CASE(request_id_runs_once)
 {
--- a/tests/support_cluster.cpp
+++ b/tests/support_cluster.cpp
@@ -1,6 +1,8 @@
 #include "support_cluster.h"
 #include <algorithm>
 #include <boost/lexical_cast.hpp>
+#include <cstdlib>
+#include <filesystem>
 
 namespace plantainwall::test {
 
@@ -13,6 +15,14 @@
     // Generous because a start competes with builds and other tests; a ready process returns at once.
     const Milliseconds startTimeout(20000);
 
+    std::string makeDataDirectory()
+    {
+        std::string path = "/tmp/plantainwall-group-XXXXXX";
+        if (mkdtemp(path.data()) == nullptr)
+            throw std::runtime_error("cannot create " + path);
+        return path;
+    }
+
     value checked(const HttpResult& result, const std::string& what)
     {
         if (result.status != 200)
@@ -83,6 +93,7 @@
 
 DatabaseGroup::DatabaseGroup(GroupOptions options)
     : m_options(std::move(options))
+    , m_dataDirectory(makeDataDirectory())
     , m_members(m_options.members)
 {
     for (size_t i = 0; i < size(); ++i)
@@ -101,6 +112,13 @@
         throw std::runtime_error("group " + name() + ": replicas do not follow the primary");
 }
 
+DatabaseGroup::~DatabaseGroup()
+{
+    m_members.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(m_dataDirectory, ignored);
+}
+
 /// Route i leads to member i for callers, route size + i * size + j to member j for replication from member i.
 void DatabaseGroup::startProxy()
 {
@@ -123,6 +141,8 @@
         "--connect-ms", number(m_options.connectMs), "--statement-ms", number(m_options.statementMs), "--lag-ms",
         number(m_options.lagMs), "--connection-idle-ms", number(m_options.connectionIdleMs), "--transaction-idle-ms",
         number(m_options.transactionIdleMs) };
+    if (m_options.durable)
+        arguments.insert(arguments.end(), { "--data", dataFile(i) });
     if (!peers.empty())
         arguments.insert(arguments.end(), { "--peers", peers });
     if (primary)
--- a/tests/support_cluster.h
+++ b/tests/support_cluster.h
@@ -41,6 +41,7 @@
     double lagMs = 0;
     double connectionIdleMs = 10000;
     double transactionIdleMs = 5000;
+    bool durable = true; ///< Members keep log and term over restart().
     bool behindProxy = false; ///< Callers and members reach each member through routes of a fault_proxy.
 };
 
@@ -62,6 +63,12 @@
     /// Starts the members and returns when all answer and have the first entry.
     explicit DatabaseGroup(GroupOptions = {});
 
+    /// Ends the members and removes their data.
+    ~DatabaseGroup();
+
+    DatabaseGroup(const DatabaseGroup&) = delete;
+    DatabaseGroup& operator=(const DatabaseGroup&) = delete;
+
     size_t size() const { return m_members.size(); }
     const std::string& name() const { return m_options.name; }
     std::string memberName(size_t i) const { return m_options.name + "-" + std::to_string(i); }
@@ -74,7 +81,7 @@
     Process& process(size_t i) { return *m_members[i]; }
     FaultProxy& proxy() { return *m_proxy; }
 
-    /// Starts a member again after its end, with an empty log and as a replica.
+    /// Starts a member again as a replica, killing it first if it runs. Unless durable, its log and term are lost.
     void restart(size_t i);
 
     /// Sets the fault of the route between callers and member i.
@@ -106,7 +113,10 @@
     void startProxy();
     void startMember(size_t i, bool primary);
 
+    std::string dataFile(size_t i) const { return m_dataDirectory + "/" + memberName(i); }
+
     GroupOptions m_options;
+    std::string m_dataDirectory;
     std::vector<std::string> m_direct;
     std::unique_ptr<FaultProxy> m_proxy;
     std::vector<std::unique_ptr<Process>> m_members;
--- a/tools/database_standin.cpp
+++ b/tools/database_standin.cpp
@@ -92,6 +92,7 @@
         app.add_option("--lag-ms", options.lagMs, "time from receiving an entry to applying it on a replica");
         app.add_option("--connection-idle-ms", options.connectionIdleMs);
         app.add_option("--transaction-idle-ms", options.transactionIdleMs);
+        app.add_option("--data", options.dataFile, "file that keeps log and term over a restart");
         app.add_flag("--primary", options.primary, "start as primary of term 1");
         CLI11_PARSE(app, argc, argv);
         options.peers = parsePeers(peers);
--- a/tools/database_standin_member.cpp
+++ b/tools/database_standin_member.cpp
@@ -64,21 +64,40 @@
     : m_options(std::move(options))
     , m_scheduler(std::move(scheduler))
     , m_primaryHeard(std::chrono::steady_clock::now())
+    , m_journal(m_options.dataFile)
     // Starts at the time of day so that a restarted member does not reuse connection ids.
     , m_nextConnection(static_cast<uint64_t>(std::chrono::system_clock::now().time_since_epoch().count() / 1000000))
     , m_lagMs(m_options.lagMs)
     , m_statementMs(m_options.statementMs)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
-    if (m_options.primary) {
+    restore();
+    if (m_options.primary && m_term == 0) {
         m_term = 1;
         m_role = MemberRole::Primary;
         m_termPrimary = m_options.name;
+        saveTerm();
         appendEntry({}, {}, {});
     }
     m_scheduler->schedule(idleSweepInterval, [this] { closeIdle(); });
 }
 
+/// Continues with the log and the term of an earlier run, as a replica whose whole log is applied.
+void Member::restore()
+{
+    const TermState state = m_journal.load(m_log);
+    m_term = state.term;
+    m_candidate = state.candidate;
+    m_termPrimary = state.primary;
+    if (!m_candidate.empty() && m_termPrimary.empty())
+        m_role = MemberRole::Fenced;
+    while (m_applied < m_log.last().position)
+        applyEntry(m_values, *m_log.at(++m_applied));
+}
+
+/// Has to be called before a promise about the term is answered.
+void Member::saveTerm() { m_journal.saveTerm({ m_term, m_candidate, m_termPrimary }); }
+
 value Member::statusObject() const
 {
     const double silence = m_role == MemberRole::Primary ? 0 : elapsedMs(m_primaryHeard);
@@ -167,6 +186,7 @@
     if (granted && !repeated) {
         adoptTerm(term, MemberRole::Fenced);
         m_candidate = candidate;
+        saveTerm();
         stateChanged();
     }
     reply(200,
@@ -185,6 +205,7 @@
     if (promoted && m_role != MemberRole::Primary) {
         m_role = MemberRole::Primary;
         m_termPrimary = m_options.name;
+        saveTerm();
         appendEntry({}, {}, {});
     }
     reply(200, makeObject({ { "promoted", value::boolean(promoted) }, { "term", m_term } }));
@@ -200,6 +221,7 @@
     entry->writes = std::move(writes);
     entry->results = std::move(results);
     entry->arrived = std::chrono::steady_clock::now();
+    m_journal.append(*entry);
     m_log.append(entry);
     while (m_applied < m_log.last().position)
         applyEntry(m_values, *m_log.at(++m_applied));
@@ -230,6 +252,7 @@
 void Member::truncateLog(uint64_t position)
 {
     m_stats.entriesTruncated += m_log.last().position - position;
+    m_journal.truncate(position);
     m_log.truncate(position);
     if (m_applied <= position)
         return;
@@ -262,6 +285,7 @@
                 continue;
             truncateLog(entry->position - 1);
         }
+        m_journal.append(*entry);
         m_log.append(entry);
         changed = true;
     }
@@ -287,6 +311,7 @@
         adoptTerm(term, MemberRole::Replica);
     m_role = MemberRole::Replica;
     m_termPrimary = primary;
+    saveTerm();
     m_primaryHeard = std::chrono::steady_clock::now();
     if (m_replicationPaused && body.at("entries").size() > 0) {
         reply(503, errorObject("replication_paused"));
@@ -334,6 +359,7 @@
     if (term <= m_term)
         return;
     adoptTerm(term, MemberRole::Replica);
+    saveTerm();
     m_primaryHeard = std::chrono::steady_clock::now();
     stateChanged();
 }
--- a/tools/database_standin_member.h
+++ b/tools/database_standin_member.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "database.h"
+#include "database_standin_journal.h"
 #include "database_standin_log.h"
 #include "scheduler.h"
 #include "standin_http.h"
@@ -17,6 +18,7 @@
     std::string group = "g";
     std::string name = "m";
     std::string address;
+    std::string dataFile; ///< Keeps log and term over a restart; empty: nothing is kept.
     std::map<std::string, std::string> peers; ///< Address (ip:port) by name.
     unsigned slots = 4;
     unsigned connectionLimit = 30;
@@ -116,6 +118,8 @@
     Snapshot snapshot(LogPosition received, LogPosition applied) const;
     Snapshot currentSnapshot() const;
     void stateChanged();
+    void restore();
+    void saveTerm();
     void adoptTerm(uint64_t term, MemberRole);
     void appendEntry(std::string requestId, std::vector<Write>, Results);
     void rollBackTransactions();
@@ -152,6 +156,7 @@
     std::string m_termPrimary; ///< Primary of m_term as far as known.
     SteadyTime m_primaryHeard;
     MemberLog m_log;
+    MemberJournal m_journal;
     KeyValues m_values;
     uint64_t m_applied = 0;
     bool m_applyScheduled = false;
