--- a/src/entry_host.cpp
+++ b/src/entry_host.cpp
@@ -8,6 +8,7 @@
 #include "filter_key.h"
 #include "filters.h"
 #include "http_glue.h"
+#include "http_server.h"
 #include "member_codec.h"
 #include "operator_api.h"
 #include "owner_client.h"
@@ -139,6 +140,7 @@
     explicit Parts(const Settings& settings)
         : m_settings(settings)
         , m_incarnation(newIncarnation())
+        , m_server(installHttpServer(settings.http, settings.threads))
         , m_scheduler(makeScheduler())
         , m_store(makeHttpStore(makeHttpCaller(settings.storeAddress, storeConnections)))
         , m_rpc(std::make_shared<PeerRpc>(PeerIdentity { settings.host, m_incarnation }, settings.peerSecret))
@@ -170,9 +172,11 @@
         const Instant limit = now() + drainLimit;
         while (now() < limit && (m_callers->inProgress() || m_groups->inProgress()))
             std::this_thread::sleep_for(std::chrono::milliseconds(10));
-        m_callerListener->close().wait();
+        m_server->beginDrain();
+        m_server->waitDrained(limit - now());
         m_groups->stop();
         m_config->stop();
+        m_callerListener->close().wait();
         m_peerListener->close().wait();
     }
 
@@ -327,6 +331,7 @@
 
     Settings m_settings;
     uint64_t m_incarnation;
+    std::shared_ptr<HttpServerControl> m_server;
     std::atomic<bool> m_draining { false };
     std::shared_ptr<Scheduler> m_scheduler;
     std::shared_ptr<Store> m_store;
