--- a/include/plantainwall/plantainwall.h
+++ b/include/plantainwall/plantainwall.h
@@ -172,6 +172,7 @@
     std::vector<std::string> seedPeers; ///< ip:port of peers to ask before the platform's list is known.
     std::string peerSecret; ///< Shared by all entry hosts; at least 32 characters.
     std::string backendCredential; ///< Sent to backend servers in place of a caller's key.
+    std::string bootstrapOperatorDigest; ///< Hexadecimal BLAKE2b-256 digest of the first operator credential, or empty.
     unsigned threads = 4;
     std::string logLevel = "info";
     std::string logFormat = "json";
