--- /dev/null
+++ b/src/log_event.cpp
@@ -0,0 +1,176 @@
+#include "log_event.h"
+#include <algorithm>
+#include <cmath>
+#include <cpprest/asyncrt_utils.h>
+#include <cpprest/json.h>
+#include <ctime>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/helpers/timehelper.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <mutex>
+#include <shared_mutex>
+
+namespace plantainwall {
+
+namespace {
+
+    constexpr log4cplus::LogLevel frameworkLevels[] = { log4cplus::DEBUG_LOG_LEVEL, log4cplus::INFO_LOG_LEVEL,
+        log4cplus::WARN_LOG_LEVEL, log4cplus::ERROR_LOG_LEVEL };
+    static_assert(sizeof(frameworkLevels) / sizeof(frameworkLevels[0]) == static_cast<size_t>(LogLevel::Count),
+        "one entry for each LogLevel");
+
+    log4cplus::LogLevel frameworkLevel(LogEvent event)
+    {
+        return frameworkLevels[static_cast<size_t>(logEventInfo(event).level)];
+    }
+
+    /// The process's log. Created by the first use.
+    class Log {
+    public:
+        Log()
+            : m_logger(log4cplus::Logger::getInstance("plantainwall"))
+        {
+            const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+            appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+            log4cplus::Logger::getRoot().removeAllAppenders();
+            log4cplus::Logger::getRoot().addAppender(appender);
+            log4cplus::Logger::getRoot().setLogLevel(log4cplus::INFO_LOG_LEVEL);
+        }
+
+        void configure(const Settings& settings)
+        {
+            const std::unique_lock<std::shared_mutex> lock(m_mutex);
+            m_host = settings.host;
+            m_format = settings.logFormat;
+            for (size_t i = 0; i < static_cast<size_t>(LogLevel::Count); ++i) {
+                if (settings.logLevel == logLevelName(static_cast<LogLevel>(i)))
+                    log4cplus::Logger::getRoot().setLogLevel(frameworkLevels[i]);
+            }
+        }
+
+        bool enabled(LogEvent event) const { return m_logger.isEnabledFor(frameworkLevel(event)); }
+
+        void write(LogEvent event, std::initializer_list<LogField> fields, std::string_view time)
+        {
+            std::string line;
+            {
+                const std::shared_lock<std::shared_mutex> lock(m_mutex);
+                line = logEventLine(event, fields, time, m_host, m_format);
+            }
+            m_logger.forcedLog(frameworkLevel(event), line);
+        }
+
+    private:
+        log4cplus::Initializer m_initializer;
+        log4cplus::Logger m_logger;
+        std::shared_mutex m_mutex; // Guards the two strings below.
+        std::string m_host;
+        std::string m_format = "json";
+    };
+
+    Log& processLog()
+    {
+        // Never destroyed: threads may still log while static objects are destroyed.
+        static Log& log = *new Log; // NOLINT(cppcoreguidelines-owning-memory)
+        return log;
+    }
+
+    std::string utcTime()
+    {
+        const std::chrono::system_clock::time_point now = std::chrono::system_clock::now();
+        const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
+        const int64_t us = std::chrono::duration_cast<Duration>(now.time_since_epoch()).count() % 1000000;
+        std::tm parts {};
+        gmtime_r(&seconds, &parts);
+        char date[32];
+        std::strftime(date, sizeof(date), "%Y-%m-%dT%H:%M:%S", &parts);
+        char buf[48];
+        std::snprintf(buf, sizeof(buf), "%s.%06dZ", date, static_cast<int>(us));
+        return buf;
+    }
+
+    /// Returns the text with every byte outside ASCII replaced if it is not valid UTF-8, which JSON requires.
+    std::string validUtf8(std::string text)
+    {
+        try {
+            utility::conversions::utf8_to_utf16(text);
+        } catch (const std::range_error&) {
+            std::replace_if(
+                text.begin(), text.end(), [](unsigned char c) { return c >= 0x80; }, '?');
+        }
+        return text;
+    }
+
+    web::json::value jsonOf(const LogValue::Variant& value)
+    {
+        return std::visit(
+            [](const auto& v) {
+                using Type = std::decay_t<decltype(v)>;
+                if constexpr (std::is_same_v<Type, std::string>)
+                    return web::json::value::string(validUtf8(v));
+                else if constexpr (std::is_same_v<Type, bool>)
+                    return web::json::value::boolean(v);
+                else if constexpr (std::is_same_v<Type, double>) // JSON has no infinity and no NaN.
+                    return std::isfinite(v) ? web::json::value::number(v) : web::json::value::null();
+                else
+                    return web::json::value::number(v);
+            },
+            value);
+    }
+
+    bool needsQuotes(const std::string& text)
+    {
+        if (text.empty())
+            return true;
+        for (const unsigned char c : text) {
+            if (c <= ' ' || c == '"' || c == '=' || c == '\\' || c >= 0x7f)
+                return true;
+        }
+        return false;
+    }
+
+    void appendField(std::string& line, bool json, std::string_view name, const LogValue& value)
+    {
+        const std::string serialized = jsonOf(value.variant()).serialize();
+        if (json) {
+            line += line.empty() ? "{" : ",";
+            line += '"' + std::string(name) + "\":" + serialized;
+            return;
+        }
+        if (!line.empty())
+            line += ' ';
+        const std::string* const text = std::get_if<std::string>(&value.variant());
+        line += std::string(name) + '=' + (text != nullptr && !needsQuotes(*text) ? *text : serialized);
+    }
+
+} // namespace
+
+void initializeLogging(const Settings& settings) { processLog().configure(settings); }
+
+void logEvent(LogEvent event, std::initializer_list<LogField> fields)
+{
+    if (logEnabled(event))
+        processLog().write(event, fields, utcTime());
+}
+
+bool logEnabled(LogEvent event) { return processLog().enabled(event); }
+
+std::string logEventLine(LogEvent event, std::initializer_list<LogField> fields, std::string_view time,
+    std::string_view host, std::string_view format)
+{
+    const LogEventInfo& info = logEventInfo(event);
+    const bool json = format != "text";
+    std::string line;
+    appendField(line, json, "time", time);
+    appendField(line, json, "level", logLevelName(info.level));
+    appendField(line, json, "host", host);
+    appendField(line, json, "event", info.number);
+    appendField(line, json, "name", info.name);
+    for (const LogField& field : fields)
+        appendField(line, json, field.name, field.value);
+    return json ? line + '}' : line;
+}
+
+} // namespace plantainwall
--- /dev/null
+++ b/src/log_event.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "plantainwall/plantainwall.h"
+#include <initializer_list>
+#include <variant>
+
+namespace plantainwall {
+
+enum class LogLevel : uint8_t { Debug, Info, Warn, Error, Count };
+
+/// Numbered log event. The numbers are stable; new events go to the end. docs/log-events.md lists them.
+enum class LogEvent : uint8_t {
+    Started,
+    Stopped,
+    Listening,
+    SettingsInvalid,
+    ConfigurationInForce,
+    ConfigurationRejected,
+    ConfigurationChanged,
+    StoreUnreachable,
+    StoreReachable,
+    PrimaryUnreachable,
+    FenceStarted,
+    FenceGranted,
+    FenceRefused,
+    PrimaryPromoted,
+    PrimaryChanged,
+    WriteOutcomeUnknown,
+    OwnerGained,
+    OwnerLost,
+    HostSuspect,
+    HostDead,
+    HostJoined,
+    SeatClaimed,
+    SeatLost,
+    KeyWithdrawn,
+    RequestRefused,
+    ConnectionLimitReached,
+    ConnectionReplaced,
+    BackendLeaving,
+    DrainStarted,
+    DrainFinished,
+    PeerAuthenticationFailed,
+    BadRequest,
+    InternalFailure,
+    Count
+};
+
+/// Static description of an event.
+struct LogEventInfo {
+    unsigned number; ///< Position in LogEvent, from 0.
+    std::string_view name; ///< Stable lower-case name, for example "primary_promoted".
+    LogLevel level;
+    std::string_view meaning; ///< One sentence for operators.
+};
+
+const LogEventInfo& logEventInfo(LogEvent);
+
+/// Returns "debug", "info", "warn" or "error".
+std::string_view logLevelName(LogLevel);
+
+/// Value of a field: text, whole number, number or truth value.
+class LogValue {
+public:
+    using Variant = std::variant<std::string, int64_t, uint64_t, double, bool>;
+
+    LogValue(std::string_view text)
+        : m_value(std::string(text))
+    {
+    }
+    LogValue(const std::string& text)
+        : m_value(text)
+    {
+    }
+    LogValue(const char* text)
+        : m_value(std::string(text))
+    {
+    }
+    LogValue(bool value)
+        : m_value(value)
+    {
+    }
+    LogValue(double value)
+        : m_value(value)
+    {
+    }
+    template <typename T, std::enable_if_t<std::is_integral_v<T> && !std::is_same_v<T, bool>, int> = 0>
+    LogValue(T value)
+        : m_value(static_cast<std::conditional_t<std::is_signed_v<T>, int64_t, uint64_t>>(value))
+    {
+    }
+
+    const Variant& variant() const { return m_value; }
+
+private:
+    Variant m_value;
+};
+
+struct LogField {
+    std::string_view name;
+    LogValue value;
+};
+
+/// Sets level, format and host name of the log, which is written to standard error.
+void initializeLogging(const Settings&);
+
+/// Writes one line with time, host, number, name and fields, at the level of the event's table entry. Before
+/// initializeLogging it writes JSON at level info and above. Callers pass no keys, secrets or statement values.
+void logEvent(LogEvent, std::initializer_list<LogField>);
+
+/// Returns whether an event would be written; for callers whose fields are costly to build.
+bool logEnabled(LogEvent);
+
+/// Returns the line that logEvent writes. time is UTC in ISO 8601, format "json" or "text".
+std::string logEventLine(
+    LogEvent, std::initializer_list<LogField>, std::string_view time, std::string_view host, std::string_view format);
+
+} // namespace plantainwall
--- /dev/null
+++ b/src/log_event_table.cpp
@@ -0,0 +1,65 @@
+#include "log_event.h"
+
+namespace plantainwall {
+
+namespace {
+
+    constexpr LogEventInfo logEvents[] = {
+        { 0, "started", LogLevel::Info, "The process has started." },
+        { 1, "stopped", LogLevel::Info, "The process ends." },
+        { 2, "listening", LogLevel::Info, "A listener accepts connections." },
+        { 3, "settings_invalid", LogLevel::Error, "The settings file has a fault." },
+        { 4, "configuration_in_force", LogLevel::Info, "A newer revision of the configuration is in force here." },
+        { 5, "configuration_rejected", LogLevel::Warn, "A configuration value does not match its schema." },
+        { 6, "configuration_changed", LogLevel::Info, "An operator's change was accepted by the store." },
+        { 7, "store_unreachable", LogLevel::Warn, "The store does not answer; the configuration ages." },
+        { 8, "store_reachable", LogLevel::Info, "The store answers again." },
+        { 9, "primary_unreachable", LogLevel::Warn, "The primary of a group cannot be reached from here." },
+        { 10, "fence_started", LogLevel::Warn, "This host asks the members of a group for a new term." },
+        { 11, "fence_granted", LogLevel::Info, "A member granted the new term." },
+        { 12, "fence_refused", LogLevel::Info, "A member refused the new term." },
+        { 13, "primary_promoted", LogLevel::Warn, "This host promoted a member to primary." },
+        { 14, "primary_changed", LogLevel::Info, "The primary of a group is another member or has a new term." },
+        { 15, "write_outcome_unknown", LogLevel::Warn, "A write was answered without knowing whether it took effect." },
+        { 16, "owner_gained", LogLevel::Info, "This host became the owner of a member." },
+        { 17, "owner_lost", LogLevel::Info, "This host is no longer the owner of a member." },
+        { 18, "host_suspect", LogLevel::Warn, "An entry host is silent and gets no duties." },
+        { 19, "host_dead", LogLevel::Warn, "An entry host is counted as dead." },
+        { 20, "host_joined", LogLevel::Info, "An entry host was added or is heard again." },
+        { 21, "seat_claimed", LogLevel::Info, "This host holds a seat of the customers' rates." },
+        { 22, "seat_lost", LogLevel::Warn, "This host lost a seat or could not renew its lease." },
+        { 23, "key_withdrawn", LogLevel::Info, "A key was withdrawn and is refused from now on." },
+        { 24, "request_refused", LogLevel::Debug, "A request was refused; the field code names the reason." },
+        { 25, "connection_limit_reached", LogLevel::Warn, "A connection was refused because of a limit." },
+        { 26, "connection_replaced", LogLevel::Warn, "A silent connection was closed and replaced." },
+        { 27, "backend_leaving", LogLevel::Info, "A backend server is leaving and gets no new work." },
+        { 28, "drain_started", LogLevel::Info, "The graceful shutdown has started." },
+        { 29, "drain_finished", LogLevel::Info, "The graceful shutdown is complete." },
+        { 30, "peer_authentication_failed", LogLevel::Warn, "A message between entry hosts has no valid signature." },
+        { 31, "bad_request", LogLevel::Debug, "A request could not be parsed." },
+        { 32, "internal_failure", LogLevel::Error, "An unexpected failure; the message says where." },
+    };
+    static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
+        "one entry for each LogEvent");
+
+    constexpr bool numbersMatchPositions()
+    {
+        for (unsigned i = 0; i < static_cast<unsigned>(LogEvent::Count); ++i) {
+            if (logEvents[i].number != i)
+                return false;
+        }
+        return true;
+    }
+    static_assert(numbersMatchPositions(), "the numbers are the positions in LogEvent");
+
+    constexpr std::string_view levelNames[] = { "debug", "info", "warn", "error" };
+    static_assert(sizeof(levelNames) / sizeof(levelNames[0]) == static_cast<size_t>(LogLevel::Count),
+        "one entry for each LogLevel");
+
+} // namespace
+
+const LogEventInfo& logEventInfo(LogEvent event) { return logEvents[static_cast<size_t>(event)]; }
+
+std::string_view logLevelName(LogLevel level) { return levelNames[static_cast<size_t>(level)]; }
+
+} // namespace plantainwall
--- a/src/operator_api.cpp
+++ b/src/operator_api.cpp
@@ -1,10 +1,10 @@
 #include "operator_api.h"
 #include "key_digest.h"
+#include "log_event.h"
 #include <algorithm>
 #include <cpprest/base_uri.h>
 #include <cpprest/json.h>
 #include <ctime>
-#include <log4cplus/loggingmacros.h>
 
 namespace plantainwall {
 
@@ -127,11 +127,10 @@
 
 void logAudit(const AuditRecord& record)
 {
-    static const log4cplus::Logger logger = log4cplus::Logger::getInstance("plantainwall.audit");
-    LOG4CPLUS_INFO(logger,
-        "configuration_changed author=" << record.author << " action=" << record.action << " path=" << record.path
-                                        << " time=" << record.time << " base_revision=" << record.baseRevision
-                                        << " revision=" << record.revision << " change_id=" << record.changeId);
+    logEvent(LogEvent::ConfigurationChanged,
+        { { "author", record.author }, { "action", record.action }, { "path", record.path },
+            { "change_time", record.time }, { "base_revision", record.baseRevision }, { "revision", record.revision },
+            { "change_id", record.changeId } });
 }
 
 std::string wallClockTime()
