--- a/include/plantainwall/plantainwall.h
+++ b/include/plantainwall/plantainwall.h
@@ -173,6 +173,7 @@
     std::string peerSecret; ///< Shared by all entry hosts; at least 32 characters.
     std::string bootstrapOperatorDigest; ///< Hexadecimal BLAKE2b-256 digest of the first operator credential, or empty.
     std::string backendCredential; ///< Sent to backend servers in place of a caller's key.
+    std::string bootstrapOperatorDigest; ///< Hexadecimal BLAKE2b-256 digest of the first operator credential, or empty.
     unsigned threads = 4;
     std::string logLevel = "info";
     std::string logFormat = "json";
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -69,7 +69,8 @@
     void readString(const SettingKey& key, const toml::node& node, std::string& target)
     {
         const std::string text = textOf(node);
-        if (key.max > 0 && (text.size() < key.min || text.size() > key.max))
+        const double length = static_cast<double>(text.size());
+        if (key.max > 0 && (length < key.min || length > key.max))
             throw InvalidValue { "must have " + numberText(key.min) + " to " + numberText(key.max) + " characters" };
         if (key.kind == SettingKind::Name && !isName(text))
             throw InvalidValue { "must consist of letters, digits, \"-\" and \"_\"" };
