Keep the HTTP server alive when the parser throws

Cause: with a head limit above 64 KB, Beast throws std::length_error for a long field; the exception left the I/O thread and ended the process (SIGABRT in a trial with a limit of 1,000,000 bytes).

Change: the limit of the head is at most 60 KiB, also in the settings; an exception in a handler is counted as an internal error and its connection is closed by its timer.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -76,7 +76,7 @@
             m_context.restart();
             m_work.emplace(m_context.get_executor());
             for (unsigned i = 0; i < m_threadCount; ++i)
-                m_threads.emplace_back([this] { m_context.run(); });
+                m_threads.emplace_back([this] { runThread(); });
         }
 
         void stopThreads()
@@ -208,6 +208,19 @@
         }
 
     private:
+        /// An exception ends the handler that threw it; its connection is closed by its timer.
+        void runThread()
+        {
+            while (true) {
+                try {
+                    m_context.run();
+                    return;
+                } catch (const std::exception&) {
+                    ++m_refused[static_cast<size_t>(ResultCode::InternalError)];
+                }
+            }
+        }
+
         static void refuse(const web::http::http_request& request, ResultCode code, const std::string& message)
         {
             HttpRequestContext* context = static_cast<HttpRequestContext*>(request._get_impl()->_get_server_context());
--- a/src/http_server_connection.cpp
+++ b/src/http_server_connection.cpp
@@ -19,6 +19,9 @@
     /// the caller could lose the answer.
     constexpr Duration lingerTime = std::chrono::seconds(1);
 
+    /// Beast throws std::length_error for a field of 64 KB, so larger heads cannot be allowed.
+    constexpr size_t maxHeadLimit = 60 * 1024;
+
     /// Time an idle connection has to send another request once the server drains.
     constexpr Duration drainIdleTime = std::chrono::seconds(1);
 
@@ -142,7 +145,7 @@
         return;
     m_phase = Phase::Head;
     m_exchange = std::make_unique<Exchange>();
-    m_exchange->parser.header_limit(static_cast<uint32_t>(m_host->settings().maxHeadBytes));
+    m_exchange->parser.header_limit(static_cast<uint32_t>(std::min(m_host->settings().maxHeadBytes, maxHeadLimit)));
     m_exchange->parser.body_limit(m_host->settings().maxBodyBytes);
     armTimer(m_host->settings().headTimeout);
     http::async_read_header(m_socket, m_buffer, m_exchange->parser,
@@ -219,8 +222,8 @@
             inHead ? "the head did not arrive within " + milliseconds(settings.headTimeout)
                    : "the body did not arrive within " + milliseconds(settings.bodyTimeout));
     } else if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
-        refuse(
-            ResultCode::RequestTooLarge, "the head is larger than " + std::to_string(settings.maxHeadBytes) + " bytes");
+        refuse(ResultCode::RequestTooLarge,
+            "the head is larger than " + std::to_string(std::min(settings.maxHeadBytes, maxHeadLimit)) + " bytes");
     } else if (ec == http::error::body_limit) {
         refuse(
             ResultCode::RequestTooLarge, "the body is larger than " + std::to_string(settings.maxBodyBytes) + " bytes");
@@ -364,12 +367,15 @@
 
 void HttpConnection::expired()
 {
+    if (m_expired || (m_phase != Phase::Head && m_phase != Phase::Body)) {
+        close();
+        return;
+    }
+    // The pending read fails and the request is refused; the timer covers a read that ended by an exception.
+    armTimer(lingerTime);
     m_expired = true;
     error_code ec;
-    if (m_phase == Phase::Head || m_phase == Phase::Body)
-        m_socket.cancel(ec); // The pending read fails and the request is refused.
-    else
-        close();
+    m_socket.cancel(ec);
 }
 
 } // namespace plantainwall
--- a/tests/unit_http_server.cpp
+++ b/tests/unit_http_server.cpp
@@ -147,6 +147,16 @@
     BOOST_TEST(fixture.refused(ResultCode::RequestTooLarge) == 3);
 }
 
+// Guards against a limit above the 64 KB at which the parser throws an exception, which ended the process.
+BOOST_AUTO_TEST_CASE(head_limit_stays_below_that_of_the_parser)
+{
+    HttpSettings settings;
+    settings.maxHeadBytes = 1000000;
+    Fixture fixture(settings);
+    const std::string big = "X-Big: " + std::string(70000, 'h') + "\r\n";
+    BOOST_TEST(contains(RawCaller(fixture.port).send(post("", "/v1", big)).readAll(), "request_too_large"));
+}
+
 // Guards against requests whose end two servers would see in different places, and against garbage.
 BOOST_AUTO_TEST_CASE(malformed_requests_are_refused)
 {
