Send only keys of unchanged entries to hosts that are behind

Cause: a host that has just listed the store cannot know earlier deletions, so it answered a peer that was behind with its whole copy. Change: such an answer carries the later entries and the keys of the others. Settings get bootstrapOperatorDigest. Linter findings are fixed.

--- a/include/plantainwall/plantainwall.h
+++ b/include/plantainwall/plantainwall.h
@@ -171,6 +171,7 @@
     std::string storeAddress; ///< http://ip:port of the platform's store.
     std::vector<std::string> seedPeers; ///< ip:port of peers to ask before the platform's list is known.
     std::string peerSecret; ///< Shared by all entry hosts; at least 32 characters.
+    std::string bootstrapOperatorDigest; ///< Acts as platform operator while no operator exists; empty: none.
     std::string backendCredential; ///< Sent to backend servers in place of a caller's key.
     unsigned threads = 4;
     std::string logLevel = "info";
--- a/src/cli_operator.cpp
+++ b/src/cli_operator.cpp
@@ -53,7 +53,7 @@
         return text.str();
     }
 
-    std::string trimmed(std::string text)
+    std::string trimmed(const std::string& text)
     {
         const size_t end = text.find_last_not_of(" \t\r\n");
         return end == std::string::npos ? std::string() : text.substr(0, end + 1);
@@ -297,7 +297,7 @@
 
         value existing(const std::string& path)
         {
-            const value entry = client().get(path);
+            value entry = client().get(path);
             if (entry.at("value").is_null())
                 throw OperatorCallFailed(OperatorExit::Refused, "'" + path + "' has no value");
             return entry;
--- a/src/cli_operator.h
+++ b/src/cli_operator.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <iosfwd>
 
-namespace CLI {
+namespace CLI { // NOLINT(readability-identifier-naming): name given by CLI11
 class App;
 }
 
--- a/src/cli_operator_client.cpp
+++ b/src/cli_operator_client.cpp
@@ -88,7 +88,7 @@
     }
     if (reply.sendState != SendState::Answered)
         throw OperatorCallFailed(OperatorExit::Refused, "the server did not answer: " + reply.error);
-    const value json = parseReply(reply);
+    value json = parseReply(reply);
     // 404 for a path without a value still carries its revision.
     if (reply.status != 200 && !(reply.status == 404 && json.has_field("revision")))
         refuse(reply, OperatorExit::Refused);
--- a/src/config_schema.cpp
+++ b/src/config_schema.cpp
@@ -98,7 +98,7 @@
             const toml::node* node = find(field, true);
             if (!node)
                 return {};
-            const std::string value = node->value_exact<std::string>().value_or("");
+            std::string value = node->value_exact<std::string>().value_or("");
             if (!node->is_string() || !valid(value))
                 fault(field, "must be " + std::string(expected));
             return value;
--- a/src/config_schema_envelope.cpp
+++ b/src/config_schema_envelope.cpp
@@ -61,6 +61,13 @@
         entries.push_back(std::move(item));
     }
     json["entries"] = value::array(std::move(entries));
+    if (batch.unchanged.empty())
+        return json.serialize();
+    std::vector<value> unchanged;
+    unchanged.reserve(batch.unchanged.size());
+    for (const std::string& key : batch.unchanged)
+        unchanged.push_back(value::string(key));
+    json["unchanged"] = value::array(std::move(unchanged));
     return json.serialize();
 }
 
@@ -83,6 +90,10 @@
             entry.revision = item.at("revision").as_number().to_uint64();
             batch.entries.push_back(std::move(entry));
         }
+        if (json.has_field("unchanged")) {
+            for (const value& key : json.at("unchanged").as_array())
+                batch.unchanged.push_back(key.as_string());
+        }
         return batch;
     } catch (const web::json::json_exception& error) {
         throw std::runtime_error(std::string("configuration batch: ") + error.what());
--- a/src/config_schema_envelope.h
+++ b/src/config_schema_envelope.h
@@ -29,9 +29,10 @@
 struct ConfigBatch {
     uint64_t from = 0; ///< The batch holds every change after from ...
     uint64_t to = 0; ///< ... up to to. Both 0: single changes, others may be missing.
-    bool full = false; ///< The batch holds every entry up to to; absent keys do not exist.
+    bool full = false; ///< Keys that are neither in entries nor in unchanged did not exist at to.
     Duration age {}; ///< Time since the store confirmed the sender's copy.
     std::vector<StoreEntry> entries; ///< Keys with configPrefix.
+    std::vector<std::string> unchanged {}; ///< If full: keys whose last change is not after from.
 };
 
 std::string encodeBatch(const ConfigBatch&);
--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -46,6 +46,7 @@
     bool removed = false;
     for (const StoreEntry& entry : batch.entries)
         present.insert(entry.key);
+    present.insert(batch.unchanged.begin(), batch.unchanged.end());
     for (std::pair<const std::string, StoreEntry>& entry : m_entries) {
         if (!entry.second.value || entry.second.revision > batch.to || present.count(entry.first))
             continue;
@@ -66,11 +67,12 @@
         if (merge(entry))
             changed.push_back(&entry);
     }
-    const bool first = !m_hasCopy && batch.full;
+    const bool complete = batch.from <= m_complete;
+    const bool first = !m_hasCopy && batch.full && complete;
     bool removed = false;
-    if (batch.full && (batch.to > m_complete || first))
+    if (batch.full && complete && (batch.to > m_complete || first))
         removed = removeAbsent(batch);
-    if ((batch.full || batch.from <= m_complete) && batch.to > m_complete)
+    if (complete && batch.to > m_complete)
         m_complete = batch.to;
     m_hasCopy = m_hasCopy || first;
     if (m_hasCopy && (!m_snapshot || removed || !changed.empty()))
@@ -190,8 +192,10 @@
     batch.full = after < m_listedAt || after == 0;
     batch.age = age(now);
     for (const std::pair<const std::string, StoreEntry>& entry : m_entries) {
-        if (batch.full || entry.second.revision > after)
+        if (entry.second.revision > after)
             batch.entries.push_back(entry.second);
+        else if (batch.full && entry.second.value)
+            batch.unchanged.push_back(entry.first);
     }
     return batch;
 }
--- a/tests/unit_configuration.cpp
+++ b/tests/unit_configuration.cpp
@@ -338,7 +338,7 @@
 // each host of its data centre.
 BOOST_AUTO_TEST_CASE(pushes_per_change_are_bounded)
 {
-    constexpr size_t hosts = 300;
+    constexpr size_t hosts = 750;
     Simulation simulation(3, hosts);
     simulation.run(3s);
     BOOST_TEST(simulation.change(hosts - 1, keyOf(0), 0));
@@ -371,6 +371,21 @@
     BOOST_TEST(fresh.snapshot()->customers.size() == 1);
 }
 
+// Guards against a peer that started after a deletion and so hides it, and against one that sends its whole copy.
+BOOST_AUTO_TEST_CASE(a_peer_without_the_deletion_names_its_keys)
+{
+    Configuration behind(1, Instant {});
+    behind.listAnswered({ 1, {} }, { 5, { entryAt(keyOf(0), 3, 30), entryAt(keyOf(1), 5, 50) } });
+    Configuration fresh(2, Instant {});
+    fresh.listAnswered({ 1, {} }, { 9, { entryAt(keyOf(1), 5, 50), entryAt(keyOf(2), 8, 80) } });
+    const ConfigBatch batch = decodeBatch(encodeBatch(*fresh.changesSince(5, Instant {})));
+    BOOST_TEST(batch.entries.size() == 1);
+    behind.fetchAnswered({ 2, "fresh", 5, {} }, batch);
+    BOOST_TEST(behind.snapshot()->customers.count("t0") == 0);
+    BOOST_TEST(behind.snapshot()->customers.count("t1") == 1);
+    BOOST_TEST(behind.snapshot()->customers.count("t2") == 1);
+}
+
 // Guards against a pushed entry being taken as proof that nothing before it is missing.
 BOOST_AUTO_TEST_CASE(a_push_does_not_hide_a_missing_change)
 {
--- a/tests/unit_operator_api.cpp
+++ b/tests/unit_operator_api.cpp
@@ -280,7 +280,7 @@
         return request("PUT", "config/" + path, body.serialize(), status, credential.empty() ? bootstrap : credential);
     }
 
-    CommandResult run(std::vector<std::string> arguments, const std::string& credential = {})
+    CommandResult run(const std::vector<std::string>& arguments, const std::string& credential = {})
     {
         setenv("PLANTAINWALL_OPERATOR", (credential.empty() ? bootstrap : credential).c_str(), 1);
         setenv("PLANTAINWALL_SERVER", "http://127.0.0.1:1", 1);
