Test a refused resend and a stranded member

Cause: trials with broken code showed two rules without a test that notices: the guard that keeps a doubtful request from being answered as not run, and the repair of a member whose candidate died. The limit of connections could not be reached in the group controller's test because the fake had as few slots.

Change: one test for each rule, a healed model must have no fenced member, and the fake has more slots than connections.

--- a/tests/unit_controller_group.cpp
+++ b/tests/unit_controller_group.cpp
@@ -26,6 +26,7 @@
     bool replicates = true;
     unsigned loseAnswers = 0; ///< Execute calls that run, but whose answer is lost.
     unsigned dropCalls = 0; ///< Execute calls that never arrive although they were sent.
+    bool busy = false; ///< Refuses execute calls as not run.
     unsigned maxOpen = 0;
     unsigned nextConnection = 0;
     std::set<std::string> connections;
@@ -179,7 +180,7 @@
         status.received = { member.log.back().term, member.log.size() };
         status.applied = status.received;
         status.leaving = member.leaving;
-        status.slots = 4;
+        status.slots = 8; // More than half of the connections, so that the connections are the limit.
         status.connectionLimit = 8;
         status.primarySilence = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - member.heard);
         return status;
@@ -198,6 +199,10 @@
             return outcome;
         }
         outcome.sendState = SendState::Answered;
+        if (member.busy) {
+            outcome.code = ResultCode::QueueFull;
+            return outcome;
+        }
         if (member.connections.count(request.connection) == 0) {
             outcome.code = ResultCode::TransactionUnknown;
             return outcome;
@@ -366,6 +371,21 @@
     change("m0", [](FakeMember& member) { BOOST_TEST(member.closed.size() >= 2U, "doubtful connections are closed"); });
 }
 
+// Guards against "not run" after a refused second attempt while the first one may still arrive.
+BOOST_FIXTURE_TEST_CASE(refused_resend_stays_unknown, Fixture)
+{
+    change("m0", [](FakeMember& member) {
+        member.dropCalls = 1;
+        member.busy = true;
+    });
+    MemberRequest doubtful = request(false);
+    doubtful.timeLeft = milliseconds(400);
+    BOOST_TEST(resultCodeInfo(run(doubtful).code).name == "outcome_unknown");
+    const MemberAnswer refused = run(request(false));
+    BOOST_TEST(resultCodeInfo(refused.code).name == "queue_full");
+    BOOST_TEST((refused.runState == RunState::NotRun));
+}
+
 // Guards against a failover without end, a lost acknowledged write and a refusal that wrongly says "not run".
 BOOST_FIXTURE_TEST_CASE(primary_is_replaced_and_its_writes_survive, Fixture)
 {
--- a/tests/unit_promotion.cpp
+++ b/tests/unit_promotion.cpp
@@ -1,5 +1,6 @@
 #include "ack_tracker.h"
 #include "promotion.h"
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <rapidcheck.h>
@@ -68,6 +69,20 @@
         advance(healed);
     }
 
+    /// Leaves a member fenced in a higher term, as a candidate does that dies in the middle of a round.
+    void strand(const std::string& member)
+    {
+        m_members[member].term += 1;
+        m_members[member].role = MemberRole::Fenced;
+        m_members[member].candidate = "dead";
+    }
+    bool allFollow() const
+    {
+        return std::none_of(
+            m_members.begin(), m_members.end(), [](const std::pair<const std::string, ModelMember>& entry) {
+                return entry.second.role == MemberRole::Fenced;
+            });
+    }
     void kill(const std::string& member) { m_members[member].up = false; }
     void cut(size_t candidate, const std::string& member)
     {
@@ -399,6 +414,7 @@
         Model model(seed, members, Rules());
         model.run(std::chrono::seconds(40), std::chrono::seconds(20));
         RC_ASSERT(model.sinceAcknowledged() < std::chrono::seconds(2));
+        RC_ASSERT(model.allFollow());
         RC_CLASSIFY(model.terms() > 3, "more than two promotions");
     });
     BOOST_TEST(held);
@@ -442,6 +458,17 @@
     }
 }
 
+// Guards against a member that refuses the primary for ever because the candidate that fenced it is gone.
+BOOST_AUTO_TEST_CASE(stranded_member_is_brought_back)
+{
+    Model model(1, 3, Rules());
+    model.advance(std::chrono::seconds(2));
+    model.strand("m2");
+    model.advance(std::chrono::seconds(8));
+    BOOST_TEST(model.allFollow());
+    BOOST_TEST(model.promotion(0).primary() == "m0");
+}
+
 // Guards against a promotion when a candidate cannot reach a primary that its replicas still hear.
 BOOST_AUTO_TEST_CASE(primary_out_of_reach_of_one_owner_is_kept)
 {
