Add authenticated control calls between entry hosts

libjsonrpccpp's client blocks and its HTTP connector binds 0.0.0.0. PeerRpc builds requests and reads responses with the library's protocol handlers through connectors without a transport, so no thread waits for an answer; the text travels over HttpCaller. Every request carries an HMAC-SHA256 over method, path, sender, incarnation and body.

--- /dev/null
+++ b/src/peer_rpc.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "http_caller.h"
+#include "jsonrpc_server.h"
+#include "peer_auth.h"
+#include <mutex>
+
+namespace plantainwall {
+
+/// Control calls between entry hosts: JSON-RPC 2.0 at POST /peer/rpc, authenticated by the fleet's peer secret.
+/// Safe to call from any thread; nothing blocks.
+class PeerRpc {
+public:
+    /// Handles one call: the parameters as JSON text and the sender. Returns the result as JSON text.
+    using Handler = std::function<std::string(const std::string& jsonParams, const PeerIdentity& sender)>;
+    /// Returns the peer address (http://ip:port) of a host, or an empty string.
+    using AddressOf = std::function<std::string(std::string_view host)>;
+    /// Returns a caller for an address; called once per address.
+    using MakeCaller = std::function<std::shared_ptr<HttpCaller>(std::string_view address)>;
+
+    static constexpr std::string_view path = "/peer/rpc";
+
+    PeerRpc(std::string secret, PeerIdentity self, MakeCaller);
+
+    /// Sets how names of hosts become addresses. Needed before call().
+    void setAddressOf(AddressOf);
+
+    /// Calls a method of another host. The task fails with std::runtime_error if there is no answer or an error.
+    pplx::task<std::string> call(
+        std::string_view host, const std::string& method, const std::string& jsonParams, Duration timeout);
+
+    /// The same by address, for hosts whose name is not known yet.
+    pplx::task<std::string> callAddress(
+        std::string_view address, const std::string& method, const std::string& jsonParams, Duration timeout);
+
+    /// Adds a method. All methods have to be registered before the peer port opens.
+    void registerMethod(const std::string& name, Handler);
+
+    /// Answers a POST to /peer/rpc. Status 401 if the headers do not authenticate it.
+    HttpReply handle(const std::map<std::string, std::string>& headers, const std::string& body);
+
+    const PeerIdentity& self() const { return m_self; }
+
+private:
+    std::shared_ptr<HttpCaller> callerFor(std::string_view address);
+
+    std::string m_secret;
+    PeerIdentity m_self;
+    MakeCaller m_makeCaller;
+    AddressOf m_addressOf;
+    JsonRpcServer m_server;
+    std::mutex m_mutex;
+    std::map<std::string, std::shared_ptr<HttpCaller>, std::less<>> m_callers;
+};
+
+} // namespace plantainwall
