--- /dev/null
+++ b/tests/unit_seats.cpp
@@ -0,0 +1,226 @@
+#include "seats.h"
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <rapidcheck.h>
+
+using namespace plantainwall;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr unsigned hostCount = 5;
+
+/// The platform's store in virtual time: compare-and-swap and leases.
+class FakeStore {
+public:
+    void expire(Instant now)
+    {
+        for (std::map<std::string, Instant>::iterator it = m_leases.begin(); it != m_leases.end();) {
+            if (it->second > now) {
+                ++it;
+                continue;
+            }
+            m_values.erase("limits/leases/" + it->first);
+            it = m_leases.erase(it);
+        }
+    }
+
+    void perform(const SeatAction& action, Seats& seats, Instant now, Instant sent, bool replyLost, Instant local)
+    {
+        SwapResult swap;
+        StoreListing listing;
+        bool alive = false;
+        std::string lease;
+        switch (action.kind) {
+        case SeatAction::Kind::GrantLease:
+            lease = "lease" + std::to_string(++m_revision);
+            m_leases[lease] = now + seconds(30);
+            break;
+        case SeatAction::Kind::RenewLease:
+            alive = m_leases.count(action.lease) != 0;
+            if (alive)
+                m_leases[action.lease] = now + seconds(30);
+            break;
+        case SeatAction::Kind::List:
+            for (const auto& [key, value] : m_values)
+                listing.entries.push_back({ key, value.first, value.second });
+            break;
+        default:
+            swap = compareAndSwap(action);
+        }
+        if (replyLost)
+            seats.failed(local);
+        else if (action.kind == SeatAction::Kind::GrantLease)
+            seats.leaseGranted(lease, sent);
+        else if (action.kind == SeatAction::Kind::RenewLease)
+            seats.leaseRenewed(alive, sent);
+        else if (action.kind == SeatAction::Kind::List)
+            seats.listed(listing);
+        else
+            seats.swapped(action, swap);
+    }
+
+private:
+    SwapResult compareAndSwap(const SeatAction& action)
+    {
+        const std::map<std::string, std::pair<std::string, uint64_t>>::iterator it = m_values.find(action.key);
+        const uint64_t revision = it == m_values.end() ? 0 : it->second.second;
+        if (revision != action.expectedRevision || (!action.lease.empty() && !m_leases.count(action.lease)))
+            return { false, revision };
+        m_values[action.key] = { *action.value, ++m_revision };
+        return { true, m_revision };
+    }
+
+    std::map<std::string, std::pair<std::string, uint64_t>> m_values;
+    std::map<std::string, Instant> m_leases;
+    uint64_t m_revision = 0;
+};
+
+struct Process {
+    std::unique_ptr<Seats> seats;
+    uint64_t incarnation = 0;
+    Instant pausedUntil {};
+    Duration offset {};
+    std::map<Instant, ShareUnits> lendable; // Unconditional share of the last two seconds: it may still be lent.
+};
+
+struct Outcome {
+    ShareUnits most = 0; // Greatest sum over running hosts at any time.
+    ShareUnits leastInOutage = wholeShare;
+    ShareUnits atEnd = 0;
+};
+
+class Simulation {
+public:
+    explicit Simulation(uint64_t seed)
+        : m_random(seed)
+        , m_processes(hostCount)
+    {
+        for (unsigned i = 0; i < hostCount; ++i) {
+            m_processes[i].offset = seconds(m_random() % 10000);
+            start(i);
+        }
+    }
+
+    Outcome run(Duration length, bool faults)
+    {
+        for (Instant end = m_now + length; m_now < end; m_now += milliseconds(250)) {
+            m_store.expire(m_now);
+            if (faults)
+                injectFault();
+            for (Process& process : m_processes)
+                step(process);
+            m_outcome.most = std::max(m_outcome.most, sum());
+            if (m_storeDown)
+                m_outcome.leastInOutage = std::min(m_outcome.leastInOutage, sum());
+        }
+        m_outcome.atEnd = sum();
+        return m_outcome;
+    }
+
+    void setStoreDown(bool down) { m_storeDown = down; }
+
+private:
+    bool chance(double probability) { return std::uniform_real_distribution<double>(0, 1)(m_random) < probability; }
+    Instant local(const Process& process) const { return m_now + process.offset; }
+
+    void start(unsigned i)
+    {
+        Process& process = m_processes[i];
+        process.seats
+            = std::make_unique<Seats>(LimitSettings(), "h" + std::to_string(i), ++process.incarnation, local(process));
+        m_states[i] = HostState::Live;
+    }
+
+    void injectFault()
+    {
+        if (chance(0.002))
+            m_storeDown = !m_storeDown;
+        const unsigned i = static_cast<unsigned>(m_random() % hostCount);
+        Process& process = m_processes[i];
+        if (chance(0.01)) {
+            if (process.seats)
+                process.seats.reset();
+            else
+                start(i);
+        }
+        if (chance(0.01))
+            process.pausedUntil = m_now + seconds(m_random() % 60);
+        // Views may be wrong in any way: a host in doubt loses its duties, and nothing more.
+        if (chance(0.05))
+            m_states[i] = static_cast<HostState>(m_random() % 4);
+    }
+
+    void step(Process& process)
+    {
+        if (!process.seats || process.pausedUntil > m_now)
+            return;
+        std::vector<HostInfo> hosts(hostCount);
+        for (unsigned i = 0; i < hostCount; ++i) {
+            hosts[i].config.name = "h" + std::to_string(i);
+            hosts[i].incarnation = m_processes[i].incarnation;
+            hosts[i].state = m_states[i];
+        }
+        const Instant sent = local(process);
+        const Seats::AbsentFor never = [](std::string_view) { return Duration(0); };
+        if (std::optional<SeatAction> action = process.seats->next(hosts, never, sent)) {
+            if (m_storeDown)
+                process.seats->failed(sent);
+            else
+                m_store.perform(*action, *process.seats, m_now, sent, m_lossy && chance(0.1), sent);
+        }
+    }
+
+    ShareUnits sum()
+    {
+        ShareUnits units = 0;
+        for (Process& process : m_processes) {
+            OwnShare own;
+            // A paused process uses its share again at any moment, by its clock of that moment.
+            if (process.seats)
+                own = process.seats->own(local(process));
+            process.lendable[m_now] = own.unconditional;
+            process.lendable.erase(process.lendable.begin(), process.lendable.lower_bound(m_now - seconds(2)));
+            ShareUnits most = 0;
+            for (const auto& [when, lent] : process.lendable)
+                most = std::max(most, lent);
+            units += own.conditional + most;
+        }
+        return units;
+    }
+
+    std::mt19937_64 m_random;
+    Instant m_now { seconds(100) };
+    std::vector<Process> m_processes;
+    std::map<unsigned, HostState> m_states;
+    FakeStore m_store;
+    Outcome m_outcome;
+    bool m_storeDown = false;
+    bool m_lossy = true;
+};
+
+} // namespace
+
+// Guards against a seat counted twice under lost replies, outages, pauses, restarts and wrong views of the fleet.
+BOOST_AUTO_TEST_CASE(seats_are_never_counted_twice)
+{
+    BOOST_TEST(rc::check("shares by seats add up to the whole at most", [] {
+        const uint64_t seed = *rc::gen::arbitrary<uint64_t>();
+        const Outcome outcome = Simulation(seed).run(seconds(600), true);
+        RC_LOG() << "seed " << seed << ", sum " << outcome.most << '\n';
+        RC_ASSERT(outcome.most <= wholeShare);
+        RC_ASSERT(outcome.most > wholeShare / 2);
+    }));
+}
+
+// Guards against seats that nobody claims, and against losing more than the conditional half in a store outage.
+BOOST_AUTO_TEST_CASE(a_store_outage_costs_half_at_most)
+{
+    Simulation simulation(1);
+    BOOST_TEST(simulation.run(seconds(60), false).atEnd > wholeShare - 100);
+    simulation.setStoreDown(true);
+    BOOST_TEST(simulation.run(seconds(300), false).leastInOutage > wholeShare / 2 - 100);
+    simulation.setStoreDown(false);
+    BOOST_TEST(simulation.run(seconds(60), false).atEnd > wholeShare - 100);
+}
