--- a/src/entry_host.cpp
+++ b/src/entry_host.cpp
@@ -9,6 +9,7 @@
 #include "filters.h"
 #include "http_glue.h"
 #include "http_server.h"
+#include "log_event.h"
 #include "member_codec.h"
 #include "operator_api.h"
 #include "owner_client.h"
@@ -26,6 +27,7 @@
     using web::http::experimental::listener::http_listener;
 
     constexpr unsigned storeConnections = 16;
+    constexpr unsigned controlConnections = 8;
     constexpr unsigned databaseConnections = 64;
     constexpr Duration controlCallTimeout = std::chrono::seconds(1);
     constexpr std::string_view operatorPrefix = "/operator/v1/";
@@ -92,12 +94,6 @@
                 .count());
     }
 
-    std::string headerOf(const CallerHttpRequest& request, const char* name)
-    {
-        const auto it = request.headers.find(name);
-        return it == request.headers.end() ? std::string() : it->second;
-    }
-
     /// Carries the configuration's calls to other hosts.
     class RpcConfigPeers final : public ConfigPeers {
     public:
@@ -109,12 +105,12 @@
 
         pplx::task<std::string> fetchSince(std::string_view host, std::string request) override
         {
-            return m_rpc->call(addressOf(host), std::string(configFetchMethod), request, controlCallTimeout);
+            return m_rpc->callAddress(addressOf(host), std::string(configFetchMethod), request, controlCallTimeout);
         }
 
         pplx::task<void> push(std::string_view host, std::string request) override
         {
-            return m_rpc->call(addressOf(host), std::string(configPushMethod), request, controlCallTimeout)
+            return m_rpc->callAddress(addressOf(host), std::string(configPushMethod), request, controlCallTimeout)
                 .then([](const std::string&) {});
         }
 
@@ -143,7 +139,8 @@
         , m_server(installHttpServer(settings.http, settings.threads))
         , m_scheduler(makeScheduler())
         , m_store(makeHttpStore(makeHttpCaller(settings.storeAddress, storeConnections)))
-        , m_rpc(std::make_shared<PeerRpc>(PeerIdentity { settings.host, m_incarnation }, settings.peerSecret))
+        , m_rpc(std::make_shared<PeerRpc>(settings.peerSecret, PeerIdentity { settings.host, m_incarnation },
+              [](std::string_view address) { return makeHttpCaller(address, controlConnections); }))
     {
         makeControllers();
         makeChain();
@@ -151,12 +148,7 @@
 
     void start()
     {
-        m_rpc->registerMethod(
-            std::string(configFetchMethod), [this](const std::string& text) { return m_config->handleFetch(text); });
-        m_rpc->registerMethod(std::string(configPushMethod), [this](const std::string& text) {
-            m_config->handlePush(text);
-            return std::string();
-        });
+        registerControlCalls();
         m_peerListener = openListener(
             m_settings.listenAddress, m_settings.peerPort, [this](const http_request& request) { servePeer(request); });
         m_config->start();
@@ -181,6 +173,16 @@
     }
 
 private:
+    void registerControlCalls()
+    {
+        m_rpc->registerMethod(std::string(configFetchMethod),
+            [this](const std::string& text, const PeerIdentity&) { return m_config->handleFetch(text); });
+        m_rpc->registerMethod(std::string(configPushMethod), [this](const std::string& text, const PeerIdentity&) {
+            m_config->handlePush(text);
+            return std::string("{}");
+        });
+    }
+
     void makeControllers()
     {
         std::shared_ptr<ConfiguredCluster> cluster = std::make_shared<ConfiguredCluster>(m_settings.host);
@@ -221,11 +223,9 @@
     void makeChain()
     {
         OwnerClientParts owners;
-        owners.selfName = m_settings.host;
         owners.local = m_groups;
-        owners.sign = [rpc = m_rpc](std::string_view method, std::string_view path, std::string_view body) {
-            return rpc->sign(method, path, body);
-        };
+        owners.self = m_rpc->self();
+        owners.peerSecret = m_settings.peerSecret;
         DispatchParts dispatch;
         dispatch.dataCentre = m_settings.dataCentre;
         dispatch.region = m_settings.region;
@@ -304,15 +304,17 @@
 
     void answerPeer(const http_request& request, const CallerHttpRequest& message)
     {
-        const std::optional<PeerIdentity> sender = m_rpc->verify(headerOf(message, "plantainwall-peer"),
-            headerOf(message, "plantainwall-peer-auth"), { message.method, message.path, message.body });
-        if (!sender) {
+        if (message.path == PeerRpc::path) {
+            const HttpReply reply = m_rpc->handle(message.headers, message.body);
+            replyTo(request, { reply.status, {}, reply.body });
+            return;
+        }
+        if (!verifyPeerRequest(message.headers, m_settings.peerSecret, message.method, message.path, message.body)) {
+            logEvent(LogEvent::PeerAuthenticationFailed, { { "path", message.path } });
             replyTo(request, errorAnswer(ResultCode::PermissionDenied, "peer authentication failed"));
             return;
         }
-        if (message.path == peerRpcPath) {
-            replyTo(request, { 200, {}, m_rpc->handle(message.body) });
-        } else if (message.path == peerExecutePath) {
+        if (message.path == peerExecutePath) {
             answerMember(request, m_groups->execute(decodeMemberRequest(message.body)));
         } else if (message.path == peerOutcomePath) {
             const MemberRequest lookup = decodeMemberRequest(message.body);
--- a/src/owner_client.cpp
+++ b/src/owner_client.cpp
@@ -37,7 +37,7 @@
 
         pplx::task<MemberAnswer> execute(const HostInfo& owner, MemberRequest request) override
         {
-            if (owner.config.name == m_parts.selfName)
+            if (owner.config.name == m_parts.self.host)
                 return m_parts.local->execute(std::move(request));
             return call(owner, peerExecutePath, request);
         }
@@ -45,7 +45,7 @@
         pplx::task<MemberAnswer> outcome(
             const HostInfo& owner, std::string_view group, std::string_view requestId, Duration timeLeft) override
         {
-            if (owner.config.name == m_parts.selfName)
+            if (owner.config.name == m_parts.self.host)
                 return m_parts.local->outcome(group, requestId, timeLeft);
             MemberRequest request;
             request.group = group;
@@ -62,7 +62,7 @@
             call.method = "POST";
             call.path = path;
             call.body = encodeMemberRequest(request);
-            call.headers = m_parts.sign(call.method, call.path, call.body);
+            signPeerRequest(call.headers, m_parts.peerSecret, m_parts.self, call.method, call.path, call.body);
             call.headers["Content-Type"] = "application/json";
             call.timeout = request.timeLeft + answerGrace;
             return callerFor(owner.config.peerAddress)->call(std::move(call)).then(answerFrom);
--- a/src/owner_client.h
+++ b/src/owner_client.h
@@ -2,7 +2,7 @@
 
 #include "filters.h"
 #include "http_caller.h"
-#include <functional>
+#include "peer_auth.h"
 #include <mutex>
 
 namespace plantainwall {
@@ -12,11 +12,9 @@
 
 /// What an OwnerClient needs; everything outlives it.
 struct OwnerClientParts {
-    std::string selfName;
+    PeerIdentity self;
+    std::string peerSecret;
     std::shared_ptr<MemberService> local; ///< Members that this entry host owns.
-
-    /// Returns the headers that authenticate a call to another entry host: method, path, body.
-    std::function<std::map<std::string, std::string>(std::string_view, std::string_view, std::string_view)> sign;
     unsigned maxConcurrentPerPeer = 256;
 };
 
