Add trace contexts and the writer of Zipkin spans

Change: traceparent is parsed and written, ids come from a seeded generator, and SpanWriter appends JSON lines from its own thread; a full queue drops and counts. Tags are an enumeration, so that no key or statement can become one. validUtf8 is shared with the log events.

--- a/src/log_event.cpp
+++ b/src/log_event.cpp
@@ -91,18 +91,6 @@
         return buf;
     }
 
-    /// Returns the text with every byte outside ASCII replaced if it is not valid UTF-8, which JSON requires.
-    std::string validUtf8(std::string text)
-    {
-        try {
-            utility::conversions::utf8_to_utf16(text);
-        } catch (const std::range_error&) {
-            std::replace_if(
-                text.begin(), text.end(), [](unsigned char c) { return c >= 0x80; }, '?');
-        }
-        return text;
-    }
-
     web::json::value jsonOf(const LogValue::Variant& value)
     {
         return std::visit(
@@ -147,6 +135,17 @@
 
 } // namespace
 
+std::string validUtf8(std::string text)
+{
+    try {
+        utility::conversions::utf8_to_utf16(text);
+    } catch (const std::range_error&) {
+        std::replace_if(
+            text.begin(), text.end(), [](unsigned char c) { return c >= 0x80; }, '?');
+    }
+    return text;
+}
+
 void initializeLogging(const Settings& settings) { processLog().configure(settings); }
 
 void logEvent(LogEvent event, std::initializer_list<LogField> fields)
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -115,4 +115,7 @@
 std::string logEventLine(
     LogEvent, std::initializer_list<LogField>, std::string_view time, std::string_view host, std::string_view format);
 
+/// Returns the text with every byte outside ASCII replaced by "?" if it is not valid UTF-8, which JSON requires.
+std::string validUtf8(std::string text);
+
 } // namespace plantainwall
--- /dev/null
+++ b/tests/unit_trace_span.cpp
@@ -0,0 +1,128 @@
+#include "trace_span.h"
+#include <boost/test/unit_test.hpp>
+#include <cpprest/json.h>
+#include <fcntl.h>
+#include <fstream>
+#include <sys/stat.h>
+#include <system_error>
+#include <unistd.h>
+
+using namespace plantainwall;
+
+namespace {
+
+const std::string traceId = "0af7651916cd43dd8448eb211c80319c";
+const std::string spanId = "b7ad6b7169203331";
+
+/// Path for a file of this process, removed at the end.
+struct TemporaryPath {
+    const std::string path = std::string(PLANTAINWALL_BUILD_DIR) + "/unit_trace_span." + std::to_string(getpid());
+
+    TemporaryPath() { unlink(path.c_str()); }
+    ~TemporaryPath() { unlink(path.c_str()); }
+};
+
+Span exampleSpan()
+{
+    Span span;
+    span.context = { traceId, spanId, true };
+    span.parentId = "00f067aa0ba902b7";
+    span.name = "query";
+    span.kind = SpanKind::Client;
+    span.start = Duration(1700000000000001);
+    span.tags = { { SpanTag::Group, "plait\"\n" }, { SpanTag::Member, "\xff" }, { SpanTag::QueueTime, "12" } };
+    return span;
+}
+
+} // namespace
+
+// Guards against malformed headers that are passed on, and valid ones that break a caller's trace.
+BOOST_AUTO_TEST_CASE(trace_parent_follows_the_standard)
+{
+    const std::string valid = "00-" + traceId + '-' + spanId + "-01";
+    const std::optional<TraceContext> context = parseTraceParent(valid);
+    BOOST_REQUIRE(context.has_value());
+    BOOST_TEST(context->traceId == traceId);
+    BOOST_TEST(context->spanId == spanId);
+    BOOST_TEST(formatTraceParent(*context) == valid);
+    BOOST_TEST(!parseTraceParent("00-" + traceId + '-' + spanId + "-02")->sampled);
+    BOOST_TEST(parseTraceParent("cc-" + traceId + '-' + spanId + "-01-more").has_value());
+    const std::string zeros(32, '0');
+    const std::vector<std::string> malformed { std::string(), valid.substr(0, 54), valid + "-more",
+        "ff" + valid.substr(2), "cc" + valid.substr(2) + "more", "0G" + valid.substr(2),
+        "00-" + zeros + '-' + spanId + "-01", "00-" + traceId + '-' + zeros.substr(16) + "-01",
+        "00-" + traceId + '_' + spanId + "-01", "00-A" + traceId.substr(1) + '-' + spanId + "-01",
+        "00-" + traceId + '-' + spanId + "-0x" };
+    for (const std::string& text : malformed)
+        BOOST_TEST(!parseTraceParent(text).has_value(), text);
+}
+
+// Guards against ids that repeat, that differ between runs of one seed, or that leave the trace.
+BOOST_AUTO_TEST_CASE(ids_come_from_the_seed)
+{
+    TraceIds a(7);
+    TraceIds b(7);
+    const TraceContext trace = a.newTrace();
+    BOOST_TEST(formatTraceParent(trace) == formatTraceParent(b.newTrace()));
+    BOOST_TEST(parseTraceParent(formatTraceParent(trace)).has_value());
+    const TraceContext child = a.childOf({ trace.traceId, trace.spanId, false });
+    BOOST_TEST(child.traceId == trace.traceId);
+    BOOST_TEST(child.spanId != trace.spanId);
+    BOOST_TEST(!child.sampled);
+    BOOST_TEST(a.newTrace().traceId != trace.traceId);
+}
+
+// Guards against spans that Zipkin does not accept or that are lost at the end of the process.
+BOOST_AUTO_TEST_CASE(queued_spans_are_in_the_file_after_the_writer)
+{
+    const TemporaryPath file;
+    {
+        SpanWriter writer(file.path, "mill-1");
+        for (int i = 0; i < 100; ++i)
+            writer.write(exampleSpan());
+        Span unsampled = exampleSpan();
+        unsampled.context.sampled = false;
+        writer.write(unsampled);
+    }
+    std::ifstream in(file.path);
+    std::string line;
+    int lines = 0;
+    for (; std::getline(in, line); ++lines) {
+        const web::json::value json = web::json::value::parse(line);
+        BOOST_TEST(json.at("traceId").as_string() == traceId);
+        BOOST_TEST(json.at("id").as_string() == spanId);
+        BOOST_TEST(json.at("parentId").as_string() == "00f067aa0ba902b7");
+        BOOST_TEST(json.at("kind").as_string() == "CLIENT");
+        BOOST_TEST(json.at("timestamp").as_number().to_int64() == 1700000000000001);
+        BOOST_TEST(json.at("duration").as_integer() == 1);
+        BOOST_TEST(json.at("localEndpoint").at("serviceName").as_string() == "mill-1");
+        BOOST_TEST(json.at("tags").at("member").as_string() == "?");
+        BOOST_TEST(json.at("tags").at("group").as_string() == "plait\"\n");
+    }
+    BOOST_TEST(lines == 100);
+    BOOST_CHECK_THROW(SpanWriter("/nonexistent/spans", "mill-1"), std::system_error);
+    SpanWriter("", "mill-1").write(exampleSpan());
+}
+
+// Guards against requests that wait for a slow disk, and drops that are not counted. A pipe that nobody reads stands
+// for the disk.
+BOOST_AUTO_TEST_CASE(full_queue_drops_and_counts)
+{
+    const TemporaryPath pipe;
+    BOOST_REQUIRE(mkfifo(pipe.path.c_str(), 0600) == 0);
+    const int reader = open(pipe.path.c_str(), O_RDWR | O_NONBLOCK);
+    BOOST_REQUIRE(reader >= 0);
+    SpanWriter writer(pipe.path, "mill-1", 8);
+    constexpr uint64_t spans = 5000; // About 1.2 MB; a pipe holds 64 KB.
+    for (uint64_t i = 0; i < spans; ++i)
+        writer.write(exampleSpan());
+    BOOST_TEST(writer.dropped() > 0U);
+    BOOST_TEST(writer.written() < spans);
+    char buf[65536];
+    for (int i = 0; i < 10000 && writer.dropped() + writer.written() < spans; ++i) {
+        if (read(reader, buf, sizeof(buf)) <= 0)
+            usleep(1000);
+    }
+    BOOST_TEST(writer.dropped() + writer.written() == spans);
+    close(reader);
+}
