--- /dev/null
+++ b/src/controller_membership_codec.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "membership.h"
+
+namespace plantainwall {
+
+/// Encodes a gossip message as JSON.
+std::string encodeGossip(const GossipMessage&);
+
+/// Decodes a gossip message. Throws std::exception if the text is not one.
+GossipMessage decodeGossip(const std::string&);
+
+} // namespace plantainwall
