--- a/src/rate_share.cpp
+++ b/src/rate_share.cpp
@@ -21,6 +21,8 @@
     constexpr double recentMemory = 250e3;
     // A new estimate assumes at least this much observed time, so that one request does not count as a high rate.
     constexpr double minObserved = 20e3;
+    // Requests to be expected in the short memory before their absence counts.
+    constexpr double minExpected = 8;
     // After a pause of this length the estimates start again.
     constexpr Duration demandPause = seconds(2);
     // A lender keeps this multiple of the share its demand needs. 1.3 left nothing to lend at 80% load.
@@ -198,12 +200,21 @@
     return m_demand / (1 - std::exp(-observed / demandMemory));
 }
 
+// Demand for which a lender keeps share. Load that has moved to another host is noticed at once if enough requests were
+// to be expected; with the long memory alone its share followed only after two seconds.
+double RateShare::keptDemand() const
+{
+    const double steady = steadyDemand();
+    const bool telling = steady * recentMemory > minExpected;
+    return telling && m_recentDemand < steady / 4 ? m_recentDemand : steady;
+}
+
 double RateShare::presentDemand() const
 {
     const double observed = std::max(microseconds(m_updated - m_demandSince), minObserved);
     const double recent = m_recentDemand / (1 - std::exp(-observed / recentMemory));
     const double steady = steadyDemand();
-    return recent > 2 * steady ? recent : steady;
+    return recent > 2 * steady ? recent : keptDemand();
 }
 
 // Units whose rate is the given demand.
@@ -237,7 +248,7 @@
 ShareUnits RateShare::lendable(Instant now)
 {
     advance(now);
-    return isShort(now) ? 0 : std::max<ShareUnits>(usableUnits() - unitsFor(steadyDemand() * keepFactor), 0);
+    return isShort(now) ? 0 : std::max<ShareUnits>(usableUnits() - unitsFor(keptDemand() * keepFactor), 0);
 }
 
 // How long a part of a source may be lent. The borrower's clock may be slower than this host's.
@@ -417,7 +428,7 @@
         return answer;
     // Refused only when this host has too little share and has also used up its tokens: a short dip in its tokens must
     // not move shares back and forth.
-    if (isShort(now) && m_level < 1 && usableUnits() < unitsFor(steadyDemand()))
+    if (isShort(now) && m_level < 1 && usableUnits() < unitsFor(keptDemand()))
         return answer;
     Loan& loan = it->second;
     Duration duration = m_settings.loanLease;
--- a/src/rate_share.h
+++ b/src/rate_share.h
@@ -136,6 +136,7 @@
     ShareUnits usableUnits() const;
     double steadyDemand() const;
     double presentDemand() const;
+    double keptDemand() const;
     ShareUnits unitsFor(double demand) const;
     void countDemand(Instant now);
     double tokensShort() const;
