--- a/tests/unit_http_caller.cpp
+++ b/tests/unit_http_caller.cpp
@@ -168,6 +168,26 @@
     BOOST_TEST(fake.accepted == 2);
 }
 
+// Guards against further timeouts on connections that went silent together with the one that was noticed.
+BOOST_AUTO_TEST_CASE(timeout_discards_idle_connections)
+{
+    std::atomic<bool> silent { false };
+    TcpFake fake([&silent](tcp::socket& socket, int) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        return silent || send(socket, okAnswer);
+    });
+    const std::shared_ptr<HttpCaller> caller = makeHttpCaller(fake.address(), 2);
+    const pplx::task<HttpReply> first = caller->call(post());
+    BOOST_TEST((caller->call(post()).get().sendState == SendState::Answered));
+    BOOST_TEST((first.get().sendState == SendState::Answered));
+    BOOST_TEST(fake.accepted == 2);
+    silent = true;
+    BOOST_TEST((caller->call(post(std::chrono::milliseconds(200))).get().sendState == SendState::MaybeSent));
+    silent = false;
+    BOOST_TEST((caller->call(post()).get().sendState == SendState::Answered));
+    BOOST_TEST(fake.accepted == 3);
+}
+
 // Guards against half an answer being taken for a whole one.
 BOOST_AUTO_TEST_CASE(truncated_answer_is_maybe_sent)
 {
--- a/tests/unit_http_server.cpp
+++ b/tests/unit_http_server.cpp
@@ -197,8 +197,10 @@
         callers.back()->send(post("", "/slow"));
     }
     RawCaller idle(fixture.port);
-    while (fixture.control->stats().inProgress < 50)
+    RawCaller quiet(fixture.port);
+    while (fixture.control->stats().inProgress < 50 || fixture.control->stats().open < 52)
         std::this_thread::sleep_for(milliseconds(1));
+    const std::chrono::steady_clock::time_point begin = std::chrono::steady_clock::now();
     fixture.control->beginDrain();
     BOOST_TEST(!fixture.control->waitDrained(milliseconds(10)));
     BOOST_TEST(contains(idle.send(post("late")).readAll(), "late"));
@@ -209,6 +211,8 @@
         caller->socket.close();
     }
     idle.socket.close();
+    BOOST_TEST(quiet.readAll() == "");
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < std::chrono::seconds(5)));
     BOOST_TEST(fixture.control->waitDrained(std::chrono::seconds(5)));
     BOOST_CHECK_THROW(RawCaller(fixture.port), boost::system::system_error);
 }
