Wire membership, limits, metrics and traces into the entry host

Cause: the first wiring took every configured host for live and enforced no rate. Change: ControlPlane connects the controllers; gossip carries configuration digests and contact with primaries; requests and executions write spans; a graceful shutdown tells peers, waits for transactions and requests, then closes. Request ids reach the database with the customer's name in front: without it one customer could have been given the recorded outcome of another's request with the same id (found by reading the code).

--- a/src/controller_limits.cpp
+++ b/src/controller_limits.cpp
@@ -179,6 +179,12 @@
     return entry && entry->waiting.empty() && entry->share->share().tryAdmit(steadyNow());
 }
 
+OwnShare LimitsController::seatShare() const
+{
+    std::lock_guard<std::mutex> lock(m_seatMutex);
+    return m_seats.own(steadyNow());
+}
+
 ShareUnits LimitsController::usable(std::string_view customer)
 {
     Shard& shard = shardOf(customer);
--- a/src/controller_limits.h
+++ b/src/controller_limits.h
@@ -32,6 +32,9 @@
     /// Handles a call of shareMethod; register it before the peer port opens. Throws if params is malformed.
     std::string handleShares(const std::string& params);
 
+    /// Returns the share of every customer's rate that this host holds by its seats.
+    OwnShare seatShare() const;
+
     /// Returns the units of a customer's rate that this host may use now.
     ShareUnits usable(std::string_view customer);
 
--- a/src/entry_host.cpp
+++ b/src/entry_host.cpp
@@ -1,21 +1,19 @@
 #include "entry_host.h"
 #include "caller_service.h"
 #include "clock.h"
-#include "controller_config.h"
-#include "controller_group.h"
-#include "database_http.h"
+#include "control_plane.h"
 #include "filter_approval.h"
 #include "filter_key.h"
+#include "filter_rate.h"
 #include "filters.h"
 #include "http_glue.h"
 #include "http_server.h"
 #include "log_event.h"
 #include "member_codec.h"
+#include "metrics.h"
 #include "operator_api.h"
 #include "owner_client.h"
-#include "peer_rpc.h"
-#include "placement.h"
-#include "store_http.h"
+#include "status_report.h"
 #include <sodium.h>
 #include <thread>
 
@@ -26,108 +24,36 @@
     using web::http::http_request;
     using web::http::experimental::listener::http_listener;
 
-    constexpr unsigned storeConnections = 16;
-    constexpr unsigned controlConnections = 8;
-    constexpr unsigned databaseConnections = 64;
-    constexpr Duration controlCallTimeout = std::chrono::seconds(1);
-    constexpr std::string_view operatorPrefix = "/operator/v1/";
-
-    /// Interim view: every configured host counts as live.
-    class ConfiguredCluster final : public ClusterView {
-    public:
-        explicit ConfiguredCluster(std::string self)
-            : m_self(std::move(self))
-        {
-        }
-        void setConfig(std::weak_ptr<const ConfigView> config) { m_config = std::move(config); }
-        std::string_view selfName() const override { return m_self; }
-        std::vector<HostInfo> hosts() const override
-        {
-            std::vector<HostInfo> result;
-            const std::shared_ptr<const ConfigView> config = m_config.lock();
-            const std::shared_ptr<const ConfigSnapshot> snapshot = config ? config->current() : nullptr;
-            if (!snapshot)
-                return result;
-            for (const auto& host : snapshot->hosts)
-                result.push_back({ host.second, 1, HostState::Live });
-            return result;
-        }
-        std::optional<HostInfo> ownerOf(std::string_view group, const MemberConfig& member) const override
-        {
-            const std::vector<HostInfo> all = hosts();
-            const HostInfo* host = Placement::ownerOf(all, group, member);
-            return host ? std::make_optional(*host) : std::nullopt;
-        }
-        std::optional<HostInfo> hostFor(std::string_view duty, std::string_view dataCentre) const override
-        {
-            const std::vector<HostInfo> all = hosts();
-            const HostInfo* host = Placement::hostFor(all, duty, dataCentre);
-            return host ? std::make_optional(*host) : std::nullopt;
-        }
-
-    private:
-        std::string m_self;
-        std::weak_ptr<const ConfigView> m_config;
-    };
-
-    uint64_t randomSeed()
-    {
-        uint64_t seed = 0;
-        randombytes_buf(&seed, sizeof(seed));
-        return seed;
-    }
+    constexpr std::string_view operatorPath = "/operator/v1/";
+    constexpr Duration drainPoll = std::chrono::milliseconds(10);
 
     std::string randomRequestId()
     {
         std::array<unsigned char, 16> bytes {};
         randombytes_buf(bytes.data(), bytes.size());
-        std::array<char, 33> text {};
+        std::array<char, 2 * sizeof(bytes) + 1> text {};
         sodium_bin2hex(text.data(), text.size(), bytes.data(), bytes.size());
         return text.data();
     }
 
-    /// Start time of the process in milliseconds of the wall clock: greater after every restart of a host.
-    uint64_t newIncarnation()
+    void countAnswer(Metrics& metrics, const RequestContext& context, const MemberAnswer& answer, Duration latency)
     {
-        return static_cast<uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-                .count());
+        metrics.countAnswer(answer.code, latency);
+        if (answer.code == ResultCode::Ok && context.readOnly && context.step == TransactionStep::None)
+            metrics.count(answer.servedByReplica ? MetricCounter::ReadsByReplica : MetricCounter::ReadsByPrimary);
+        if (answer.code == ResultCode::OutcomeUnknown)
+            logEvent(
+                LogEvent::WriteOutcomeUnknown, { { "group", context.group }, { "request_id", context.requestId } });
+        else if (answer.runState == RunState::NotRun && logEnabled(LogEvent::RequestRefused))
+            logEvent(LogEvent::RequestRefused,
+                { { "group", context.group }, { "team", context.customer },
+                    { "code", resultCodeInfo(answer.code).name } });
     }
 
-    /// Carries the configuration's calls to other hosts.
-    class RpcConfigPeers final : public ConfigPeers {
-    public:
-        RpcConfigPeers(std::shared_ptr<PeerRpc> rpc, std::shared_ptr<const ClusterView> cluster)
-            : m_rpc(std::move(rpc))
-            , m_cluster(std::move(cluster))
-        {
-        }
-
-        pplx::task<std::string> fetchSince(std::string_view host, std::string request) override
-        {
-            return m_rpc->callAddress(addressOf(host), std::string(configFetchMethod), request, controlCallTimeout);
-        }
-
-        pplx::task<void> push(std::string_view host, std::string request) override
-        {
-            return m_rpc->callAddress(addressOf(host), std::string(configPushMethod), request, controlCallTimeout)
-                .then([](const std::string&) {});
-        }
-
-    private:
-        /// A name that is no known host is a seed address.
-        std::string addressOf(std::string_view host) const
-        {
-            for (const HostInfo& info : m_cluster->hosts()) {
-                if (info.config.name == host)
-                    return info.config.peerAddress;
-            }
-            return "http://" + std::string(host);
-        }
-
-        std::shared_ptr<PeerRpc> m_rpc;
-        std::shared_ptr<const ClusterView> m_cluster;
-    };
+    CallerHttpAnswer jsonAnswer(int status, std::string body)
+    {
+        return { status, { { "Content-Type", "application/json" } }, std::move(body) };
+    }
 
 } // namespace
 
@@ -135,121 +61,126 @@
 public:
     explicit Parts(const Settings& settings)
         : m_settings(settings)
-        , m_incarnation(newIncarnation())
         , m_server(installHttpServer(settings.http, settings.threads))
-        , m_scheduler(makeScheduler())
-        , m_store(makeHttpStore(makeHttpCaller(settings.storeAddress, storeConnections)))
-        , m_rpc(std::make_shared<PeerRpc>(settings.peerSecret, PeerIdentity { settings.host, m_incarnation },
-              [](std::string_view address) { return makeHttpCaller(address, controlConnections); }))
+        , m_control(settings)
+        , m_tracer(std::make_shared<Tracer>(randombytes_random(), settings.traceFile, settings.host))
+        , m_members(settings.traceFile.empty() ? std::static_pointer_cast<MemberService>(m_control.groups())
+                                               : makeTracedMemberService(m_tracer, m_control.groups()))
     {
-        makeControllers();
         makeChain();
+        makeOperatorApi();
+        m_metrics.setCollector([this](Metrics& metrics) { collect(metrics); });
     }
 
     void start()
     {
-        registerControlCalls();
+        m_control.registerMethods();
         m_peerListener = openListener(
             m_settings.listenAddress, m_settings.peerPort, [this](const http_request& request) { servePeer(request); });
-        m_config->start();
-        m_groups->start();
+        m_control.start();
         m_callerListener = openListener(m_settings.listenAddress, m_settings.listenPort,
             [this](const http_request& request) { serveCaller(request); });
+        logEvent(LogEvent::Listening,
+            { { "address", m_settings.listenAddress }, { "port", m_settings.listenPort },
+                { "peer_port", m_settings.peerPort } });
     }
 
     void drain()
     {
+        logEvent(LogEvent::DrainStarted, {});
+        const Instant begin = now();
         m_draining = true;
+        m_control.drain();
         std::this_thread::sleep_for(drainNotice);
-        const Instant limit = now() + drainLimit;
-        while (now() < limit && (m_callers->inProgress() || m_groups->inProgress()))
-            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        // Peers have taken over the members by now. Open transactions still need this host until they end.
+        while (m_control.groups()->inProgress() && now() < begin + transactionDrainLimit)
+            std::this_thread::sleep_for(drainPoll);
         m_server->beginDrain();
-        m_server->waitDrained(limit - now());
-        m_groups->stop();
-        m_config->stop();
+        const bool complete = m_server->waitDrained(drainLimit - (now() - begin));
+        m_control.stop();
         m_callerListener->close().wait();
         m_peerListener->close().wait();
+        logEvent(LogEvent::DrainFinished, { { "complete", complete } });
     }
 
 private:
-    void registerControlCalls()
-    {
-        m_rpc->registerMethod(std::string(configFetchMethod),
-            [this](const std::string& text, const PeerIdentity&) { return m_config->handleFetch(text); });
-        m_rpc->registerMethod(std::string(configPushMethod), [this](const std::string& text, const PeerIdentity&) {
-            m_config->handlePush(text);
-            return std::string("{}");
-        });
-    }
-
-    void makeControllers()
-    {
-        std::shared_ptr<ConfiguredCluster> cluster = std::make_shared<ConfiguredCluster>(m_settings.host);
-        m_cluster = cluster;
-        ConfigControllerOptions options;
-        options.dataCentre = m_settings.dataCentre;
-        options.seedPeers = m_settings.seedPeers;
-        options.seed = randomSeed();
-        options.clock = now;
-        m_config = std::make_shared<ConfigController>(
-            options, m_store, std::make_shared<RpcConfigPeers>(m_rpc, m_cluster), m_cluster, m_scheduler);
-        cluster->setConfig(m_config);
-
-        GroupEnvironment environment;
-        environment.makeDatabase = [credential = m_settings.backendCredential](const MemberConfig& member) {
-            return makeHttpDatabase(makeHttpCaller(member.address, databaseConnections), credential);
-        };
-        environment.now = now;
-        environment.scheduler = m_scheduler;
-        environment.seed = randomSeed();
-        m_groups = std::make_shared<GroupController>(m_settings, m_config, m_cluster, environment);
-        m_config->onSnapshot([this](const ConfigChange& change) { onConfigChange(change); });
-
-        OperatorApiOptions operators;
-        operators.bootstrapDigest = m_settings.bootstrapOperatorDigest;
-        operators.clock = now;
-        m_operators = std::make_shared<OperatorApi>(operators, m_store, m_config, m_scheduler);
-    }
-
-    void onConfigChange(const ConfigChange& change)
-    {
-        for (const CustomerKey& key : change.keysWithdrawn)
-            m_groups->cancelQueued(key.customer);
-        for (const CustomerService& approval : change.approvalsWithdrawn)
-            m_groups->cancelQueued(approval.customer);
-    }
-
     void makeChain()
     {
         OwnerClientParts owners;
-        owners.local = m_groups;
-        owners.self = m_rpc->self();
+        owners.self = m_control.rpc()->self();
         owners.peerSecret = m_settings.peerSecret;
+        owners.local = m_members;
         DispatchParts dispatch;
         dispatch.dataCentre = m_settings.dataCentre;
         dispatch.region = m_settings.region;
-        dispatch.cluster = m_cluster;
+        dispatch.cluster = m_control.membership();
         dispatch.owners = makeOwnerClient(owners);
         dispatch.hints = std::make_shared<GroupHints>();
         dispatch.retries = makeRetryPolicy(m_settings.request, now());
-        dispatch.scheduler = m_scheduler;
+        dispatch.scheduler = m_control.scheduler();
         dispatch.minRemaining = m_settings.request.minRemaining;
 
-        CallerService::Parts parts;
-        parts.config = m_config;
-        parts.chain = std::make_shared<FilterChain>(std::vector<std::shared_ptr<Filter>> {
-            std::make_shared<KeyFilter>(m_config),
+        std::vector<std::shared_ptr<Filter>> filters {
+            std::make_shared<KeyFilter>(m_control.config()),
             std::make_shared<ApprovalFilter>(),
             makeDeadlineFilter(m_settings.request),
+            std::make_shared<RateFilter>(m_control.limits()),
             makeSessionFilter(),
             makeDispatchFilter(dispatch),
-        });
+        };
+        if (!m_settings.traceFile.empty())
+            filters.insert(filters.begin(), makeTraceFilter(m_tracer));
+
+        CallerService::Parts parts;
+        parts.config = m_control.config();
+        parts.chain = std::make_shared<FilterChain>(std::move(filters));
         parts.generateRequestId = randomRequestId;
-        parts.onAnswered = [](const RequestContext&, const MemberAnswer&, Duration) {};
+        parts.onAnswered = [this](const RequestContext& context, const MemberAnswer& answer, Duration latency) {
+            countAnswer(m_metrics, context, answer, latency);
+        };
         m_callers = std::make_shared<CallerService>(std::move(parts));
     }
 
+    void makeOperatorApi()
+    {
+        OperatorApiOptions options;
+        options.bootstrapDigest = m_settings.bootstrapOperatorDigest;
+        options.clock = now;
+        options.status = [this] { return statusJson(m_control.status()).serialize(); };
+        m_operators
+            = std::make_shared<OperatorApi>(options, m_control.store(), m_control.config(), m_control.scheduler());
+    }
+
+    void collect(Metrics& metrics)
+    {
+        const StatusReport report = m_control.status();
+        size_t queued = 0;
+        size_t running = 0;
+        size_t connections = 0;
+        size_t owned = 0;
+        for (const GroupReport& group : report.groups) {
+            for (const MemberReport& member : group.members) {
+                queued += member.queued;
+                running += member.running;
+                connections += member.connectionsOpen;
+                owned += member.owner == m_settings.host ? 1 : 0;
+            }
+        }
+        metrics.set(MetricGauge::QueuedRequests, static_cast<double>(queued));
+        metrics.set(MetricGauge::RunningRequests, static_cast<double>(running));
+        metrics.set(MetricGauge::BackendConnections, static_cast<double>(connections));
+        metrics.set(MetricGauge::MembersOwned, static_cast<double>(owned));
+        metrics.set(MetricGauge::CallerConnections, static_cast<double>(m_server->stats().open));
+        metrics.set(MetricGauge::SeatsHeld, report.seatPart * m_settings.limit.seats);
+        metrics.set(MetricGauge::ConfigurationRevision, static_cast<double>(report.configRevision));
+        if (report.configAge)
+            metrics.set(MetricGauge::ConfigurationAge, std::chrono::duration<double>(*report.configAge).count());
+        for (const ShareReport& share : report.shares)
+            metrics.setRateShare(share.customer, share.share);
+        metrics.raiseTo(MetricCounter::Promotions, m_control.groups()->counters().promotions);
+        metrics.raiseTo(MetricCounter::SpansDropped, m_tracer->writer.dropped());
+    }
+
     void serveCaller(const http_request& request)
     {
         readHttpRequest(request).then([this, request](const pplx::task<CallerHttpRequest>& read) {
@@ -266,10 +197,13 @@
 
     pplx::task<CallerHttpAnswer> answerCaller(const CallerHttpRequest& message)
     {
-        if (message.path.compare(0, operatorPrefix.size(), operatorPrefix) == 0)
+        if (message.path.compare(0, operatorPath.size(), operatorPath) == 0)
             return answerOperator(message);
         if (message.path == "/healthz")
             return pplx::task_from_result(health());
+        if (message.path == "/metrics")
+            return pplx::task_from_result(
+                CallerHttpAnswer { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.metricsText() });
         return m_callers->handle(message);
     }
 
@@ -277,18 +211,16 @@
     {
         if (m_draining)
             return errorAnswer(ResultCode::Draining, {});
-        if (!m_config->current())
+        if (!m_control.config()->current())
             return errorAnswer(ResultCode::ConfigurationMissing, {});
-        return { 200, { { "Content-Type", "application/json" } }, "{\"status\":\"ok\"}" };
+        return jsonAnswer(200, "{\"status\":\"ok\"}");
     }
 
     pplx::task<CallerHttpAnswer> answerOperator(const CallerHttpRequest& message)
     {
         const std::string target = message.query.empty() ? message.path : message.path + "?" + message.query;
         return m_operators->handle(message.method, target, message.headers, message.body)
-            .then([](const OperatorReply& reply) {
-                return CallerHttpAnswer { reply.status, { { "Content-Type", "application/json" } }, reply.body };
-            });
+            .then([](const OperatorReply& reply) { return jsonAnswer(reply.status, reply.body); });
     }
 
     void servePeer(const http_request& request)
@@ -305,8 +237,8 @@
     void answerPeer(const http_request& request, const CallerHttpRequest& message)
     {
         if (message.path == PeerRpc::path) {
-            const HttpReply reply = m_rpc->handle(message.headers, message.body);
-            replyTo(request, { reply.status, {}, reply.body });
+            const HttpReply reply = m_control.rpc()->handle(message.headers, message.body);
+            replyTo(request, jsonAnswer(reply.status, reply.body));
             return;
         }
         if (!verifyPeerRequest(message.headers, m_settings.peerSecret, message.method, message.path, message.body)) {
@@ -315,10 +247,10 @@
             return;
         }
         if (message.path == peerExecutePath) {
-            answerMember(request, m_groups->execute(decodeMemberRequest(message.body)));
+            answerMember(request, m_members->execute(decodeMemberRequest(message.body)));
         } else if (message.path == peerOutcomePath) {
             const MemberRequest lookup = decodeMemberRequest(message.body);
-            answerMember(request, m_groups->outcome(lookup.group, lookup.requestId, lookup.timeLeft));
+            answerMember(request, m_members->outcome(lookup.group, lookup.requestId, lookup.timeLeft));
         } else {
             replyTo(request, errorAnswer(ResultCode::UnknownRoute, message.path));
         }
@@ -326,21 +258,17 @@
 
     static void answerMember(const http_request& request, const pplx::task<MemberAnswer>& answer)
     {
-        answer.then([request](const MemberAnswer& result) {
-            replyTo(request, { 200, {}, encodeMemberAnswer(result) });
-        });
+        answer.then(
+            [request](const MemberAnswer& result) { replyTo(request, jsonAnswer(200, encodeMemberAnswer(result))); });
     }
 
-    Settings m_settings;
-    uint64_t m_incarnation;
-    std::shared_ptr<HttpServerControl> m_server;
+    const Settings m_settings;
     std::atomic<bool> m_draining { false };
-    std::shared_ptr<Scheduler> m_scheduler;
-    std::shared_ptr<Store> m_store;
-    std::shared_ptr<PeerRpc> m_rpc;
-    std::shared_ptr<const ClusterView> m_cluster;
-    std::shared_ptr<ConfigController> m_config;
-    std::shared_ptr<GroupController> m_groups;
+    std::shared_ptr<HttpServerControl> m_server;
+    Metrics m_metrics;
+    ControlPlane m_control;
+    std::shared_ptr<Tracer> m_tracer;
+    std::shared_ptr<MemberService> m_members;
     std::shared_ptr<OperatorApi> m_operators;
     std::shared_ptr<CallerService> m_callers;
     std::unique_ptr<http_listener> m_peerListener;
--- a/src/entry_host.h
+++ b/src/entry_host.h
@@ -22,6 +22,8 @@
 
     /// Time for balancer and peers to stop sending new work, during which it is still served.
     static constexpr Duration drainNotice = std::chrono::milliseconds(1500);
+    /// Time that open transactions get to end, counted from the start of the shutdown.
+    static constexpr Duration transactionDrainLimit = std::chrono::seconds(10);
     static constexpr Duration drainLimit = std::chrono::seconds(60);
 
 private:
--- a/src/filter_dispatch.cpp
+++ b/src/filter_dispatch.cpp
@@ -64,7 +64,7 @@
             }
             std::shared_ptr<Dispatch> self = shared_from_this();
             const pplx::task<MemberAnswer> answer = m_context->outcomeLookup
-                ? m_parts->owners->outcome(*owner, m_group.name, m_context->requestId, timeLeft)
+                ? m_parts->owners->outcome(*owner, m_group.name, databaseRequestId(), timeLeft)
                 : m_parts->owners->execute(*owner, memberRequest(attempt, timeLeft));
             answer.then([self](const MemberAnswer& result) { self->handle(result); });
         }
@@ -83,6 +83,9 @@
             return member ? m_parts->cluster->ownerOf(m_group.name, *member) : std::nullopt;
         }
 
+        /// The database keeps outcomes by request id, so that ids of different customers must not meet.
+        std::string databaseRequestId() const { return m_context->customer + ":" + m_context->requestId; }
+
         MemberRequest memberRequest(const DispatchPlan::Attempt& attempt, Duration timeLeft) const
         {
             MemberRequest request;
@@ -92,7 +95,7 @@
             const auto it = m_context->config->customers.find(m_context->customer);
             if (it != m_context->config->customers.end())
                 request.weight = it->second.weight;
-            request.requestId = m_context->requestId;
+            request.requestId = databaseRequestId();
             request.statements = m_context->statements;
             request.readOnly = m_context->readOnly;
             request.idempotent = m_context->idempotent;
--- a/src/filters.h
+++ b/src/filters.h
@@ -4,9 +4,28 @@
 #include "group_hints.h"
 #include "request_context.h"
 #include "scheduler.h"
+#include "trace_span.h"
 
 namespace plantainwall {
 
+/// Ids and output of the spans of an entry host.
+struct Tracer {
+    Tracer(uint64_t seed, const std::string& file, const std::string& host)
+        : ids(seed)
+        , writer(file, host)
+    {
+    }
+
+    TraceIds ids;
+    SpanWriter writer;
+};
+
+/// Returns the filter that writes the span of a request at the entry host that received it.
+std::shared_ptr<Filter> makeTraceFilter(std::shared_ptr<Tracer>);
+
+/// Returns a service that writes a span for each request executed at the owner of a member.
+std::shared_ptr<MemberService> makeTracedMemberService(std::shared_ptr<Tracer>, std::shared_ptr<MemberService>);
+
 /// Returns the filter that sets the request's deadline and refuses requests with too little time left.
 std::shared_ptr<Filter> makeDeadlineFilter(const RequestSettings&);
 
--- /dev/null
+++ b/src/gossip_payload.cpp
@@ -0,0 +1,43 @@
+#include "gossip_payload.h"
+#include <sstream>
+
+namespace plantainwall {
+
+std::string encodeConfigDigest(const ConfigDigest& digest)
+{
+    return std::to_string(digest.revision) + " " + std::to_string(digest.age.count());
+}
+
+std::optional<ConfigDigest> decodeConfigDigest(const std::string& text)
+{
+    std::istringstream in(text);
+    ConfigDigest digest;
+    Duration::rep age = 0;
+    if (!(in >> digest.revision >> age))
+        return std::nullopt;
+    digest.age = Duration(age);
+    return digest;
+}
+
+std::string encodeGroupReach(const GroupReach& reach)
+{
+    std::string text;
+    for (const std::pair<const std::string, Duration>& entry : reach) {
+        const int64_t age = std::chrono::duration_cast<std::chrono::milliseconds>(entry.second).count();
+        text += (text.empty() ? "" : " ") + entry.first + " " + std::to_string(age);
+    }
+    return text;
+}
+
+GroupReach decodeGroupReach(const std::string& text)
+{
+    std::istringstream in(text);
+    GroupReach reach;
+    std::string group;
+    int64_t age = 0;
+    while (in >> group >> age)
+        reach[group] = std::chrono::milliseconds(age);
+    return reach;
+}
+
+} // namespace plantainwall
