Settle writes at the new primary instead of waiting for the old one

Cause: a request sent to a primary that froze waited for its deadline, and its outcome was then unknown although a new primary could settle it. A lookup that found nothing was taken as proof when a still higher term was confirmed, whose primary may have been chosen from logs that hold the write. The stand-in refuses read-only transactions on replicas, and answers a repeated commit without ending the transaction on its connection.

Change: requests running in a lower term are settled, and unsent ones refused, when a new primary appears; late answers are recognised by the attempt. The proof needs the highest confirmed entry to be of the term that was looked up. Transactions begin on the primary only. ExecuteOutcome has a new field "repeated"; such a commit closes its connection. Idle transactions end after 4 s, before the stand-in's 5 s. Members are polled at 1 ms only while requests wait for them.

Test: primary_is_replaced_and_its_writes_survive now uses a primary that never answers and requires not_primary; before it accepted no_primary too.

--- a/src/controller_group_execute.cpp
+++ b/src/controller_group_execute.cpp
@@ -12,8 +12,8 @@
     constexpr Duration defaultCatchUp = std::chrono::milliseconds(20);
     // A refresh of the members' status for reads with a stated age.
     constexpr Duration freshnessWait = std::chrono::milliseconds(200);
-    // Shorter than the database's own limit, so that a transaction ends where its answer can say so.
-    constexpr Duration maxTransactionIdle = std::chrono::seconds(10);
+    // Shorter than the database's own limit (5 s on the stand-in), so that the owner knows that a transaction ended.
+    constexpr Duration maxTransactionIdle = std::chrono::seconds(4);
     constexpr unsigned maxAttempts = 3;
 
     bool continuesTransaction(TransactionStep step)
@@ -64,7 +64,7 @@
         finish(work, ResultCode::NotOwner);
     else if (member->status && member->status->leaving)
         finish(work, ResultCode::MemberLeaving);
-    else if (request.readOnly)
+    else if (request.readOnly && request.step == TransactionStep::None)
         admitRead(work, *member);
     else
         admitWrite(work);
@@ -99,6 +99,7 @@
         return;
     }
     work->stage = Stage::CatchingUp;
+    m_lastProgressNeeded = now();
     work->catchUpUntil = std::min(work->deadline, work->arrived + wait);
 }
 
@@ -212,7 +213,7 @@
     }
     if (member.status && member.status->leaving)
         return ResultCode::MemberLeaving;
-    if (work.request.readOnly)
+    if (work.request.readOnly && work.request.step == TransactionStep::None)
         return canServe(work) ? std::nullopt : std::optional<ResultCode>(ResultCode::ReplicaBehind);
     if (!primaryUsable())
         return ResultCode::NoPrimary;
@@ -245,8 +246,8 @@
     call.step = work->request.step;
     call.timeLeft = work->deadline - work->sent;
     const std::shared_ptr<Database> database = member.database;
-    m_effects.emplace_back([self = shared_from_this(), database, call, id = work->id] {
-        database->execute(call).then([self, id](const pplx::task<ExecuteOutcome>& answer) {
+    m_effects.emplace_back([self = shared_from_this(), database, call, id = work->id, attempt = work->attempts] {
+        database->execute(call).then([self, id, attempt](const pplx::task<ExecuteOutcome>& answer) {
             ExecuteOutcome outcome;
             try {
                 outcome = answer.get();
@@ -255,7 +256,7 @@
                 outcome.code = ResultCode::OutcomeUnknown;
                 outcome.message = error.what();
             }
-            self->onExecuted(id, outcome);
+            self->onExecuted(id, attempt, outcome);
         });
     });
 }
@@ -319,18 +320,18 @@
     });
 }
 
-void GroupShard::onExecuted(uint64_t id, const ExecuteOutcome& outcome)
+void GroupShard::onExecuted(uint64_t id, unsigned attempt, const ExecuteOutcome& outcome)
 {
     const Locked lock(*this);
     const WorkPtr work = findWork(id);
-    if (!work)
-        return;
+    if (!work || work->stage != Stage::Running || work->attempts != attempt)
+        return; // Given up when the primary was replaced.
     releaseSlot(*work);
     if (outcome.sendState == SendState::NotSent)
         onNotSent(work, outcome);
     else if (outcome.sendState == SendState::MaybeSent || outcome.code == ResultCode::OutcomeUnknown
         || outcome.code == ResultCode::InternalError)
-        onInDoubt(work, outcome);
+        onInDoubt(work, outcome.message);
     else if (outcome.code == ResultCode::Ok)
         onRun(work, outcome);
     else
@@ -357,7 +358,7 @@
     } else if (step == TransactionStep::None) {
         releaseConnection(*work, true);
     } else {
-        endTransaction(*work, true);
+        endTransaction(*work, !outcome.repeated); // A repeated commit may have left the transaction open.
     }
     const bool writes = !work->request.readOnly && (step == TransactionStep::None || step == TransactionStep::Commit);
     if (writes && outcome.position.position > 0) {
@@ -435,7 +436,7 @@
 }
 
 /// The request may have run.
-void GroupShard::onInDoubt(const WorkPtr& work, const ExecuteOutcome& outcome)
+void GroupShard::onInDoubt(const WorkPtr& work, const std::string& message)
 {
     const TransactionStep step = work->request.step;
     if (step == TransactionStep::Commit && !work->request.readOnly) {
@@ -446,21 +447,49 @@
     }
     if (continuesTransaction(step)) {
         endTransaction(*work, false); // Nothing of a transaction takes effect without its commit.
-        finish(work, ResultCode::TransactionAborted, outcome.message);
+        finish(work, ResultCode::TransactionAborted, message);
         return;
     }
     releaseConnection(*work, false);
     if (step == TransactionStep::Begin) {
-        finish(work, ResultCode::TransactionAborted, outcome.message);
+        finish(work, ResultCode::TransactionAborted, message);
     } else if (work->request.readOnly) {
         work->inDoubt = true;
-        retryOr(work, ResultCode::OutcomeUnknown, outcome.message);
+        retryOr(work, ResultCode::OutcomeUnknown, message);
     } else {
         work->inDoubt = true;
         settle(work);
     }
 }
 
+/// Ends the wait for an old primary that may never answer: its writes are settled at the new one.
+void GroupShard::onPrimaryReplaced(const std::string& primary, uint64_t term)
+{
+    std::vector<WorkPtr> running;
+    std::vector<WorkPtr> waiting;
+    for (const std::pair<const uint64_t, WorkPtr>& entry : m_works) {
+        const Work& work = *entry.second;
+        const bool unsent = work.stage == Stage::Queued || work.stage == Stage::Connecting;
+        if (work.stage == Stage::Running && work.term != 0 && work.term < term)
+            running.push_back(entry.second);
+        else if (unsent && !work.request.readOnly && work.request.member != primary)
+            waiting.push_back(entry.second);
+    }
+    for (const WorkPtr& work : waiting)
+        finish(
+            work, continuesTransaction(work->request.step) ? ResultCode::TransactionAborted : ResultCode::NotPrimary);
+    for (const WorkPtr& work : running) {
+        releaseSlot(*work);
+        if (!work->request.readOnly) {
+            onInDoubt(work, "the primary was replaced");
+            continue;
+        }
+        endTransaction(*work, false);
+        releaseConnection(*work, false);
+        finish(work, ResultCode::OutcomeUnknown, "the primary was replaced");
+    }
+}
+
 /// Sends a request again that is proven not run or read only.
 void GroupShard::retryOr(const WorkPtr& work, ResultCode code, const std::string& message)
 {
--- a/src/controller_group_settle.cpp
+++ b/src/controller_group_settle.cpp
@@ -33,6 +33,7 @@
 void GroupShard::confirm(const WorkPtr& work, std::string_view primary, uint64_t term, const ExecuteOutcome& outcome)
 {
     work->stage = Stage::Confirming;
+    m_lastProgressNeeded = now();
     work->results = outcome.results;
     work->term = term;
     apply(m_tracker.executed(work->id, primary, LogPosition { term, outcome.position.position }, work->deadline));
@@ -135,9 +136,10 @@
         finish(work, ResultCode::OutcomeNotFound);
         return;
     }
-    // Once a majority holds an entry of a higher term, no later log contains an entry of the old term that this one
-    // lacks, and no member accepts a delayed call in the old term.
-    const bool superseded = term > work->term && m_tracker.confirmed().term >= term;
+    // Once a majority holds an entry of this higher term, every later log starts with this one, and a delayed call in
+    // the old term can only reach logs that will be truncated. A confirmed entry of a still higher term proves nothing:
+    // its primary may have been chosen from members that never followed this one.
+    const bool superseded = term > work->term && m_tracker.confirmed().term == term;
     const bool commit = work->request.step == TransactionStep::Commit;
     if (superseded || (commit && work->lookUpAfterClose && term == work->term)) {
         work->inDoubt = false;
--- a/src/controller_group_shard.cpp
+++ b/src/controller_group_shard.cpp
@@ -7,9 +7,13 @@
 
     log4cplus::Logger logger() { return log4cplus::Logger::getInstance("group"); }
 
-    // Smallest pause between two status calls to a member. A busy primary would otherwise answer each at once.
+    // Pauses between two long polls of a member; under load each is answered at once. An owner that does not serve the
+    // member needs its status for promotion only.
     constexpr Duration watchPause = std::chrono::milliseconds(20);
-    constexpr Duration busyWatchPause = std::chrono::milliseconds(1); // While writes or reads wait for an answer.
+    constexpr Duration foreignWatchPause = std::chrono::milliseconds(100);
+    // While requests wait for members to make progress: the pause is part of the latency of a write.
+    constexpr Duration busyWatchPause = std::chrono::milliseconds(1);
+    constexpr Duration busyPeriod = std::chrono::milliseconds(500);
     constexpr Duration tickInterval = std::chrono::milliseconds(50);
     constexpr Duration busyTickInterval = std::chrono::milliseconds(10);
 
@@ -245,8 +249,10 @@
         const std::lock_guard<std::mutex> lock(m_mutex);
         if (!answered)
             pause = m_settings.group.probeInterval;
-        else if (!m_works.empty() && name != m_promotion.primary())
+        else if (now() - m_lastProgressNeeded < busyPeriod && name != m_promotion.primary())
             pause = busyWatchPause;
+        else if (!findMember(name)->owned)
+            pause = foreignWatchPause;
     }
     const std::weak_ptr<GroupShard> weak = weak_from_this();
     m_environment.scheduler->schedule(pause, [weak, name] {
@@ -385,9 +391,10 @@
     if (change.member.empty())
         return;
     apply(m_tracker.higherTerm(change.term));
+    onPrimaryReplaced(change.member, change.term);
     std::vector<std::string> broken;
     for (const std::pair<const std::string, Transaction>& entry : m_transactions) {
-        if (!entry.second.readOnly && !entry.second.busy)
+        if (!entry.second.busy && entry.second.term < change.term)
             broken.push_back(entry.first); // Begun in a lower term, which no primary accepts any more.
     }
     for (const std::string& id : broken)
--- a/src/controller_group_shard.h
+++ b/src/controller_group_shard.h
@@ -137,11 +137,12 @@
     void apply(Member&, const ConnectionLedger::Actions&);
     void openConnection(const Member&);
     void closeConnection(const Member&, const std::string& connection);
-    void onExecuted(uint64_t id, const ExecuteOutcome&);
+    void onExecuted(uint64_t id, unsigned attempt, const ExecuteOutcome&);
     void onRun(const WorkPtr&, const ExecuteOutcome&);
     void onRefused(const WorkPtr&, const ExecuteOutcome&);
     void onNotSent(const WorkPtr&, const ExecuteOutcome&);
-    void onInDoubt(const WorkPtr&, const ExecuteOutcome&);
+    void onInDoubt(const WorkPtr&, const std::string& message);
+    void onPrimaryReplaced(const std::string& primary, uint64_t term);
     void retryOr(const WorkPtr&, ResultCode, const std::string& message);
     void beginTransaction(const WorkPtr&, const ExecuteOutcome&);
     void abortTransaction(const std::string& id);
@@ -179,6 +180,7 @@
     std::vector<std::function<void()>> m_effects;
     GroupCounters m_counters;
     uint64_t m_lastWork = 0;
+    Instant m_lastProgressNeeded {}; ///< When a write or read last waited for a member to receive or apply entries.
     bool m_stopped = false;
 };
 
--- a/src/database.h
+++ b/src/database.h
@@ -39,6 +39,7 @@
     std::vector<std::optional<std::string>> results; ///< One for each statement; empty optional: no value.
     LogPosition position; ///< Log entry written, or applied position of a read.
     std::string message;
+    bool repeated = false; ///< Recorded outcome of an earlier execution; the call itself changed nothing.
 };
 
 enum class TransactionStep : uint8_t {
--- a/src/database_http.cpp
+++ b/src/database_http.cpp
@@ -136,6 +136,7 @@
                 return parseRefusal(json);
             outcome.results = parseResults(json.at("results"));
             outcome.position = LogPosition { number(json, "term"), number(json, "position") };
+            outcome.repeated = json.has_field("repeated") && json.at("repeated").as_bool();
             outcome.code = ResultCode::Ok;
         } catch (const web::json::json_exception& error) {
             outcome.code = ResultCode::OutcomeUnknown;
--- a/tests/unit_controller_group.cpp
+++ b/tests/unit_controller_group.cpp
@@ -22,6 +22,7 @@
     std::string candidate;
     std::vector<Write> log { { 1, "" } };
     bool up = true;
+    bool frozen = false; ///< Never answers an execute call, and no other call either while up is false.
     bool leaving = false;
     bool replicates = true;
     unsigned loseAnswers = 0; ///< Execute calls that run, but whose answer is lost.
@@ -154,6 +155,9 @@
         m_group.scheduler->schedule(milliseconds(2), [this, done, work] {
             const std::lock_guard<std::mutex> lock(m_group.mutex);
             m_group.replicate();
+            const FakeMember& member = m_group.members[m_name];
+            if (std::is_same_v<Result, ExecuteOutcome> && member.frozen)
+                return;
             try {
                 done.set(work());
             } catch (const std::exception&) {
@@ -391,18 +395,23 @@
 {
     const MemberRequest kept = request(false);
     BOOST_TEST(resultCodeInfo(run(kept).code).name == "ok");
-    change("m0", [](FakeMember& member) { member.up = false; });
+    change("m0", [](FakeMember& member) {
+        member.up = false;
+        member.frozen = true;
+    });
     MemberRequest during = request(false);
     during.timeLeft = seconds(8);
     const MemberAnswer answer = run(during);
-    BOOST_TEST((answer.code == ResultCode::NotPrimary || answer.code == ResultCode::NoPrimary),
-        resultCodeInfo(answer.code).name);
+    BOOST_TEST(resultCodeInfo(answer.code).name == "not_primary", "settled at the new primary");
     waitFor([this] { return !primary().empty() && primary() != "m0"; }, "promotion");
     const std::string promoted = primary();
     BOOST_TEST(copies(promoted, kept.requestId) == 1U);
     BOOST_TEST(copies(promoted, during.requestId) == 0U);
     BOOST_TEST(resultCodeInfo(run(request(false, promoted)).code).name == "ok");
-    change("m0", [](FakeMember& member) { member.up = true; });
+    change("m0", [](FakeMember& member) {
+        member.up = true;
+        member.frozen = false;
+    });
     waitFor([this, &promoted] { return copies("m0", "r1") == 1U && primary() == promoted; }, "old primary follows");
     const MemberAnswer old = run(request(false, "m0"));
     BOOST_TEST(resultCodeInfo(old.code).name == "not_primary");
