--- a/src/cli_operator_client.cpp
+++ b/src/cli_operator_client.cpp
@@ -88,7 +88,7 @@
     }
     if (reply.sendState != SendState::Answered)
         throw OperatorCallFailed(OperatorExit::Refused, "the server did not answer: " + reply.error);
-    const value json = parseReply(reply);
+    value json = parseReply(reply);
     // 404 for a path without a value still carries its revision.
     if (reply.status != 200 && !(reply.status == 404 && json.has_field("revision")))
         refuse(reply, OperatorExit::Refused);
@@ -105,6 +105,8 @@
     return read("list?prefix=" + web::uri::encode_data_string(prefix), readTimeout);
 }
 
+value OperatorClient::status() { return read("status", readTimeout); }
+
 value OperatorClient::watch(const std::string& prefix, uint64_t after, Duration wait)
 {
     const int64_t waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
