--- a/tests/support_entry_host.cpp
+++ b/tests/support_entry_host.cpp
@@ -33,7 +33,7 @@
 EntryHost::EntryHost(EntryHostOptions options)
     : m_options(std::move(options))
     , m_address(loopback(reserveport()))
-    , m_peerAddress(loopback(reserveport()))
+    , m_peerAddress(m_options.peerAddress.empty() ? loopback(reserveport()) : m_options.peerAddress)
 {
     m_settingsFile = "/tmp/plantainwall-test-" + std::to_string(getpid()) + "-"
         + m_address.substr(m_address.find(':') + 1) + ".toml";
@@ -199,6 +199,15 @@
     : m_platform(std::make_unique<Platform>(options.platform))
     , m_group(std::make_unique<DatabaseGroup>(options.group))
 {
+    std::vector<std::string> peerAddresses;
+    const size_t count = options.dataCentres.size();
+    if (options.hostsBehindProxy) {
+        std::vector<std::string> targets(count, m_platform->address());
+        for (size_t i = 0; i < count; ++i)
+            targets.push_back(loopback(reserveport()));
+        m_hostProxy = std::make_unique<FaultProxy>(targets);
+        peerAddresses.assign(targets.begin() + static_cast<ptrdiff_t>(count), targets.end());
+    }
     std::vector<std::string> seeds;
     for (size_t i = 0; i < options.dataCentres.size(); ++i) {
         const std::pair<std::string, std::string> place = splitPlace(options.dataCentres[i]);
@@ -209,8 +218,13 @@
         host.storeAddress = m_platform->address();
         host.seedPeers = seeds;
         host.settings = options.settings;
+        if (m_hostProxy) {
+            host.storeAddress = m_hostProxy->address(i);
+            host.peerAddressForOthers = m_hostProxy->address(count + i);
+            host.peerAddress = peerAddresses[i];
+        }
         m_hosts.push_back(std::make_unique<EntryHost>(host));
-        seeds.push_back(m_hosts.back()->peerAddress());
+        seeds.push_back(m_hostProxy ? host.peerAddressForOthers : m_hosts.back()->peerAddress());
         m_platform->setHost(host.name, "live");
     }
     for (const std::unique_ptr<EntryHost>& host : m_hosts)
@@ -229,4 +243,14 @@
     }
 }
 
+void Fleet::faultStore(size_t i, const std::string& mode, int delayMs, bool existingOnly)
+{
+    m_hostProxy->setFault(i, mode, delayMs, existingOnly);
+}
+
+void Fleet::faultPeers(size_t i, const std::string& mode, int delayMs, bool existingOnly)
+{
+    m_hostProxy->setFault(size() + i, mode, delayMs, existingOnly);
+}
+
 } // namespace plantainwall::test
--- a/tests/support_entry_host.h
+++ b/tests/support_entry_host.h
@@ -16,6 +16,7 @@
     std::vector<std::string> seedPeers; ///< ip:port
     std::string settings;
     std::string peerAddressForOthers; ///< ip:port of a fault_proxy route in front of the peer port; empty: direct.
+    std::string peerAddress; ///< ip:port to listen on for other entry hosts; empty: a reserved port.
 };
 
 /// A running `plantainwall serve`.
@@ -122,6 +123,8 @@
         GroupOptions group;
         PlatformOptions platform;
         std::string settings; ///< Appended to every host's settings file.
+        /// Each host reaches the store through a route of its own and is reached by other hosts through one.
+        bool hostsBehindProxy = false;
     };
 
     Fleet();
@@ -133,12 +136,20 @@
     size_t size() const { return m_hosts.size(); }
     const std::string& at(size_t i) { return host(i).address(); }
     Operator& operators() { return *m_operator; }
+
+    // Both need Options::hostsBehindProxy.
+    /// Sets the fault of the route from host i to the store.
+    void faultStore(size_t i, const std::string& mode, int delayMs = 0, bool existingOnly = false);
+    /// Sets the fault of the route from all other hosts to host i.
+    void faultPeers(size_t i, const std::string& mode, int delayMs = 0, bool existingOnly = false);
+
     const std::string& key() const { return m_key; }
     Caller caller() const { return Caller(m_key); }
 
 private:
     std::unique_ptr<Platform> m_platform;
     std::unique_ptr<DatabaseGroup> m_group;
+    std::unique_ptr<FaultProxy> m_hostProxy; ///< Routes to the store, then routes to the peer ports.
     std::vector<std::unique_ptr<EntryHost>> m_hosts;
     std::unique_ptr<Operator> m_operator;
     std::string m_key;
