Bind withdrawal to the key of a request instead of its customer

Cause: the owner of a member did not know which key a request came with. It refused all queued requests and rolled back all open transactions of the customer, so that the rotation of a key hit the customer's new key. It also had no means to refuse a request that arrived after the withdrawal from an entry host that had not heard of it, or that an entry host sent again after waiting for a primary. Before: promise.key-withdrawal.other-keys-go-on failed (key_withdrawn for the queued request, transaction_unknown for the commit). After: it passes, with the other cases of key-withdrawal and unit.controller-group.

--- a/src/control_plane.cpp
+++ b/src/control_plane.cpp
@@ -206,7 +206,7 @@
     logEvent(LogEvent::ConfigurationInForce, { { "revision", change.snapshot->revision } });
     for (const CustomerKey& key : change.keysWithdrawn) {
         logEvent(LogEvent::KeyWithdrawn, { { "team", key.customer }, { "key_id", key.keyId } });
-        m_groups->cancelQueued(key.customer);
+        m_groups->cancelQueued(key.customer, key.keyId);
     }
     for (const CustomerService& approval : change.approvalsWithdrawn)
         m_groups->cancelQueued(approval.customer);
--- a/src/controller_group.cpp
+++ b/src/controller_group.cpp
@@ -1,5 +1,6 @@
 #include "controller_group.h"
 #include "controller_group_shard.h"
+#include "filter_key.h"
 #include "request_context.h"
 #include <algorithm>
 #include <xxhash.h>
@@ -72,6 +73,10 @@
     , m_cluster(std::move(cluster))
     , m_environment(std::move(environment))
 {
+    m_environment.keyWithdrawn = [view = m_config](std::string_view customer, std::string_view keyId) {
+        const std::shared_ptr<const ConfigSnapshot> snapshot = view->current();
+        return snapshot && isWithdrawn(*snapshot, customer, keyId);
+    };
 }
 
 GroupController::~GroupController() { stop(); }
@@ -184,10 +189,10 @@
     return shard->outcome(requestId, timeLeft);
 }
 
-void GroupController::cancelQueued(std::string_view customer)
+void GroupController::cancelQueued(std::string_view customer, std::string_view keyId)
 {
     for (const std::shared_ptr<GroupShard>& shard : shards())
-        shard->cancelQueued(customer);
+        shard->cancelQueued(customer, keyId);
 }
 
 void GroupController::notePeerReach(std::string_view group, std::string_view host, Duration age)
--- a/src/controller_group.h
+++ b/src/controller_group.h
@@ -16,6 +16,8 @@
     std::function<std::shared_ptr<Database>(const MemberConfig&)> makeDatabase;
     std::function<Instant()> now;
     std::shared_ptr<Scheduler> scheduler;
+    /// Set by GroupController, from its configuration.
+    std::function<bool(std::string_view customer, std::string_view keyId)> keyWithdrawn;
     uint64_t seed = 0; ///< Must differ between processes: it makes the names of promotion candidates unique.
 };
 
@@ -79,8 +81,9 @@
     pplx::task<MemberAnswer> execute(MemberRequest) override;
     pplx::task<MemberAnswer> outcome(std::string_view group, std::string_view requestId, Duration timeLeft) override;
 
-    /// Refuses the queued requests of a customer with KeyWithdrawn and rolls back its open transactions.
-    void cancelQueued(std::string_view customer);
+    /// Refuses the queued requests of a customer with KeyWithdrawn and rolls back its open transactions: those under
+    /// one key, or all if keyId is empty.
+    void cancelQueued(std::string_view customer, std::string_view keyId = {});
 
     /// Another owner of the group last reached its primary age ago.
     void notePeerReach(std::string_view group, std::string_view host, Duration age);
--- a/src/controller_group_execute.cpp
+++ b/src/controller_group_execute.cpp
@@ -204,6 +204,9 @@
     const Member& member = *findMember(work.request.member);
     if (work.deadline - now() < m_settings.request.minRemaining)
         return ResultCode::DeadlineExceeded;
+    // The request may have come from a host that did not know of the withdrawal yet.
+    if (m_environment.keyWithdrawn(work.request.customer, work.request.keyId))
+        return ResultCode::KeyWithdrawn;
     if (continuesTransaction(work.request.step)) {
         const std::map<std::string, Transaction, std::less<>>::const_iterator it
             = m_transactions.find(work.request.transaction);
@@ -380,6 +383,7 @@
     Transaction transaction;
     transaction.member = work->request.member;
     transaction.customer = work->request.customer;
+    transaction.keyId = work->request.keyId;
     transaction.connection = work->connection;
     transaction.holder = work->id;
     transaction.term = work->term;
@@ -534,7 +538,8 @@
     std::vector<std::string> idle;
     for (const std::pair<const std::string, Transaction>& entry : m_transactions) {
         const bool expired = time - entry.second.begun >= m_settings.request.maxDeadline
-            || time - entry.second.lastUsed >= maxTransactionIdle;
+            || time - entry.second.lastUsed >= maxTransactionIdle
+            || m_environment.keyWithdrawn(entry.second.customer, entry.second.keyId);
         if (!entry.second.busy && expired)
             idle.push_back(entry.first);
     }
@@ -554,7 +559,7 @@
     }
 }
 
-void GroupShard::cancelQueued(std::string_view customer)
+void GroupShard::cancelQueued(std::string_view customer, std::string_view keyId)
 {
     const Locked lock(*this);
     std::vector<WorkPtr> waiting;
@@ -562,14 +567,15 @@
         const Work& work = *entry.second;
         const bool unsent
             = work.stage == Stage::CatchingUp || work.stage == Stage::Queued || work.stage == Stage::Connecting;
-        if (work.request.customer == customer && unsent && !work.inDoubt)
+        const bool sameKey = keyId.empty() || work.request.keyId == keyId;
+        if (work.request.customer == customer && sameKey && unsent && !work.inDoubt)
             waiting.push_back(entry.second);
     }
     for (const WorkPtr& work : waiting)
         finish(work, ResultCode::KeyWithdrawn);
     std::vector<std::string> open;
     for (std::pair<const std::string, Transaction>& entry : m_transactions) {
-        if (entry.second.customer != customer)
+        if (entry.second.customer != customer || (!keyId.empty() && entry.second.keyId != keyId))
             continue;
         entry.second.withdrawn = true;
         if (!entry.second.busy)
--- a/src/controller_group_shard.h
+++ b/src/controller_group_shard.h
@@ -30,7 +30,7 @@
 
     pplx::task<MemberAnswer> execute(MemberRequest);
     pplx::task<MemberAnswer> outcome(std::string_view requestId, Duration timeLeft);
-    void cancelQueued(std::string_view customer);
+    void cancelQueued(std::string_view customer, std::string_view keyId);
     void notePeerReach(std::string_view host, Duration age);
     Duration reachedPrimary() const;
     ReadChoice chooseMember(const ReadNeed&) const;
@@ -82,12 +82,13 @@
     struct Transaction {
         std::string member;
         std::string customer;
+        std::string keyId; ///< Of the key it was begun with.
         std::string connection;
         uint64_t holder = 0; ///< Work that the connection was granted to.
         uint64_t term = 0; ///< Term it was begun in; a write transaction ends with it.
         bool readOnly = false;
         bool busy = false;
-        bool withdrawn = false; ///< The customer's key was withdrawn: roll back after the running statement.
+        bool withdrawn = false; ///< Its key was withdrawn: roll back after the running statement.
         Instant begun {};
         Instant lastUsed {};
     };
--- a/src/filter_dispatch.cpp
+++ b/src/filter_dispatch.cpp
@@ -92,6 +92,7 @@
             request.group = m_group.name;
             request.member = attempt.member;
             request.customer = m_context->customer;
+            request.keyId = m_context->keyId;
             const auto it = m_context->config->customers.find(m_context->customer);
             if (it != m_context->config->customers.end())
                 request.weight = it->second.weight;
--- a/src/filter_key.cpp
+++ b/src/filter_key.cpp
@@ -18,6 +18,15 @@
 
 } // namespace
 
+bool isWithdrawn(const ConfigSnapshot& config, std::string_view customer, std::string_view keyId)
+{
+    const auto owner = config.customers.find(customer);
+    if (owner == config.customers.end())
+        return false;
+    const auto key = owner->second.keys.find(std::string(keyId));
+    return key != owner->second.keys.end() && key->second.withdrawn;
+}
+
 KeyFilter::KeyFilter(std::shared_ptr<const ConfigView> config)
     : m_config(std::move(config))
 {
--- a/src/filter_key.h
+++ b/src/filter_key.h
@@ -5,6 +5,9 @@
 
 namespace plantainwall {
 
+/// Returns whether the snapshot says that a customer's key is withdrawn; false for an unknown key.
+bool isWithdrawn(const ConfigSnapshot&, std::string_view customer, std::string_view keyId);
+
 /// Takes the key out of the request and names the customer it belongs to. Refuses with KeyMissing, KeyInvalid,
 /// KeyWithdrawn, ConfigurationMissing, or ConfigurationTooOld if the customer's cutoff asks for it. Reads on open
 /// routes pass without a key; a wrong key is refused on them too.
--- a/src/member_codec.cpp
+++ b/src/member_codec.cpp
@@ -59,6 +59,7 @@
         request.group = json.at("group").as_string();
         request.member = json.at("member").as_string();
         request.customer = stringOr(json, "customer");
+        request.keyId = stringOr(json, "key_id");
         if (json.has_field("weight"))
             request.weight = json.at("weight").as_double();
         request.requestId = json.at("request_id").as_string();
@@ -123,6 +124,8 @@
     json["member"] = jsonString(request.member);
     if (!request.customer.empty())
         json["customer"] = jsonString(request.customer);
+    if (!request.keyId.empty())
+        json["key_id"] = jsonString(request.keyId);
     if (request.weight != 1)
         json["weight"] = Json::number(request.weight);
     json["request_id"] = jsonString(request.requestId);
--- a/src/member_service.h
+++ b/src/member_service.h
@@ -9,6 +9,7 @@
     std::string group;
     std::string member; ///< Chosen member; for writes the believed primary.
     std::string customer; ///< Empty on a route open to all.
+    std::string keyId; ///< Of the key that the request came with; not secret.
     double weight = 1; ///< Weight of the customer in the fair queue.
     std::string requestId;
     std::vector<std::string> statements;
