Refuse requests that carry the caller's key outside the Authorization header

Cause: request ids and statements pass to the database as the caller wrote them, and group names, also those that do not exist, go into logs and spans. A caller that repeated its key there showed it to backend servers, logs and traces. Change: the key filter refuses such a request with bad_request and clears the parts that logs and answers show; spans take the group at the end of the request.

--- a/src/filter_key.cpp
+++ b/src/filter_key.cpp
@@ -16,6 +16,24 @@
         return service != context.config->services.end() && service->second.openReads;
     }
 
+    /// Returns whether the key stands in a part of the request that databases, peers or logs would get, and clears the
+    /// parts that logs and answers show.
+    bool takeOutRepeatedKey(RequestContext& context, const std::string& key)
+    {
+        bool found = false;
+        for (std::string* part : { &context.group, &context.requestId, &context.transaction }) {
+            if (part->find(key) == std::string::npos)
+                continue;
+            wipe(*part);
+            found = true;
+        }
+        for (const std::string& statement : context.statements)
+            found = found || statement.find(key) != std::string::npos;
+        if (context.traceParent.find(key) != std::string::npos)
+            wipe(context.traceParent);
+        return found;
+    }
+
 } // namespace
 
 bool isWithdrawn(const ConfigSnapshot& config, std::string_view customer, std::string_view keyId)
@@ -93,6 +111,12 @@
         return;
     }
     const ResultCode code = identify(*context, key);
+    const bool known = code == ResultCode::Ok || code == ResultCode::KeyWithdrawn;
+    if (known && takeOutRepeatedKey(*context, key) && code == ResultCode::Ok) {
+        wipe(key);
+        context->finish(refusal(ResultCode::BadRequest, "the key may only stand in the Authorization header"));
+        return;
+    }
     wipe(key);
     if (code != ResultCode::Ok) {
         context->finish(refusal(code));
--- a/src/filter_key.h
+++ b/src/filter_key.h
@@ -10,7 +10,8 @@
 
 /// Takes the key out of the request and names the customer it belongs to. Refuses with KeyMissing, KeyInvalid,
 /// KeyWithdrawn, ConfigurationMissing, or ConfigurationTooOld if the customer's cutoff asks for it. Reads on open
-/// routes pass without a key; a wrong key is refused on them too.
+/// routes pass without a key; a wrong key is refused on them too. BadRequest if the key also stands in a part that
+/// would reach a database.
 class KeyFilter final : public Filter {
 public:
     explicit KeyFilter(std::shared_ptr<const ConfigView> config);
--- a/src/filter_trace.cpp
+++ b/src/filter_trace.cpp
@@ -43,12 +43,12 @@
         void handle(const RequestContextPtr& context, FilterChain& chain) override
         {
             Span span = beginSpan(m_tracer->ids, context->traceParent, "request");
-            span.tags[SpanTag::Group] = context->group;
             context->traceParent = formatTraceParent(span.context);
             // The callback must not own the context, which owns the callback.
             RequestContext* const raw = context.get();
             context->finish = [raw, tracer = m_tracer, span = std::move(span), finish = std::move(context->finish)](
                                   const MemberAnswer& answer) mutable {
+                span.tags[SpanTag::Group] = raw->group; // Without a key that the key filter has taken out.
                 if (!raw->customer.empty())
                     span.tags[SpanTag::Team] = raw->customer;
                 endSpan(tracer->writer, std::move(span), answer);
