--- a/tests/support_customers.cpp
+++ b/tests/support_customers.cpp
@@ -49,6 +49,18 @@
     return {};
 }
 
+void settleSeats(Fleet& fleet)
+{
+    const auto sum = [&fleet] {
+        double parts = 0;
+        for (size_t i = 0; i < fleet.size(); ++i)
+            parts += fleet.host(i).status().at("seat_part").as_double();
+        return parts;
+    };
+    if (!waitUntil([&] { return sum() > 0.999; }, Milliseconds(20000)))
+        throw std::runtime_error("only " + std::to_string(sum()) + " of the seats are in use");
+}
+
 std::string addSecondTeam(Fleet& fleet)
 {
     std::string key = fleet.operators().addTeam("gnomes", "ledger");
