Detect failures in large fleets with three attempts

1% loss fails 2% of the calls, so one repetition leaves about one wrong doubt a second at 750 hosts; a doubt now takes three unanswered calls.

--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -11,6 +11,7 @@
     constexpr Duration changeLife = std::chrono::seconds(10);
     // Dead hosts are kept this long, so that late gossip does not add them again as live.
     constexpr Duration deadKept = std::chrono::seconds(60);
+    constexpr unsigned failuresForDoubt = 3;
     // Lists that differ are compared in whole at most this often; 750 entries are about 100 KB.
     constexpr Duration comparisonPause = std::chrono::seconds(10);
     // Fleets up to this size hear of a draining host in one step.
@@ -99,7 +100,7 @@
         spread(member, now);
     if (member.doubtedSince && member.heard >= *member.doubtedSince) {
         member.doubtedSince.reset();
-        member.firstFailure = false;
+        member.failures = 0;
         spread(member, now);
     }
 }
@@ -277,7 +278,7 @@
     handle(answer, now);
     const MemberMap::iterator it = m_members.find(answer.sender.config.name);
     if (it != m_members.end())
-        it->second.firstFailure = false;
+        it->second.failures = 0;
     const bool compare = !call.message.wantsPage && now >= m_nextComparison && answer.digest != digest(now);
     if (!call.message.wantsPage && !compare)
         return {};
@@ -302,10 +303,11 @@
     Member& member = it->second;
     if (member.heard >= sent)
         return {};
-    if (!member.firstFailure && !member.doubtedSince) {
-        member.firstFailure = true;
-        return { makeCall(member, now) };
-    }
+    if (++member.failures == 1 && !member.doubtedSince)
+        return { makeCall(member, now), makeCall(member, now) };
+    // 1% loss fails 2% of the calls: with one repetition 750 hosts would raise about one wrong doubt a second.
+    if (member.failures < failuresForDoubt && !member.doubtedSince)
+        return {};
     doubt(member, sent, now);
     return {};
 }
--- a/src/membership.h
+++ b/src/membership.h
@@ -54,8 +54,8 @@
     /// Handles the answer to a call. Returns a further call if pages of the list are missing.
     std::vector<SendGossip> answered(const SendGossip&, const GossipMessage& answer, Instant now);
 
-    /// Handles an unanswered call that was sent at the given time. Returns a second attempt: one lost message must not
-    /// raise a doubt that spreads over the fleet.
+    /// Handles an unanswered call that was sent at the given time. Returns two further attempts after the first
+    /// failure: lost messages must not raise a doubt that spreads over the fleet.
     std::vector<SendGossip> failed(const SendGossip&, Instant sent, Instant now);
 
     /// Sets the state of this host to draining. Returns gossip calls that spread it at once.
@@ -90,7 +90,7 @@
         std::optional<Instant> doubtedSince;
         std::optional<Instant> absentSince;
         bool platformLeaving = false;
-        bool firstFailure = false;
+        unsigned failures = 0; // Unanswered calls in a row.
         unsigned spreadLeft = 0;
         Instant changed {};
         std::map<std::string, std::string, std::less<>> payload;
--- a/tests/unit_membership.cpp
+++ b/tests/unit_membership.cpp
@@ -152,7 +152,7 @@
 void checkFleet(unsigned count, uint64_t seed)
 {
     Fleet fleet(count, 0.01, seed);
-    const Instant warm = fleet.now() + seconds(30);
+    const Instant warm = fleet.now() + seconds(count < 20 ? 30 : 60);
     fleet.runUntil(warm);
     BOOST_TEST(fleet.countPairs(HostState::Live) == count * (count - 1));
     const uint64_t bytesBefore = fleet.bytes();
@@ -205,6 +205,10 @@
         checkFleet(9, seed);
 }
 
+// The same where a host hears directly from another only every minute or two. 750 hosts take longer than the time
+// limit.
+BOOST_AUTO_TEST_CASE(dead_hosts_are_detected_in_a_large_fleet) { checkFleet(250, 1); }
+
 // Guards against a restarted host that is taken for its dead old self, and against a late message of the old one.
 BOOST_AUTO_TEST_CASE(restarted_host_replaces_its_old_self)
 {
