--- a/src/status_report.cpp
+++ b/src/status_report.cpp
@@ -123,7 +123,6 @@
         Json entry = Json::object();
         entry["customer"] = text(share.customer);
         entry["share"] = Json::number(share.share);
-        entry["tokens"] = Json::number(share.tokens);
         shares.push_back(entry);
     }
     json["shares"] = Json::array(shares);
@@ -146,8 +145,7 @@
         writeGroup(out, group);
     out << "rate  seats " << report.at("seat_part").serialize() << " of every customer's rate\n";
     for (const Json& share : report.at("shares").as_array())
-        out << "  " << share.at("customer").as_string() << "  share " << share.at("share").serialize() << "  tokens "
-            << share.at("tokens").serialize() << "\n";
+        out << "  " << share.at("customer").as_string() << "  share " << share.at("share").serialize() << "\n";
     return out.str();
 }
 
--- a/src/status_report.h
+++ b/src/status_report.h
@@ -13,7 +13,6 @@
 struct ShareReport {
     std::string customer;
     double share = 0; ///< Part of the whole rate that this host may use now, from 0 to 1.
-    double tokens = 0; ///< Requests that it could admit at once.
 };
 
 /// What an entry host believes, for the `status` command.
