--- a/include/plantainwall/plantainwall.h
+++ b/include/plantainwall/plantainwall.h
@@ -172,7 +172,8 @@
     std::vector<std::string> seedPeers; ///< ip:port of peers to ask before the platform's list is known.
     std::string peerSecret; ///< Shared by all entry hosts; at least 32 characters.
     std::string backendCredential; ///< Sent to backend servers in place of a caller's key.
-    std::string bootstrapOperatorDigest; ///< BLAKE2b-256 of a credential that is platform operator while no operator exists.
+    std::string
+        bootstrapOperatorDigest; ///< BLAKE2b-256 of a credential that is platform operator while no operator exists.
     unsigned threads = 4;
     std::string logLevel = "info";
     std::string logFormat = "json";
--- a/src/member_codec.cpp
+++ b/src/member_codec.cpp
@@ -26,9 +26,9 @@
         return { json.at(0).as_number().to_uint64(), json.at(1).as_number().to_uint64() };
     }
 
-    std::string stringOr(const Json& json, const char* field, std::string fallback = {})
+    std::string stringOr(const Json& json, const char* field, const char* fallback = "")
     {
-        return json.has_field(field) ? json.at(field).as_string() : std::move(fallback);
+        return json.has_field(field) ? json.at(field).as_string() : std::string(fallback);
     }
 
     std::optional<Duration> durationFrom(const Json& json, const char* field)
--- a/tests/support_entry_host.cpp
+++ b/tests/support_entry_host.cpp
@@ -103,7 +103,7 @@
 
 std::string Operator::addKey(const std::string& team, const std::string& keyId) const
 {
-    const std::string key = generateKey(keyPrefix, keyId);
+    std::string key = generateKey(keyPrefix, keyId);
     set("teams/" + team + "/keys/" + keyId,
         "digest = \"" + keyDigest(key) + "\"\ncreated = \"2026-12-04\"\nwithdrawn = false");
     return key;
@@ -169,6 +169,7 @@
 {
     web::json::value body = extra;
     std::vector<web::json::value> list;
+    list.reserve(statements.size());
     for (const std::string& statement : statements)
         list.push_back(web::json::value::string(statement));
     body["statements"] = web::json::value::array(list);
