--- /dev/null
+++ b/tools/bench_control.cpp
@@ -0,0 +1,7 @@
+#include "bench.h"
+
+namespace plantainwall::bench {
+
+void benchControl(Report&) { }
+
+} // namespace plantainwall::bench
