Redirect late reads within the owner's region

Cause: the owner chose the next member for a read without telling the router where the read came from, so every member counted as being in another region and a remote replica was preferred to the primary nearby. Change: the owner passes its own data centre and region. The new test fails on the earlier code (m2 != m0).

--- a/src/controller_group_execute.cpp
+++ b/src/controller_group_execute.cpp
@@ -127,6 +127,10 @@
     need.minPosition = work.request.minPosition;
     need.maxAge = work.request.maxAge;
     need.arrived = work.arrived;
+    // The request does not say where it came from. It was sent to the nearest member first, and the owner of a member
+    // is in the member's data centre or at least in its region.
+    need.dataCentre = m_settings.dataCentre;
+    need.region = m_settings.region;
     return need;
 }
 
--- a/tests/unit_controller_group.cpp
+++ b/tests/unit_controller_group.cpp
@@ -259,6 +259,7 @@
         for (const char* name : { "m0", "m1", "m2" }) {
             MemberConfig member;
             member.name = name;
+            member.region = member.name == "m2" ? "far" : "near";
             config.members.push_back(member);
             group.members[name].name = name;
         }
@@ -266,6 +267,7 @@
         view->snapshot->groups["orders"] = config;
         Settings settings;
         settings.host = "host0";
+        settings.region = "near";
         GroupEnvironment environment;
         environment.makeDatabase
             = [this](const MemberConfig& member) { return std::make_shared<FakeDatabase>(group, member.name); };
@@ -467,3 +469,16 @@
     controller->refresh();
     BOOST_TEST(resultCodeInfo(run(request(true, "m2")).code).name == "not_owner");
 }
+
+// Guards against reads that are sent to another region although the primary is in their own.
+BOOST_FIXTURE_TEST_CASE(a_read_of_a_late_replica_is_redirected_within_the_region, Fixture)
+{
+    change("m1", [](FakeMember& member) { member.replicates = false; });
+    MemberRequest read = request(true, "m1");
+    read.minPosition = run(request(false)).position;
+    read.waitLimit = Duration::zero();
+    waitFor([this] { return controller->status().at(0).members.at(2).status.applied.position == 2; }, "write at m2");
+    const MemberAnswer answer = run(read);
+    BOOST_TEST(resultCodeInfo(answer.code).name == "replica_behind");
+    BOOST_TEST(answer.replicaHint == "m0");
+}
--- a/tools/bench_reads.cpp
+++ b/tools/bench_reads.cpp
@@ -329,6 +329,9 @@
             need.minPosition = { m_reads[entry.read].token ? 1U : 0U, m_reads[entry.read].token };
             need.maxAge = m_reads[entry.read].maxAge;
             need.arrived = entry.arrived;
+            // The owner of a member is in the member's data centre.
+            need.dataCentre = m_deployment.dataCentres[entry.member].name;
+            need.region = m_deployment.dataCentres[entry.member].region;
             return need;
         }
 
