--- a/tools/bench_rates.h
+++ b/tools/bench_rates.h
@@ -25,6 +25,7 @@
     uint64_t wrongful = 0; ///< Of these, refused.
     double excess = 0; ///< Most tokens taken beyond what one bucket for the whole fleet allows.
     uint64_t messages = 0;
+    double mostMessages = 0; ///< Sent and received by the busiest host.
     Duration cpu {}; ///< Processor time of the CustomerShare objects; only if it was asked for.
     double seconds = 0; ///< Length of the run.
 };
