--- a/tools/bench.cpp
+++ b/tools/bench.cpp
@@ -1,5 +1,6 @@
 #include "bench.h"
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <filesystem>
 #include <iostream>
 
@@ -45,7 +46,8 @@
         std::cerr << "bench: no measure is named \"" << measure << "\"\n";
         return 2;
     }
-    std::cout << report.written() << " results, " << report.missed() << " missed their target\n";
+    std::cout << report.written() << " results, " << report.missed() << " missed their target, " << report.knownMissed()
+              << " more are listed as known\n";
     return report.missed() ? 1 : 0;
 }
 
@@ -62,6 +64,7 @@
     run->add_flag("--quick", options.quick, "Only virtual time, counts and ratios, with short runs");
     run->add_option("--measure", measure, "Only this measure (and those of the same run)");
     run->add_option("--seed", options.seed, "Seed of all random choices")->capture_default_str();
+    run->add_option("--known-red", options.knownRed, "File of known misses, which do not fail the run");
     run->add_option("--out", out, "File for the results")->required();
     CLI11_PARSE(app, argc, argv);
     try {
--- a/tools/bench.h
+++ b/tools/bench.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 
 namespace plantainwall::bench {
 
@@ -12,6 +13,7 @@
 struct RunOptions {
     bool quick = false; ///< Only results that do not depend on how busy the machine is.
     uint64_t seed = 1;
+    std::string knownRed; ///< File with `bench: <measure> <deployment> <case>` lines of known misses; may be empty.
 };
 
 /// One line of results.jsonl.
@@ -46,13 +48,16 @@
     /// Writes the result. Fails the run if it misses its target.
     void add(const Result&);
     const RunOptions& options() const { return m_options; }
-    size_t missed() const { return m_missed; }
+    size_t missed() const { return m_missed; } ///< Without the known ones.
+    size_t knownMissed() const { return m_knownMissed; }
     size_t written() const { return m_written; }
 
 private:
     RunOptions m_options;
     std::string m_path;
+    std::set<std::string> m_knownRed;
     size_t m_missed = 0;
+    size_t m_knownMissed = 0;
     size_t m_written = 0;
 };
 
--- a/tools/bench_control.cpp
+++ b/tools/bench_control.cpp
@@ -1,6 +1,7 @@
 #include "ack_tracker.h"
 #include "bench_cluster.h"
 #include "bench_rates.h"
+#include "bench_seats.h"
 #include "promotion.h"
 #include "rate_share.h"
 #include "read_router.h"
@@ -210,18 +211,27 @@
         bytes.details = { { "config", config.bytes }, { "shares", shares.bytes }, { "group_watch", watch.bytes },
             { "most_config", config.mostBytes }, { "most_shares", shares.mostBytes },
             { "most_group_watch", watch.mostBytes } };
+        bytes.judged = scale.hosts == designHosts; // The target is one of the design size; smaller ones show the slope.
         report.add(bytes);
         Result busiest = bytes;
         busiest.caseName += "_busiest";
         busiest.value = std::max(config.mostBytes + shares.bytes, config.bytes + shares.mostBytes) + watch.mostBytes;
         report.add(busiest);
-        report.add({ "store_calls_per_s", deployment.name, name, config.storeCalls, "calls/s", std::nullopt, {} });
+        const SeatFigures seats = runSeats(scale.hosts);
+        Result storeCalls { "store_calls_per_s", deployment.name, name, config.storeCalls + seats.storeCallsPerSecond,
+            "calls/s", std::nullopt, {} };
+        storeCalls.details = { { "config", config.storeCalls }, { "seats", seats.storeCallsPerSecond },
+            { "seats_held_part", seats.heldPart } };
+        report.add(storeCalls);
 
+        // The caller of Seats::next() calls it once a second.
+        const double seatCpu = bench::milliseconds(seats.cpuPerCall) / 10;
         Result cpu { "control_cpu_percent", deployment.name, name,
-            config.mostCpu + shares.mostCpu + watch.mostCpu + changeCpu, "percent of a core", std::nullopt, {} };
-        cpu.judged = !report.options().quick;
+            config.mostCpu + shares.mostCpu + watch.mostCpu + changeCpu + seatCpu, "percent of a core", std::nullopt,
+            {} };
+        cpu.judged = !report.options().quick; // Depends on the machine.
         cpu.details = { { "config", config.cpu }, { "most_config", config.mostCpu }, { "shares", shares.cpu },
-            { "group_watch", watch.cpu }, { "change_ms", change } };
+            { "group_watch", watch.cpu }, { "change_ms", change }, { "seats", seatCpu } };
         report.add(cpu);
         report.add(
             { "control_rss_mb", deployment.name, name, objectBytes(sized, scale) / 1e6, "MB", std::nullopt, {} });
--- a/tools/bench_floor.cpp
+++ b/tools/bench_floor.cpp
@@ -45,7 +45,8 @@
 
         void scheduleArrival()
         {
-            const double interval = m_scenario.meanService.count() / (m_scenario.load * m_deployment.slots);
+            const double interval
+                = static_cast<double>(m_scenario.meanService.count()) / (m_scenario.load * m_deployment.slots);
             m_queue.after(m_queue.exponential(fromMicroseconds(interval)), [this] {
                 arrive();
                 scheduleArrival();
--- a/tools/bench_rates.cpp
+++ b/tools/bench_rates.cpp
@@ -87,7 +87,7 @@
             m_queue.run(Instant(m_scenario.length));
             for (const Host& host : m_hosts)
                 m_figures.mostMessages = std::max(m_figures.mostMessages, static_cast<double>(host.messages));
-            m_figures.seconds = bench::milliseconds(m_scenario.length) / 1000;
+            m_figures.seconds = bench::milliseconds(m_scenario.length - loadFrom) / 1000;
             return m_figures;
         }
 
@@ -246,7 +246,7 @@
         void send(size_t from, const std::vector<ShareMessage>& messages)
         {
             for (const ShareMessage& message : messages) {
-                ++m_figures.messages;
+                m_figures.messages += m_queue.now() >= Instant(loadFrom) ? 1 : 0;
                 const size_t to = m_indices.at(message.to);
                 ++m_hosts[from].messages;
                 ++m_hosts[to].messages;
--- a/tools/bench_rates.h
+++ b/tools/bench_rates.h
@@ -27,7 +27,7 @@
     uint64_t messages = 0;
     double mostMessages = 0; ///< Sent and received by the busiest host.
     Duration cpu {}; ///< Processor time of the CustomerShare objects; only if it was asked for.
-    double seconds = 0; ///< Length of the run.
+    double seconds = 0; ///< Length of the run with load.
 };
 
 /// Runs one customer's CustomerShare on every host in virtual time.
