Measure gossip and count control bytes with the codecs in use

Change: Membership runs with its JSON codec, share messages are grouped by host and encoded as the controller does, and the polls of the platform's list count as store calls.

--- a/tools/bench_cluster.cpp
+++ b/tools/bench_cluster.cpp
@@ -14,7 +14,7 @@
     // Assumed HTTP head with the peer authentication, for a request or its answer.
     constexpr size_t headBytes = 200;
     constexpr size_t fetchRequestBytes = 90; // JSON-RPC request with one number.
-    constexpr size_t digestBytes = 60;
+    constexpr size_t digestBytes = 0; // Part of the gossip messages, which bench_gossip.cpp counts.
 
     std::string hexDigest(size_t n)
     {
--- a/tools/bench_control.cpp
+++ b/tools/bench_control.cpp
@@ -1,5 +1,6 @@
 #include "ack_tracker.h"
 #include "bench_cluster.h"
+#include "bench_gossip.h"
 #include "bench_rates.h"
 #include "bench_seats.h"
 #include "promotion.h"
@@ -20,7 +21,6 @@
     constexpr size_t designGroups = 400;
     constexpr Duration changeInterval = seconds(48); // 1,800 changes a day.
     constexpr Duration warmUp = seconds(5);
-    constexpr double shareMessageBytes = 500; // Assumed: 300 bytes of JSON and the head.
     constexpr double statusCallBytes = 600; // Assumed: /v1/position with its answer and both heads.
     constexpr Duration idlePoll = milliseconds(270); // Long poll of 250 ms and a pause of 20 ms.
 
@@ -85,12 +85,11 @@
         scenario.length = seconds(12);
         const RateFigures figures = runRates(deployment, scenario, seed, true);
         const double customers = static_cast<double>(scale.customers);
-        const double perHost
-            = 2 * static_cast<double>(figures.messages) / figures.seconds / static_cast<double>(scale.hosts);
+        const double perHost = static_cast<double>(figures.bytes) / figures.seconds / static_cast<double>(scale.hosts);
         const double duties = std::ceil(customers / static_cast<double>(scale.hosts));
         Part part;
-        part.bytes = customers * perHost * shareMessageBytes;
-        part.mostBytes = part.bytes + duties * figures.mostMessages / figures.seconds * shareMessageBytes;
+        part.bytes = customers * perHost;
+        part.mostBytes = part.bytes + duties * (static_cast<double>(figures.mostBytes) / figures.seconds - perHost);
         part.cpu
             = customers * bench::milliseconds(figures.cpu) / 10 / figures.seconds / static_cast<double>(scale.hosts);
         part.mostCpu = part.cpu;
@@ -201,40 +200,46 @@
         const Part config = configPart(sized, scale, report.options().seed);
         const Part shares = sharePart(sized, scale, report.options().seed);
         const Part watch = watchPart(scale, report.options().seed);
+        const GossipFigures gossip = runGossip(
+            sized, scale.hosts, static_cast<size_t>(std::ceil(groupsPerDaemon(scale))), report.options().seed);
         const double change = changeCost(sized, scale);
         const double changeCpu = change / 10 / (bench::milliseconds(changeInterval) / 1000);
         const std::string name = std::to_string(scale.hosts) + "_hosts_" + std::to_string(scale.groups) + "_groups_"
             + std::to_string(scale.customers) + "_customers";
 
-        Result bytes { "control_bytes_per_s", deployment.name, name, config.bytes + shares.bytes + watch.bytes,
-            "bytes/s", std::nullopt, {} };
-        bytes.details = { { "config", config.bytes }, { "shares", shares.bytes }, { "group_watch", watch.bytes },
-            { "most_config", config.mostBytes }, { "most_shares", shares.mostBytes },
+        Result bytes { "control_bytes_per_s", deployment.name, name,
+            config.bytes + shares.bytes + watch.bytes + gossip.bytesPerSecond, "bytes/s", std::nullopt, {} };
+        bytes.details = { { "config", config.bytes }, { "gossip", gossip.bytesPerSecond }, { "shares", shares.bytes },
+            { "group_watch", watch.bytes }, { "most_config", config.mostBytes }, { "most_shares", shares.mostBytes },
             { "most_group_watch", watch.mostBytes } };
         bytes.judged = scale.hosts == designHosts; // The target is one of the design size; smaller ones show the slope.
         report.add(bytes);
         Result busiest = bytes;
         busiest.caseName += "_busiest";
-        busiest.value = std::max(config.mostBytes + shares.bytes, config.bytes + shares.mostBytes) + watch.mostBytes;
+        busiest.value = std::max(config.mostBytes + shares.bytes, config.bytes + shares.mostBytes) + watch.mostBytes
+            + gossip.mostBytesPerSecond;
         report.add(busiest);
         const SeatFigures seats = runSeats(scale.hosts);
-        Result storeCalls { "store_calls_per_s", deployment.name, name, config.storeCalls + seats.storeCallsPerSecond,
-            "calls/s", std::nullopt, {} };
+        // MembershipController polls the platform's list every 5 s on every host.
+        const double listCalls = static_cast<double>(scale.hosts) / 5;
+        Result storeCalls { "store_calls_per_s", deployment.name, name,
+            config.storeCalls + seats.storeCallsPerSecond + listCalls, "calls/s", std::nullopt, {} };
         storeCalls.details = { { "config", config.storeCalls }, { "seats", seats.storeCallsPerSecond },
-            { "seats_held_part", seats.heldPart } };
+            { "platform_list", listCalls }, { "seats_held_part", seats.heldPart } };
         report.add(storeCalls);
 
-        // The caller of Seats::next() calls it once a second.
-        const double seatCpu = bench::milliseconds(seats.cpuPerCall) / 10;
+        // LimitsController calls Seats::next() four times a second.
+        const double seatCpu = 4 * bench::milliseconds(seats.cpuPerCall) / 10;
         Result cpu { "control_cpu_percent", deployment.name, name,
-            config.mostCpu + shares.mostCpu + watch.mostCpu + changeCpu + seatCpu, "percent of a core", std::nullopt,
-            {} };
+            config.mostCpu + shares.mostCpu + watch.mostCpu + changeCpu + seatCpu + gossip.cpuPercent,
+            "percent of a core", std::nullopt, {} };
         cpu.judged = !report.options().quick; // Depends on the machine.
         cpu.details = { { "config", config.cpu }, { "most_config", config.mostCpu }, { "shares", shares.cpu },
-            { "group_watch", watch.cpu }, { "change_ms", change }, { "seats", seatCpu } };
+            { "group_watch", watch.cpu }, { "change_ms", change }, { "seats", seatCpu },
+            { "gossip", gossip.cpuPercent } };
         report.add(cpu);
-        report.add(
-            { "control_rss_mb", deployment.name, name, objectBytes(sized, scale) / 1e6, "MB", std::nullopt, {} });
+        report.add({ "control_rss_mb", deployment.name, name, (objectBytes(sized, scale) + gossip.heapBytes) / 1e6,
+            "MB", std::nullopt, {} });
     }
 
 } // namespace
--- a/tools/bench_rates.cpp
+++ b/tools/bench_rates.cpp
@@ -1,4 +1,5 @@
 #include "bench_rates.h"
+#include "controller_limits.h"
 #include "rate_share.h"
 #include <algorithm>
 #include <deque>
@@ -14,6 +15,7 @@
     constexpr Duration longestWait = milliseconds(50); // LimitSettings::maxLoanWait
     constexpr Duration tickInterval = milliseconds(10);
     constexpr Duration moveInterval = seconds(5);
+    constexpr size_t callBytes = 500; // Assumed heads of a control call and its answer, with the peer authentication.
     constexpr Duration restartDelay = milliseconds(2040); // Loans of the earlier process have ended by then.
 
     constexpr const char* overloadName = "four_times_the_rate";
@@ -85,8 +87,10 @@
                 m_queue.after(2 * third, [this] { m_parted = false; });
             }
             m_queue.run(Instant(m_scenario.length));
-            for (const Host& host : m_hosts)
-                m_figures.mostMessages = std::max(m_figures.mostMessages, static_cast<double>(host.messages));
+            for (const Host& host : m_hosts) {
+                m_figures.bytes += host.bytes;
+                m_figures.mostBytes = std::max(m_figures.mostBytes, host.bytes);
+            }
             m_figures.seconds = bench::milliseconds(m_scenario.length - loadFrom) / 1000;
             return m_figures;
         }
@@ -102,7 +106,7 @@
             uint64_t incarnation = 0;
             Instant seatsFrom {};
             std::deque<Waiting> waiting;
-            uint64_t messages = 0;
+            uint64_t bytes = 0; ///< Sent and received.
         };
 
         template <typename Call> auto timed(Call call) -> decltype(call())
@@ -243,18 +247,30 @@
             return pool;
         }
 
+        /// Messages to one host travel in one call, as LimitsController::append() does.
         void send(size_t from, const std::vector<ShareMessage>& messages)
         {
-            for (const ShareMessage& message : messages) {
-                m_figures.messages += m_queue.now() >= Instant(loadFrom) ? 1 : 0;
-                const size_t to = m_indices.at(message.to);
-                ++m_hosts[from].messages;
-                ++m_hosts[to].messages;
-                const Duration way = m_deployment.latency(m_hosts[from].dataCentre, m_hosts[to].dataCentre);
-                const Duration delay
-                    = way + fromMicroseconds(m_queue.uniform(0, static_cast<double>(way.count()) / 10));
-                m_queue.after(delay, [this, from, to, message] { deliver(from, to, message); });
+            std::map<std::string, std::vector<ShareMessage>> calls;
+            for (const ShareMessage& message : messages)
+                calls[message.to].push_back(message);
+            for (const std::pair<const std::string, std::vector<ShareMessage>>& call : calls)
+                sendCall(from, m_indices.at(call.first), call.second);
+        }
+
+        void sendCall(size_t from, size_t to, const std::vector<ShareMessage>& messages)
+        {
+            if (m_queue.now() >= Instant(loadFrom)) {
+                m_figures.messages += messages.size();
+                if (m_measureCpu) {
+                    const size_t bytes = timed([&] { return encodeShares(messages).size(); }) + callBytes;
+                    m_hosts[from].bytes += bytes;
+                    m_hosts[to].bytes += bytes;
+                }
             }
+            const Duration way = m_deployment.latency(m_hosts[from].dataCentre, m_hosts[to].dataCentre);
+            const Duration delay = way + fromMicroseconds(m_queue.uniform(0, static_cast<double>(way.count()) / 10));
+            for (const ShareMessage& message : messages)
+                m_queue.after(delay, [this, from, to, message] { deliver(from, to, message); });
         }
 
         void deliver(size_t from, size_t to, const ShareMessage& message)
--- a/tools/bench_rates.h
+++ b/tools/bench_rates.h
@@ -25,8 +25,9 @@
     uint64_t wrongful = 0; ///< Of these, refused.
     double excess = 0; ///< Most tokens taken beyond what one bucket for the whole fleet allows.
     uint64_t messages = 0;
-    double mostMessages = 0; ///< Sent and received by the busiest host.
-    Duration cpu {}; ///< Processor time of the CustomerShare objects; only if it was asked for.
+    uint64_t bytes = 0; ///< Sent and received by all hosts; only if processor time was asked for.
+    uint64_t mostBytes = 0; ///< Of the busiest host.
+    Duration cpu {}; ///< Processor time of the CustomerShare objects and the codec; only if it was asked for.
     double seconds = 0; ///< Length of the run with load.
 };
 
