Measure the hop against a bare cpprestsdk hop with real processes

Cause: throughput, latency and memory of connections need the real binary. Change: an open-loop generator with a histogram drives plantainwall and a pass-through hop of cpprestsdk in front of the same stand-ins in turn; the support library of the tests starts the processes, and names its output files without the directory of the program.

--- a/tests/support_process.cpp
+++ b/tests/support_process.cpp
@@ -20,7 +20,7 @@
 
     std::string makeOutputFile(const std::string& program)
     {
-        std::string path = "/tmp/plantainwall-" + program + "-XXXXXX";
+        std::string path = "/tmp/plantainwall-" + program.substr(program.rfind('/') + 1) + "-XXXXXX";
         const int fd = mkostemp(path.data(), O_CLOEXEC);
         if (fd < 0)
             throw std::runtime_error("cannot create output file " + path);
--- a/tools/bench.cpp
+++ b/tools/bench.cpp
@@ -1,4 +1,4 @@
-#include "bench.h"
+#include "bench_load.h"
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <filesystem>
@@ -23,6 +23,7 @@
         { benchRates, { "wrongful_refusals_share", "fleet_rate_excess" } },
         { benchConfig, { "config_spread_ms", "key_withdrawal_ms" } },
         { benchControl, { "control_bytes_per_s", "store_calls_per_s", "control_cpu_percent", "control_rss_mb" } },
+        { benchHop, { "hop_throughput_ratio", "hop_latency_ratio", "idle_connection_bytes" } },
     };
     return all;
 }
@@ -66,8 +67,17 @@
     run->add_option("--seed", options.seed, "Seed of all random choices")->capture_default_str();
     run->add_option("--known-red", options.knownRed, "File of known misses, which do not fail the run");
     run->add_option("--out", out, "File for the results")->required();
+    std::string listen;
+    std::string target;
+    unsigned threads = 4;
+    CLI::App* const bareHop = app.add_subcommand("bare-hop", "Serves a pass-through hop of cpprestsdk alone");
+    bareHop->add_option("--listen", listen, "ip:port")->required();
+    bareHop->add_option("--target", target, "http://ip:port")->required();
+    bareHop->add_option("--threads", threads, "Threads of cpprestsdk's pool")->capture_default_str();
     CLI11_PARSE(app, argc, argv);
     try {
+        if (bareHop->parsed())
+            return serveBareHop(listen, target, threads);
         return runSuites(options, measure, out);
     } catch (const std::exception& error) {
         std::cerr << "bench: " << error.what() << '\n';
--- a/tools/bench.h
+++ b/tools/bench.h
@@ -131,5 +131,6 @@
 void benchRates(Report&);
 void benchConfig(Report&);
 void benchControl(Report&);
+void benchHop(Report&);
 
 } // namespace plantainwall::bench
