Ask for a new loan as soon as a renewal is refused

Cause: a borrower whose renewal was refused used the loan to its end and asked for another only then, so that its requests were refused meanwhile (bench, skewed load). Change: units of refused loans no longer count as lasting; the host asks for a replacement at once.

--- a/src/rate_share.cpp
+++ b/src/rate_share.cpp
@@ -92,6 +92,19 @@
     return std::max<ShareUnits>(sum, 0);
 }
 
+// Units of loans whose renewal was refused: a replacement has to be found before they end.
+ShareUnits RateShare::endingUnits() const
+{
+    ShareUnits sum = 0;
+    for (const auto& [id, parcel] : m_parcels) {
+        if (parcel.renewalRefused)
+            sum += std::max<ShareUnits>(m_sources.at(parcel.source).free, 0);
+    }
+    return sum;
+}
+
+ShareUnits RateShare::lastingUnits() const { return std::max<ShareUnits>(usableUnits() - endingUnits(), 0); }
+
 void RateShare::clampLevel() { m_level = std::min(m_level, fraction(usableUnits()) * m_burst); }
 
 // Refills the bucket up to now. Shares that ended before now refill only until their end.
@@ -236,7 +249,7 @@
 {
     advance(now);
     const bool active = m_demandSince > Instant() && m_lastDemand + demandPause > now;
-    return active && m_rate > 0 && (tokensShort() > 0 || usableUnits() < unitsFor(presentDemand()));
+    return active && m_rate > 0 && (tokensShort() > 0 || lastingUnits() < unitsFor(presentDemand()));
 }
 
 bool RateShare::idle(Instant now)
@@ -344,7 +357,7 @@
     const double tokens = m_burst > 0 ? 2 * tokensShort() / m_burst : 0;
     const ShareUnits forTokens = static_cast<ShareUnits>(std::min(tokens, 1.0) * static_cast<double>(wholeShare));
     const ShareUnits units
-        = std::max({ minRequest, forTokens, unitsFor(presentDemand() * wantFactor) - usableUnits() });
+        = std::max({ minRequest, forTokens, unitsFor(presentDemand() * wantFactor) - lastingUnits() });
     // Doubles the pause after each refusal: while every host is short, asking again soon changes nothing.
     m_nextRequest = now + milliseconds(20) * (1 << std::min(m_refusedInRow, 4U));
     return std::min(units, wholeShare);
--- a/src/rate_share.h
+++ b/src/rate_share.h
@@ -134,6 +134,8 @@
     void expire(Instant now);
     void clampLevel();
     ShareUnits usableUnits() const;
+    ShareUnits endingUnits() const;
+    ShareUnits lastingUnits() const;
     double steadyDemand() const;
     double presentDemand() const;
     double keptDemand() const;
