--- a/tests/support_entry_host.cpp
+++ b/tests/support_entry_host.cpp
@@ -200,6 +200,9 @@
     : m_platform(std::make_unique<Platform>(options.platform))
     , m_group(std::make_unique<DatabaseGroup>(options.group))
 {
+    if (options.ownStoreRoutes)
+        m_storeProxy
+            = std::make_unique<FaultProxy>(std::vector<std::string>(options.dataCentres.size(), m_platform->address()));
     std::vector<std::string> seeds;
     for (size_t i = 0; i < options.dataCentres.size(); ++i) {
         const std::pair<std::string, std::string> place = splitPlace(options.dataCentres[i]);
@@ -210,6 +213,8 @@
         host.storeAddress = m_platform->address();
         host.seedPeers = seeds;
         host.settings = options.settings;
+        if (m_storeProxy)
+            host.storeAddress = m_storeProxy->address(i);
         m_hosts.push_back(std::make_unique<EntryHost>(host));
         seeds.push_back(m_hosts.back()->peerAddress());
         m_platform->setHost(host.name, "live");
@@ -230,4 +235,9 @@
     }
 }
 
+void Fleet::faultStore(size_t i, const std::string& mode, int delayMs, bool existingOnly)
+{
+    m_storeProxy->setFault(i, mode, delayMs, existingOnly);
+}
+
 } // namespace plantainwall::test
--- a/tests/support_entry_host.h
+++ b/tests/support_entry_host.h
@@ -122,6 +122,7 @@
         GroupOptions group;
         PlatformOptions platform;
         std::string settings; ///< Appended to every host's settings file.
+        bool ownStoreRoutes = false; ///< Each host reaches the store through a fault_proxy route of its own.
     };
 
     Fleet();
@@ -133,12 +134,17 @@
     size_t size() const { return m_hosts.size(); }
     const std::string& at(size_t i) { return host(i).address(); }
     Operator& operators() { return *m_operator; }
+
+    /// Sets the fault of the route from host i to the store. Needs Options::ownStoreRoutes.
+    void faultStore(size_t i, const std::string& mode, int delayMs = 0, bool existingOnly = false);
+
     const std::string& key() const { return m_key; }
     Caller caller() const { return Caller(m_key); }
 
 private:
     std::unique_ptr<Platform> m_platform;
     std::unique_ptr<DatabaseGroup> m_group;
+    std::unique_ptr<FaultProxy> m_storeProxy;
     std::vector<std::unique_ptr<EntryHost>> m_hosts;
     std::unique_ptr<Operator> m_operator;
     std::string m_key;
