Do not promote a primary again that its replicas cannot hear

Cause: a primary that entry hosts reach but whose replication is cut off has the longest log of the fenced majority, so each round promoted it again. Ruled out: a round that never started (the terms show that they did) and the fault proxy passing heartbeats.

Change: if a majority of the fenced members had not heard the primary when the round started, the longest log among these is taken. Any majority holds every acknowledged write, so the choice stays safe.

--- a/src/promotion.cpp
+++ b/src/promotion.cpp
@@ -88,7 +88,7 @@
     m_lastPrimaryContact = now;
     m_members.find(chosen)->second.sent = now; // A status asked for earlier still shows the role before.
     if (term > m_primaryTerm)
-        setPrimary(chosen, term, actions);
+        setPrimary(chosen, term, now, actions);
     return actions;
 }
 
@@ -218,7 +218,7 @@
         beyond += best && entry.second.status && entry.second.status->term > best->second.status->term ? 1 : 0;
     if (!best || beyond >= majority() || hearsNewerPrimary(best->second.status->term, now)) {
         if (!m_primary.empty())
-            setPrimary({}, m_primaryTerm, actions);
+            setPrimary({}, m_primaryTerm, now, actions);
         return;
     }
     const uint64_t term = best->second.status->term;
@@ -232,12 +232,14 @@
         abandonRound(now, Duration::zero()); // The primary is back and nobody has been fenced.
     }
     if (best->first != m_primary || term != m_primaryTerm)
-        setPrimary(best->first, term, actions);
+        setPrimary(best->first, term, now, actions);
 }
 
-void Promotion::setPrimary(const std::string& member, uint64_t term, std::vector<PromotionAction>& actions)
+void Promotion::setPrimary(const std::string& member, uint64_t term, Instant now, std::vector<PromotionAction>& actions)
 {
     m_primary = member;
+    if (term > m_primaryTerm && !member.empty())
+        m_notBefore = std::max(m_notBefore, now + m_settings.primaryUnreachable); // Time to reach the other members.
     m_primaryTerm = term;
     m_highestTerm = std::max(m_highestTerm, term);
     actions.emplace_back(PrimaryKnown { member, term });
@@ -248,6 +250,10 @@
     m_round = Round();
     m_round->term = ++m_highestTerm;
     m_round->started = now;
+    for (const std::pair<const std::string, Member>& entry : m_members) {
+        if (isSilent(entry.second, now, m_settings.primarySilence))
+            m_round->silent.insert(entry.first);
+    }
     m_phase = Phase::Fencing;
     ++m_rounds;
     sendFences(now, actions);
@@ -290,10 +296,20 @@
         sendFences(now, actions);
 }
 
+/// Chooses the longest log of a majority. A primary that the other members do not hear has the longest log, but could
+/// not replicate in the new term either, so it is passed over if a majority without it was fenced.
 void Promotion::choose(Instant now, std::vector<PromotionAction>& actions)
 {
+    const auto isSilentMember = [this](const std::pair<const std::string, LogPosition>& entry) {
+        return m_round->silent.count(entry.first) != 0;
+    };
+    const std::map<std::string, LogPosition>& granted = m_round->granted;
+    const bool silentOnly
+        = static_cast<size_t>(std::count_if(granted.begin(), granted.end(), isSilentMember)) >= majority();
     const std::pair<const std::string, LogPosition>* best = nullptr;
-    for (const std::pair<const std::string, LogPosition>& entry : m_round->granted) {
+    for (const std::pair<const std::string, LogPosition>& entry : granted) {
+        if (silentOnly && !isSilentMember(entry))
+            continue;
         const bool longer = !best || best->second < entry.second;
         if (longer || (best->second == entry.second && entry.first == m_primary))
             best = &entry;
--- a/src/promotion.h
+++ b/src/promotion.h
@@ -3,6 +3,7 @@
 #include "database.h"
 #include <map>
 #include <random>
+#include <set>
 #include <variant>
 
 namespace plantainwall {
@@ -84,6 +85,7 @@
         std::map<std::string, LogPosition> granted;
         std::map<std::string, uint64_t> denied;
         std::map<std::string, Instant> sent;
+        std::set<std::string> silent; ///< Members that did not hear the primary when the round started.
         std::string chosen;
         unsigned promoteCalls = 0;
         Instant promoteSent {};
@@ -99,7 +101,7 @@
     bool hearsNewerPrimary(uint64_t term, Instant now) const;
     void noteStranded(Instant now);
     void updatePrimary(Instant now, std::vector<PromotionAction>& actions);
-    void setPrimary(const std::string& member, uint64_t term, std::vector<PromotionAction>& actions);
+    void setPrimary(const std::string& member, uint64_t term, Instant now, std::vector<PromotionAction>& actions);
     void startRound(Instant now, std::vector<PromotionAction>& actions);
     void continueRound(Instant now, std::vector<PromotionAction>& actions);
     void sendFences(Instant now, std::vector<PromotionAction>& actions);
--- a/tests/unit_promotion.cpp
+++ b/tests/unit_promotion.cpp
@@ -88,6 +88,7 @@
     {
         m_cut.insert({ "host" + std::to_string(candidate), member });
     }
+    void cutReplication(const std::string& member, const std::string& other) { m_cut.insert({ member, other }); }
     void advance(Duration time)
     {
         for (const Instant end = m_now + time; m_now < end; m_now += milliseconds(10))
@@ -481,3 +482,17 @@
     model.advance(std::chrono::seconds(12));
     BOOST_TEST(model.terms() > 1U); // No owner has reached it for 6 s.
 }
+
+// Guards against a primary that its replicas cannot hear and that is promoted again and again for its longer log.
+BOOST_AUTO_TEST_CASE(primary_without_replicas_is_replaced)
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        Model model(seed, 3, Rules());
+        model.advance(std::chrono::seconds(2));
+        model.cutReplication("m0", "m1");
+        model.cutReplication("m0", "m2");
+        model.advance(std::chrono::seconds(9));
+        BOOST_TEST(model.terms() == 2U, "seed " << seed << ", term " << model.terms());
+        BOOST_TEST((model.sinceAcknowledged() < std::chrono::seconds(1)), "seed " << seed);
+    }
+}
