Keep the fault proxy alive while every route is cut

Cause: with all routes cut nothing was pending on the proxy's io_context, run() returned and no later control call was answered. Found by a test that cuts all routes between entry hosts; gdb was not needed, the thread was missing in /proc. Change: hold a work guard.

--- a/tools/fault_proxy.cpp
+++ b/tools/fault_proxy.cpp
@@ -112,7 +112,11 @@
         // The process ends in runUntilTerminated() while threads still use these objects, so they are never destroyed.
         boost::asio::io_context& context = *new boost::asio::io_context(1);
         Control& handler = *new Control(context, routes);
-        std::thread([&context] { context.run(); }).detach();
+        std::thread([&context] {
+            // With every route cut nothing is pending, which would end run().
+            const boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work(context.get_executor());
+            context.run();
+        }).detach();
         new StandinServer(control, [&handler](const ServerCallPtr& call) { handler.handle(call); });
         runUntilTerminated();
     }
