--- a/tests/support_entry_host.cpp
+++ b/tests/support_entry_host.cpp
@@ -103,7 +103,7 @@
 
 std::string Operator::addKey(const std::string& team, const std::string& keyId) const
 {
-    const std::string key = generateKey(keyPrefix, keyId);
+    std::string key = generateKey(keyPrefix, keyId);
     set("teams/" + team + "/keys/" + keyId,
         "digest = \"" + keyDigest(key) + "\"\ncreated = \"2026-12-04\"\nwithdrawn = false");
     return key;
@@ -169,6 +169,7 @@
 {
     web::json::value body = extra;
     std::vector<web::json::value> list;
+    list.reserve(statements.size());
     for (const std::string& statement : statements)
         list.push_back(web::json::value::string(statement));
     body["statements"] = web::json::value::array(list);
@@ -220,6 +221,14 @@
     }
     for (const std::unique_ptr<EntryHost>& host : m_hosts)
         host->waitUntilHealthy();
+    if (options.peersBehindProxy) {
+        std::vector<std::string> targets;
+        for (const std::unique_ptr<EntryHost>& host : m_hosts)
+            targets.push_back(host->peerAddress());
+        m_peerProxy = std::make_unique<FaultProxy>(targets);
+        for (size_t i = 0; i < size(); ++i)
+            host(i).setPeerAddressForOthers(m_peerProxy->address(i));
+    }
     m_operator = std::make_unique<Operator>(at(0));
     m_operator->set("fleet/token_keys", std::string("[[keys]]\nid = 1\nsecret = \"") + tokenSecret + "\"\n");
     for (const std::unique_ptr<EntryHost>& host : m_hosts)
--- a/tests/support_entry_host.h
+++ b/tests/support_entry_host.h
@@ -37,6 +37,9 @@
     /// Returns the JSON of `status`.
     web::json::value status() const;
 
+    /// Makes hostConfig() name a fault_proxy route (ip:port) as the peer address.
+    void setPeerAddressForOthers(const std::string& address) { m_options.peerAddressForOthers = address; }
+
     /// Returns the TOML of fleet/hosts/<name>.
     std::string hostConfig() const;
 
@@ -123,6 +126,7 @@
         PlatformOptions platform;
         std::string settings; ///< Appended to every host's settings file.
         bool ownStoreRoutes = false; ///< Each host reaches the store through a fault_proxy route of its own.
+        bool peersBehindProxy = false; ///< Entry hosts reach the peer port of host i through route i of peerProxy().
     };
 
     Fleet();
@@ -133,6 +137,7 @@
     EntryHost& host(size_t i) { return *m_hosts.at(i); }
     size_t size() const { return m_hosts.size(); }
     const std::string& at(size_t i) { return host(i).address(); }
+    FaultProxy& peerProxy() { return *m_peerProxy; }
     Operator& operators() { return *m_operator; }
 
     /// Sets the fault of the route from host i to the store. Needs Options::ownStoreRoutes.
@@ -146,6 +151,7 @@
     std::unique_ptr<DatabaseGroup> m_group;
     std::unique_ptr<FaultProxy> m_storeProxy;
     std::vector<std::unique_ptr<EntryHost>> m_hosts;
+    std::unique_ptr<FaultProxy> m_peerProxy;
     std::unique_ptr<Operator> m_operator;
     std::string m_key;
 };
