Take the primary for up to date with every confirmed position of its term

Change: a token's position is confirmed by a majority, so the estimated wait at the primary is zero whatever its last status says; whether it may serve is still checked at its owner.

--- a/src/read_router.cpp
+++ b/src/read_router.cpp
@@ -89,6 +89,9 @@
         return std::nullopt;
     if (member->status->applied.position >= position.position && member->status->received.term >= position.term)
         return Duration::zero();
+    // A token's position is confirmed by a majority, so the primary has it even if its last status is older.
+    if (name == m_primary && position.term <= m_primaryTerm)
+        return Duration::zero();
     if (member->entriesPerSecond <= 0 || member->status->applied.position >= position.position)
         return std::nullopt;
     const double missing = static_cast<double>(position.position - member->status->applied.position);
