Replace a primary that is leaving

Cause: a leaving primary was refused new work by its owner, but nothing started a promotion, because it was reachable and its replicas heard it. Writes stopped until it had really gone. Ruled out: a wrong hint (every owner still knew the old primary).

Change: a primary whose status says leaving is replaced through the usual fence if a majority of the members stays; a leaving member is chosen only if no majority of staying ones was fenced.

--- a/src/promotion.cpp
+++ b/src/promotion.cpp
@@ -163,8 +163,22 @@
     return false;
 }
 
+/// Returns whether the primary says that it is leaving and a majority of the members can go on without it.
+bool Promotion::primaryLeaving(Instant now) const
+{
+    const std::map<std::string, Member, std::less<>>::const_iterator primary = m_members.find(m_primary);
+    if (primary == m_members.end() || !primary->second.status || !primary->second.status->leaving)
+        return false;
+    size_t staying = 0;
+    for (const std::pair<const std::string, Member>& entry : m_members)
+        staying += isFresh(entry.second, now) && !entry.second.status->leaving ? 1 : 0;
+    return staying >= majority();
+}
+
 bool Promotion::shouldReplace(Instant now) const
 {
+    if (primaryLeaving(now))
+        return true;
     // Also replaces a primary that this host reaches while a majority of the members does not: it cannot acknowledge.
     if (silentMembers(now, m_settings.unreachableByAllOwners) >= majority())
         return true;
@@ -250,9 +264,12 @@
     m_round = Round();
     m_round->term = ++m_highestTerm;
     m_round->started = now;
+    const bool leaving = primaryLeaving(now);
     for (const std::pair<const std::string, Member>& entry : m_members) {
-        if (isSilent(entry.second, now, m_settings.primarySilence))
-            m_round->silent.insert(entry.first);
+        const Member& member = entry.second;
+        if (isFresh(member, now) && !member.status->leaving
+            && (leaving || isSilent(member, now, m_settings.primarySilence)))
+            m_round->preferred.insert(entry.first);
     }
     m_phase = Phase::Fencing;
     ++m_rounds;
@@ -296,19 +313,19 @@
         sendFences(now, actions);
 }
 
-/// Chooses the longest log of a majority. A primary that the other members do not hear has the longest log, but could
-/// not replicate in the new term either, so it is passed over if a majority without it was fenced.
+/// Chooses the longest log of a majority. A primary that the other members do not hear, or that is leaving, has the
+/// longest log, but is of no use in the new term, so it is passed over if a majority without it was fenced.
 void Promotion::choose(Instant now, std::vector<PromotionAction>& actions)
 {
-    const auto isSilentMember = [this](const std::pair<const std::string, LogPosition>& entry) {
-        return m_round->silent.count(entry.first) != 0;
+    const auto isPreferred = [this](const std::pair<const std::string, LogPosition>& entry) {
+        return m_round->preferred.count(entry.first) != 0;
     };
     const std::map<std::string, LogPosition>& granted = m_round->granted;
-    const bool silentOnly
-        = static_cast<size_t>(std::count_if(granted.begin(), granted.end(), isSilentMember)) >= majority();
+    const bool preferredOnly
+        = static_cast<size_t>(std::count_if(granted.begin(), granted.end(), isPreferred)) >= majority();
     const std::pair<const std::string, LogPosition>* best = nullptr;
     for (const std::pair<const std::string, LogPosition>& entry : granted) {
-        if (silentOnly && !isSilentMember(entry))
+        if (preferredOnly && !isPreferred(entry))
             continue;
         const bool longer = !best || best->second < entry.second;
         if (longer || (best->second == entry.second && entry.first == m_primary))
--- a/src/promotion.h
+++ b/src/promotion.h
@@ -85,7 +85,7 @@
         std::map<std::string, LogPosition> granted;
         std::map<std::string, uint64_t> denied;
         std::map<std::string, Instant> sent;
-        std::set<std::string> silent; ///< Members that did not hear the primary when the round started.
+        std::set<std::string> preferred; ///< Staying members that did not hear the primary, or all if it is leaving.
         std::string chosen;
         unsigned promoteCalls = 0;
         Instant promoteSent {};
@@ -97,6 +97,7 @@
     size_t silentMembers(Instant now, Duration silence) const;
     bool unreachableByEveryOwner(Instant now) const;
     bool memberStranded(Instant now) const;
+    bool primaryLeaving(Instant now) const;
     bool shouldReplace(Instant now) const;
     bool hearsNewerPrimary(uint64_t term, Instant now) const;
     void noteStranded(Instant now);
