Take leaving backend servers from the platform's list

Cause: the list was used for entry hosts only, and polled every 5 s, so a backend server that it named as leaving kept getting statements.

Change: ClusterView::isLeaving() shows the list; a group counts a member as leaving if the list or its own status says so. The list is polled every 1.5 s, or 20 ms for each listed host if that is more, to bound its bytes. At the full design size (about 1,950 listed hosts) that is 39 s: there the member's own status has to be the signal.

--- a/src/controller_group.cpp
+++ b/src/controller_group.cpp
@@ -31,6 +31,8 @@
         const std::string self(cluster.selfName());
         std::set<std::string> owners;
         for (const MemberConfig& member : group.members) {
+            if (cluster.isLeaving(member.name))
+                ownership.leaving.insert(member.name);
             const std::optional<HostInfo> owner = cluster.ownerOf(group.name, member);
             if (!owner)
                 continue;
--- a/src/controller_group_shard.cpp
+++ b/src/controller_group_shard.cpp
@@ -289,9 +289,10 @@
         probe(member.name);
 }
 
-void GroupShard::onStatus(const std::string& name, const MemberStatus& status, Instant sent)
+void GroupShard::onStatus(const std::string& name, MemberStatus status, Instant sent)
 {
     Member& member = *findMember(name);
+    status.leaving = status.leaving || m_ownership.leaving.count(name) != 0;
     if (!member.reachable)
         LOG4CPLUS_INFO(logger(),
             "event=member_reachable group=" << m_config.name << " member=" << name
--- a/src/controller_group_shard.h
+++ b/src/controller_group_shard.h
@@ -15,6 +15,7 @@
     std::set<std::string> owned;
     std::vector<std::string> otherOwners;
     unsigned rank = 0; ///< Of this host among the group's owners.
+    std::set<std::string> leaving; ///< Members that the platform's list says are leaving.
 };
 
 /// State of one group at one entry host, under one lock. Calls to databases and answers to requests are collected
@@ -113,7 +114,7 @@
     void watchLater(const std::string& member, bool answered);
     void probe(const std::string& member);
     void probeAll();
-    void onStatus(const std::string& member, const MemberStatus&, Instant sent);
+    void onStatus(const std::string& member, MemberStatus, Instant sent);
     void onUnreachable(const std::string& member);
     void apply(const std::vector<PromotionAction>&);
     void fence(const FenceMember&);
--- a/src/controller_membership.cpp
+++ b/src/controller_membership.cpp
@@ -1,6 +1,7 @@
 #include "controller_membership.h"
 #include "controller_membership_codec.h"
 #include "placement.h"
+#include <algorithm>
 
 namespace plantainwall {
 
@@ -8,8 +9,10 @@
 
     constexpr Duration callTimeout = std::chrono::seconds(1);
     constexpr Duration refreshInterval = std::chrono::milliseconds(100);
-    // 750 hosts then take 150 of the store's 2,000 reads/s.
-    constexpr Duration platformInterval = std::chrono::seconds(5);
+    // A backend server that the list says is leaving gets no new work 2 s later.
+    constexpr Duration minPlatformInterval = std::chrono::milliseconds(1500);
+    // Time for each listed host, about 40 bytes: 2 KB/s of the 12 KB/s that an entry host may use.
+    constexpr Duration platformIntervalPerHost = std::chrono::milliseconds(20);
 
     HostConfig selfConfig(const Settings& settings)
     {
@@ -62,7 +65,7 @@
     pollPlatform();
     every(m_gossipInterval, &MembershipController::gossip);
     every(refreshInterval, &MembershipController::refresh);
-    every(platformInterval, &MembershipController::pollPlatform);
+    pollPlatformLater();
 }
 
 void MembershipController::every(Duration interval, void (MembershipController::*task)())
@@ -105,8 +108,7 @@
         try {
             const std::vector<PlatformHost> hosts = task.get();
             if (std::shared_ptr<MembershipController> self = weak.lock()) {
-                std::lock_guard<std::mutex> lock(self->m_mutex);
-                self->m_membership.setPlatformHosts(hosts, steadyNow());
+                self->setPlatformHosts(hosts);
             }
         } catch (const std::exception&) {
             // The platform may be down; the last list stays in force.
@@ -115,6 +117,39 @@
     });
 }
 
+void MembershipController::pollPlatformLater()
+{
+    Duration interval;
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        interval = std::max(minPlatformInterval, platformIntervalPerHost * m_listed);
+    }
+    m_scheduler->schedule(interval, [weak = weak_from_this()] {
+        if (std::shared_ptr<MembershipController> self = weak.lock()) {
+            self->pollPlatform();
+            self->pollPlatformLater();
+        }
+    });
+}
+
+void MembershipController::setPlatformHosts(const std::vector<PlatformHost>& hosts)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_membership.setPlatformHosts(hosts, steadyNow());
+    m_listed = static_cast<int>(hosts.size());
+    m_leaving.clear();
+    for (const PlatformHost& host : hosts) {
+        if (host.state == PlatformHostState::Leaving)
+            m_leaving.insert(host.name);
+    }
+}
+
+bool MembershipController::isLeaving(std::string_view name) const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_leaving.count(name) != 0;
+}
+
 void MembershipController::send(std::vector<SendGossip> calls)
 {
     for (SendGossip& call : calls) {
--- a/src/controller_membership.h
+++ b/src/controller_membership.h
@@ -4,6 +4,7 @@
 #include "scheduler.h"
 #include <functional>
 #include <mutex>
+#include <set>
 
 namespace plantainwall {
 
@@ -47,12 +48,15 @@
     std::vector<HostInfo> hosts() const override { return *snapshot(); }
     std::optional<HostInfo> ownerOf(std::string_view group, const MemberConfig&) const override;
     std::optional<HostInfo> hostFor(std::string_view duty, std::string_view dataCentre) const override;
+    bool isLeaving(std::string_view name) const override;
 
 private:
     void every(Duration interval, void (MembershipController::*task)());
     void gossip();
     void refresh();
     void pollPlatform();
+    void pollPlatformLater();
+    void setPlatformHosts(const std::vector<PlatformHost>&);
     void send(std::vector<SendGossip>);
     void finished(const SendGossip&, Instant sent, const pplx::task<std::string>&);
 
@@ -67,6 +71,8 @@
     Membership m_membership;
     std::shared_ptr<const std::vector<HostInfo>> m_snapshot;
     uint64_t m_configRevision = 0;
+    std::set<std::string, std::less<>> m_leaving; ///< By the platform's list.
+    int m_listed = 0;
 };
 
 } // namespace plantainwall
