Let unsent reads leave a member that does not answer

Cause: a read admitted for the killed primary waited for a connection until its deadline, 8 s in the test, although a new primary was known after 2 s; only writes were moved when the primary was replaced. Found by promise.read-your-writes promotion_between_write_and_read, which got connections_exhausted. Ruled out: replicas that were too far behind (lag 1.5 s).

Change: reads are not admitted for an unreachable member, and queued or connecting ones are answered replica_behind (not run) when it becomes unreachable, so that the entry host tries another member.

--- a/src/controller_group_execute.cpp
+++ b/src/controller_group_execute.cpp
@@ -82,7 +82,7 @@
 
 void GroupShard::admitRead(const WorkPtr& work, Member& member)
 {
-    if (canServe(*work)) {
+    if (member.reachable && canServe(*work)) {
         enqueue(work);
         return;
     }
@@ -144,6 +144,21 @@
     return work.request.minPosition.term <= m_promotion.primaryTerm();
 }
 
+/// Lets reads that have not been sent go to another member, instead of waiting for a connection until their deadlines.
+void GroupShard::leaveUnreachable(const std::string& name)
+{
+    std::vector<WorkPtr> unsent;
+    for (const std::pair<const uint64_t, WorkPtr>& entry : m_works) {
+        const Work& work = *entry.second;
+        const bool waits
+            = work.stage == Stage::Queued || work.stage == Stage::Connecting || work.stage == Stage::CatchingUp;
+        if (waits && work.request.member == name && work.request.readOnly && !continuesTransaction(work.request.step))
+            unsent.push_back(entry.second);
+    }
+    for (const WorkPtr& work : unsent)
+        finish(work, ResultCode::ReplicaBehind, "the member does not answer");
+}
+
 void GroupShard::checkCatchingUp(const std::string&)
 {
     std::vector<WorkPtr> ready;
--- a/src/controller_group_shard.cpp
+++ b/src/controller_group_shard.cpp
@@ -317,6 +317,7 @@
         LOG4CPLUS_WARN(logger(), "event=member_unreachable group=" << m_config.name << " member=" << name);
     member.reachable = false;
     m_router.onFailure(name);
+    leaveUnreachable(name);
 }
 
 void GroupShard::apply(const std::vector<PromotionAction>& actions)
--- a/src/controller_group_shard.h
+++ b/src/controller_group_shard.h
@@ -116,6 +116,7 @@
     void probeAll();
     void onStatus(const std::string& member, MemberStatus, Instant sent);
     void onUnreachable(const std::string& member);
+    void leaveUnreachable(const std::string& member);
     void apply(const std::vector<PromotionAction>&);
     void fence(const FenceMember&);
     void promote(const PromoteMember&);
