--- a/tests/support_writers.cpp
+++ b/tests/support_writers.cpp
@@ -53,6 +53,7 @@
         inDoubt = inDoubt || (!write.ok && write.run != "not_run");
         if (write.ok || m_stopped)
             break;
+        std::this_thread::sleep_for(m_options.resendPause);
     }
     if (!write.ok && inDoubt)
         write.run = "unknown";
--- a/tests/support_writers.h
+++ b/tests/support_writers.h
@@ -27,6 +27,7 @@
         size_t callers = 12;
         int deadlineMs = 4000;
         unsigned resends = 0; ///< Times a caller repeats a request id after an answer that is not "ok".
+        Milliseconds resendPause = Milliseconds(0);
         Milliseconds pause = Milliseconds(2);
     };
 
