Run the fleet once for all numbers of customers

Cause: the full control measure repeated three simulations of 750 hosts for each number of customers, about 100 s each on a busy machine, though only factors and sizes of objects depend on it. Change: one run for each number of hosts.

--- a/tools/bench_control.cpp
+++ b/tools/bench_control.cpp
@@ -75,15 +75,20 @@
         return part;
     }
 
-    /// One customer's traffic, multiplied by the number of customers; a pool host's own duty comes on top.
-    Part sharePart(const Deployment& deployment, const Scale& scale, uint64_t seed)
+    /// One customer's load on the whole fleet.
+    RateFigures shareFigures(const Deployment& deployment, size_t hosts, uint64_t seed)
     {
-        RateScenario scenario = evenLoad(scale.hosts, 0.8);
-        scenario.rate = 100 * static_cast<double>(scale.hosts);
+        RateScenario scenario = evenLoad(hosts, 0.8);
+        scenario.rate = 100 * static_cast<double>(hosts);
         scenario.burst = scenario.rate / 2;
-        scenario.load.assign(scale.hosts, scenario.rate * 0.8 / static_cast<double>(scale.hosts));
+        scenario.load.assign(hosts, scenario.rate * 0.8 / static_cast<double>(hosts));
         scenario.length = seconds(12);
-        const RateFigures figures = runRates(deployment, scenario, seed, true);
+        return runRates(deployment, scenario, seed, true);
+    }
+
+    /// One customer's traffic, multiplied by the number of customers; a pool host's own duty comes on top.
+    Part sharePart(const RateFigures& figures, const Scale& scale)
+    {
         const double customers = static_cast<double>(scale.customers);
         const double perHost = static_cast<double>(figures.bytes) / figures.seconds / static_cast<double>(scale.hosts);
         const double duties = std::ceil(customers / static_cast<double>(scale.hosts));
@@ -194,14 +199,34 @@
         return bench::milliseconds(cpu) / repeats;
     }
 
-    void addScale(Report& report, const Deployment& deployment, const Scale& scale)
+    Deployment sizedFor(const Deployment& deployment, const Scale& scale)
+    {
+        return scale.hosts > 9 ? atDesignSize(deployment) : deployment;
+    }
+
+    /// What does not depend on the number of customers, or only by a factor.
+    struct FleetRun {
+        Part config;
+        RateFigures shares; ///< Of one customer.
+        SeatFigures seats;
+        GossipFigures gossip;
+    };
+
+    FleetRun runFleet(const Deployment& sized, const Scale& scale, uint64_t seed)
     {
-        const Deployment sized = scale.hosts > 9 ? atDesignSize(deployment) : deployment;
-        const Part config = configPart(sized, scale, report.options().seed);
-        const Part shares = sharePart(sized, scale, report.options().seed);
+        const size_t groups = static_cast<size_t>(std::ceil(groupsPerDaemon(scale)));
+        return { configPart(sized, scale, seed), shareFigures(sized, scale.hosts, seed), runSeats(scale.hosts),
+            runGossip(sized, scale.hosts, groups, seed) };
+    }
+
+    void addScale(Report& report, const Deployment& deployment, const Scale& scale, const FleetRun& run)
+    {
+        const Deployment sized = sizedFor(deployment, scale);
+        const Part& config = run.config;
+        const Part shares = sharePart(run.shares, scale);
+        const SeatFigures& seats = run.seats;
+        const GossipFigures& gossip = run.gossip;
         const Part watch = watchPart(scale, report.options().seed);
-        const GossipFigures gossip = runGossip(
-            sized, scale.hosts, static_cast<size_t>(std::ceil(groupsPerDaemon(scale))), report.options().seed);
         const double change = changeCost(sized, scale);
         const double changeCpu = change / 10 / (bench::milliseconds(changeInterval) / 1000);
         const std::string name = std::to_string(scale.hosts) + "_hosts_" + std::to_string(scale.groups) + "_groups_"
@@ -219,7 +244,6 @@
         busiest.value = std::max(config.mostBytes + shares.bytes, config.bytes + shares.mostBytes) + watch.mostBytes
             + gossip.mostBytesPerSecond;
         report.add(busiest);
-        const SeatFigures seats = runSeats(scale.hosts);
         // MembershipController polls the platform's list every 5 s on every host.
         const double listCalls = static_cast<double>(scale.hosts) / 5;
         Result storeCalls { "store_calls_per_s", deployment.name, name,
@@ -249,13 +273,18 @@
     const std::vector<size_t> sizes
         = report.options().quick ? std::vector<size_t> { 9, 90 } : std::vector<size_t> { 9, 45, 90, 180, 375, 750 };
     for (const Deployment& deployment : deployments()) {
-        for (const size_t hosts : sizes)
-            addScale(report, deployment, { hosts, groupsFor(hosts), 8 });
+        for (const size_t hosts : sizes) {
+            Scale scale { hosts, groupsFor(hosts), 8 };
+            const FleetRun run = runFleet(sizedFor(deployment, scale), scale, report.options().seed);
+            addScale(report, deployment, scale, run);
+            if (hosts != designHosts || deployment.name != deployments().front().name)
+                continue;
+            for (const size_t customers : { size_t(100), size_t(1000), size_t(5000) }) {
+                scale.customers = customers;
+                addScale(report, deployment, scale, run);
+            }
+        }
     }
-    if (report.options().quick)
-        return;
-    for (const size_t customers : { size_t(100), size_t(1000), size_t(5000) })
-        addScale(report, deployments().front(), { designHosts, designGroups, customers });
 }
 
 } // namespace plantainwall::bench
