--- a/tests/promise_no_mixed_transactions.cpp
+++ b/tests/promise_no_mixed_transactions.cpp
@@ -22,6 +22,7 @@
     CallerReply run(const std::string& entryHost, const std::vector<std::string>& statements)
     {
         std::vector<web::json::value> list;
+        list.reserve(statements.size());
         for (const std::string& statement : statements)
             list.push_back(web::json::value::string(statement));
         web::json::value body = web::json::value::object();
--- a/tests/support_writers.cpp
+++ b/tests/support_writers.cpp
@@ -171,7 +171,7 @@
     const web::json::value dump = group.dump(*primary);
     for (const size_t other : others)
         BOOST_TEST((group.dump(other) == dump), group.memberName(other) << " differs from the primary");
-    const WriteFindings findings = writers.compare(dump);
+    WriteFindings findings = writers.compare(dump);
     BOOST_TEST_MESSAGE("acknowledged " << findings.acknowledged << ", refused " << findings.refused << ", unknown "
                                        << findings.unknown);
     BOOST_TEST(findings.acknowledged > 0U);
