Read the monotonic clock in one place

Cause: the membership controller had its own copy of now(); a constant of DispatchPlan was not used any more.

--- a/src/controller_limits.cpp
+++ b/src/controller_limits.cpp
@@ -24,7 +24,7 @@
     , m_config(std::move(config))
     , m_membership(std::move(membership))
     , m_scheduler(std::move(scheduler))
-    , m_seats(settings.limit, settings.host, incarnation, steadyNow())
+    , m_seats(settings.limit, settings.host, incarnation, plantainwall::now())
     , m_holders(std::make_shared<std::vector<std::string>>())
 {
 }
@@ -80,7 +80,7 @@
         if (const HostInfo* host = Placement::hostFor(*hosts, "seat/" + std::to_string(i)))
             names.insert(host->config.name);
     }
-    const Instant now = steadyNow();
+    const Instant now = plantainwall::now();
     OwnShare own;
     {
         std::lock_guard<std::mutex> lock(m_seatMutex);
@@ -116,7 +116,7 @@
         if (m_seatCallPending)
             return;
         action = m_seats.next(
-            *hosts, [this](std::string_view host) { return m_membership->absentFor(host); }, steadyNow());
+            *hosts, [this](std::string_view host) { return m_membership->absentFor(host); }, plantainwall::now());
         m_seatCallPending = action.has_value();
     }
     if (action)
@@ -125,7 +125,7 @@
 
 void LimitsController::perform(const SeatAction& action)
 {
-    const Instant sent = steadyNow();
+    const Instant sent = plantainwall::now();
     const std::weak_ptr<LimitsController> weak = weak_from_this();
     // Runs report under the lock, or notes the failure, and goes on with the next call.
     const std::function<void(const std::function<void(Seats&)>&)> finish
@@ -141,7 +141,7 @@
                       report(self->m_seats);
                   } catch (const std::exception&) {
                       failed = true;
-                      self->m_seats.failed(steadyNow());
+                      self->m_seats.failed(plantainwall::now());
                   }
               }
               if (!failed)
@@ -176,13 +176,13 @@
     Shard& shard = shardOf(customer);
     std::lock_guard<std::mutex> lock(shard.mutex);
     Entry* entry = findEntry(shard, customer);
-    return entry && entry->waiting.empty() && entry->share->share().tryAdmit(steadyNow());
+    return entry && entry->waiting.empty() && entry->share->share().tryAdmit(plantainwall::now());
 }
 
 OwnShare LimitsController::seatShare() const
 {
     std::lock_guard<std::mutex> lock(m_seatMutex);
-    return m_seats.own(steadyNow());
+    return m_seats.own(plantainwall::now());
 }
 
 ShareUnits LimitsController::usable(std::string_view customer)
@@ -190,7 +190,7 @@
     Shard& shard = shardOf(customer);
     std::lock_guard<std::mutex> lock(shard.mutex);
     Entry* entry = findEntry(shard, customer);
-    return entry ? entry->share->share().usable(steadyNow()) : 0;
+    return entry ? entry->share->share().usable(plantainwall::now()) : 0;
 }
 
 void LimitsController::append(Output& output, std::vector<ShareMessage> messages)
@@ -216,7 +216,7 @@
 void LimitsController::admit(std::string_view customer, Instant deadline, Done done)
 {
     Output output;
-    const Instant now = steadyNow();
+    const Instant now = plantainwall::now();
     Shard& shard = shardOf(customer);
     {
         std::lock_guard<std::mutex> lock(shard.mutex);
@@ -237,7 +237,7 @@
 void LimitsController::tickShares()
 {
     const std::shared_ptr<const std::vector<std::string>> seatHolders = holders();
-    const Instant now = steadyNow();
+    const Instant now = plantainwall::now();
     for (Shard& shard : m_shards) {
         Output output;
         {
@@ -260,7 +260,7 @@
     for (const ShareMessage& message : decodeShares(params)) {
         if (message.to != m_self)
             continue;
-        const Instant now = steadyNow();
+        const Instant now = plantainwall::now();
         Shard& shard = shardOf(message.customer);
         std::lock_guard<std::mutex> lock(shard.mutex);
         Entry* entry = findEntry(shard, message.customer);
--- a/src/controller_membership.cpp
+++ b/src/controller_membership.cpp
@@ -40,11 +40,6 @@
 
 } // namespace
 
-Instant steadyNow()
-{
-    return Instant(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 MembershipController::MembershipController(const Settings& settings, uint64_t incarnation, PeerCall call,
     std::shared_ptr<Store> store, std::shared_ptr<const ConfigView> config, std::shared_ptr<Scheduler> scheduler)
     : m_self(settings.host)
@@ -55,7 +50,7 @@
     , m_scheduler(std::move(scheduler))
     , m_random(std::random_device {}())
     , m_membership(settings.membership, selfConfig(settings), incarnation, seedAddresses(settings))
-    , m_snapshot(std::make_shared<std::vector<HostInfo>>(m_membership.hosts(steadyNow())))
+    , m_snapshot(std::make_shared<std::vector<HostInfo>>(m_membership.hosts(plantainwall::now())))
 {
 }
 
@@ -83,7 +78,7 @@
     std::vector<SendGossip> calls;
     {
         std::lock_guard<std::mutex> lock(m_mutex);
-        calls = m_membership.tick(steadyNow(), m_random);
+        calls = m_membership.tick(plantainwall::now(), m_random);
     }
     send(std::move(calls));
 }
@@ -91,7 +86,7 @@
 void MembershipController::refresh()
 {
     const std::shared_ptr<const ConfigSnapshot> config = m_config ? m_config->current() : nullptr;
-    const Instant now = steadyNow();
+    const Instant now = plantainwall::now();
     std::lock_guard<std::mutex> lock(m_mutex);
     if (config && config->revision != m_configRevision) {
         m_configRevision = config->revision;
@@ -135,7 +130,7 @@
 void MembershipController::setPlatformHosts(const std::vector<PlatformHost>& hosts)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
-    m_membership.setPlatformHosts(hosts, steadyNow());
+    m_membership.setPlatformHosts(hosts, plantainwall::now());
     m_listed = static_cast<int>(hosts.size());
     m_leaving.clear();
     for (const PlatformHost& host : hosts) {
@@ -153,7 +148,7 @@
 void MembershipController::send(std::vector<SendGossip> calls)
 {
     for (SendGossip& call : calls) {
-        const Instant sent = steadyNow();
+        const Instant sent = plantainwall::now();
         const std::string text = encodeGossip(call.message);
         pplx::task<std::string> answer = m_call(call.address, gossipMethod, text, callTimeout);
         answer.then([weak = weak_from_this(), call = std::move(call), sent](const pplx::task<std::string>& task) {
@@ -171,10 +166,10 @@
     try {
         const GossipMessage answer = decodeGossip(task.get());
         std::lock_guard<std::mutex> lock(m_mutex);
-        calls = m_membership.answered(call, answer, steadyNow());
+        calls = m_membership.answered(call, answer, plantainwall::now());
     } catch (const std::exception&) {
         std::lock_guard<std::mutex> lock(m_mutex);
-        calls = m_membership.failed(call, sent, steadyNow());
+        calls = m_membership.failed(call, sent, plantainwall::now());
     }
     send(std::move(calls));
 }
@@ -185,7 +180,7 @@
     GossipMessage answer;
     {
         std::lock_guard<std::mutex> lock(m_mutex);
-        answer = m_membership.receive(message, steadyNow());
+        answer = m_membership.receive(message, plantainwall::now());
     }
     return encodeGossip(answer);
 }
@@ -195,7 +190,7 @@
     std::vector<SendGossip> calls;
     {
         std::lock_guard<std::mutex> lock(m_mutex);
-        calls = m_membership.drain(steadyNow(), m_random);
+        calls = m_membership.drain(plantainwall::now(), m_random);
     }
     send(std::move(calls));
     refresh();
@@ -216,7 +211,7 @@
 Duration MembershipController::absentFor(std::string_view host) const
 {
     std::lock_guard<std::mutex> lock(m_mutex);
-    return m_membership.absentFor(host, steadyNow());
+    return m_membership.absentFor(host, plantainwall::now());
 }
 
 std::shared_ptr<const std::vector<HostInfo>> MembershipController::snapshot() const
--- a/src/controller_membership.h
+++ b/src/controller_membership.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clock.h"
 #include "membership.h"
 #include "scheduler.h"
 #include <functional>
@@ -12,9 +13,6 @@
 using PeerCall = std::function<pplx::task<std::string>(
     std::string_view address, const std::string& method, const std::string& params, Duration timeout)>;
 
-/// Returns the present time of the steady clock.
-Instant steadyNow();
-
 /// Runs Membership over control calls and the platform's host list. Safe to call from any thread.
 class MembershipController final : public ClusterView, public std::enable_shared_from_this<MembershipController> {
 public:
--- a/src/dispatch_plan.h
+++ b/src/dispatch_plan.h
@@ -21,8 +21,6 @@
 /// passed in.
 class DispatchPlan {
 public:
-    /// Longest wait at a replica in the own region before another member is tried.
-    static constexpr Duration localReplicaWait = std::chrono::milliseconds(20);
     static constexpr unsigned maxRedirects = 6;
     static constexpr Duration firstBackoff = std::chrono::milliseconds(10);
     static constexpr Duration maxBackoff = std::chrono::milliseconds(160);
