Use one program entry for the stand-ins and one generator of random names

Change: runStandin() in tools/standin_http.h; request ids come from randomName(). Behaviour stays, but a generated request id now has 26 characters of a-z and 2-7 instead of 32 hexadecimal digits.

--- a/src/entry_host.cpp
+++ b/src/entry_host.cpp
@@ -8,6 +8,7 @@
 #include "filters.h"
 #include "http_glue.h"
 #include "http_server.h"
+#include "key_digest.h"
 #include "log_event.h"
 #include "member_codec.h"
 #include "metrics.h"
@@ -27,14 +28,8 @@
     constexpr std::string_view operatorPath = "/operator/v1/";
     constexpr Duration drainPoll = std::chrono::milliseconds(10);
 
-    std::string randomRequestId()
-    {
-        std::array<unsigned char, 16> bytes {};
-        randombytes_buf(bytes.data(), bytes.size());
-        std::array<char, 2 * sizeof(bytes) + 1> text {};
-        sodium_bin2hex(text.data(), text.size(), bytes.data(), bytes.size());
-        return text.data();
-    }
+    /// 26 characters of 5 random bits each.
+    std::string randomRequestId() { return randomName(26); }
 
     void countAnswer(Metrics& metrics, const RequestContext& context, const MemberAnswer& answer, Duration latency)
     {
--- a/tools/fault_proxy.cpp
+++ b/tools/fault_proxy.cpp
@@ -125,12 +125,4 @@
 
 } // namespace plantainwall
 
-int main(int argc, char** argv)
-{
-    try {
-        return plantainwall::run(argc, argv);
-    } catch (const std::exception& e) {
-        std::cerr << "fault_proxy: " << e.what() << '\n';
-        return 1;
-    }
-}
+int main(int argc, char** argv) { return plantainwall::runStandin("fault_proxy", plantainwall::run, argc, argv); }
--- a/tools/platform_standin.cpp
+++ b/tools/platform_standin.cpp
@@ -201,12 +201,4 @@
 
 } // namespace plantainwall
 
-int main(int argc, char** argv)
-{
-    try {
-        return plantainwall::run(argc, argv);
-    } catch (const std::exception& e) {
-        std::cerr << "platform_standin: " << e.what() << '\n';
-        return 1;
-    }
-}
+int main(int argc, char** argv) { return plantainwall::runStandin("platform_standin", plantainwall::run, argc, argv); }
--- a/tools/standin_http.h
+++ b/tools/standin_http.h
@@ -181,4 +181,15 @@
     std::_Exit(0);
 }
 
+/// Runs a stand-in. An exception ends it with status 1 and the text on standard error, after the name of the program.
+inline int runStandin(const char* name, int (*run)(int, char**), int argc, char** argv)
+{
+    try {
+        return run(argc, argv);
+    } catch (const std::exception& error) {
+        std::cerr << name << ": " << error.what() << '\n';
+        return 1;
+    }
+}
+
 } // namespace plantainwall
