Let the host that counts in place of a silent one know it at once

Every second all asked the silent host again. Change: a host asked in place of another verifies whether that one answers, and counts with the whole rate if not. A host that left questions unanswered is asked again when it is heard, or after 10 s (1 s before).

--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -559,6 +559,7 @@
         }
         Peer& peer = it->second;
         peer.heard = m_clock();
+        m_quota.heard(host);
         peer.storeReachable = value.at("s").as_bool();
         if (value.has_field("p")) {
             for (const auto& [service, entry] : value.at("p").as_object()) {
--- a/src/quota_exchange.cpp
+++ b/src/quota_exchange.cpp
@@ -1,6 +1,7 @@
 #include "quota_exchange.h"
 #include "log_event.h"
 #include "placement.h"
+#include <algorithm>
 #include <charconv>
 
 namespace plantainwall {
@@ -10,8 +11,9 @@
     constexpr std::string_view questionWord = "quota? ";
     constexpr std::string_view answerWord = "quota! ";
 
-    /// A host that left questions unanswered is not asked again for this long, unless its reports say otherwise.
-    constexpr Duration avoidance = std::chrono::milliseconds(1000);
+    /// A host that left questions unanswered is not asked again until it is heard, or for this long: in fleets of 90
+    /// hosts it is out of reach by then, for want of reports.
+    constexpr Duration avoidance = std::chrono::seconds(10);
 
     std::string_view nextField(std::string_view& rest)
     {
@@ -82,9 +84,38 @@
     if (inReach == m_inReach)
         return;
     m_inReach = std::move(inReach);
+    for (auto it = m_unanswered.begin(); it != m_unanswered.end();)
+        it = m_inReach.count(it->first) == 0 ? m_unanswered.erase(it) : std::next(it);
     chooseAll();
 }
 
+void QuotaExchange::heard(const std::string& host)
+{
+    if (m_unanswered.erase(host) != 0)
+        chooseAll();
+}
+
+void QuotaExchange::noteUnanswered(const std::string& host)
+{
+    if (!m_unanswered.emplace(host, m_clock() + avoidance).second)
+        return;
+    logEvent(LogEvent::PeerSilent, { { "peer", host }, { "reason", "left a question unanswered" } });
+    chooseAll();
+}
+
+// Asks a host whether it answers, unless a question to it is under way.
+void QuotaExchange::verify(const std::string& host)
+{
+    const bool asked = std::any_of(
+        m_questions.begin(), m_questions.end(), [&](const auto& entry) { return entry.second.host == host; });
+    if (asked || m_unanswered.count(host) != 0)
+        return;
+    const uint64_t number = m_nextNumber++;
+    Question& question = m_questions[number];
+    question.host = host;
+    send(number, question);
+}
+
 const std::string& QuotaExchange::counter(const std::string& customer) const
 {
     const auto it = m_counters.find(customer);
@@ -148,8 +179,18 @@
         const std::string asker(nextField(rest));
         const std::string customer(rest);
         const auto peer = m_inReach.find(asker);
-        if (peer == m_inReach.end() || !m_buckets.knows(customer))
+        if (peer == m_inReach.end())
             return true; // The asker turns to another host.
+        heard(asker);
+        if (customer.empty()) {
+            m_channel.send(peer->second, std::string(answerWord) + number + " 0 0");
+            return true;
+        }
+        if (!m_buckets.knows(customer))
+            return true;
+        const std::string& expected = counter(customer);
+        if (expected != m_host)
+            verify(expected);
         const QuotaBuckets::Verdict verdict = takeHere(customer);
         m_channel.send(peer->second,
             std::string(answerWord) + number + (verdict.admitted ? " 1 " : " 0 ")
@@ -167,6 +208,8 @@
     verdict.retryAfter = Duration(static_cast<int64_t>(numberOf(rest)));
     const Question question = std::move(it->second);
     m_questions.erase(it);
+    if (question.customer.empty())
+        return true;
     if (!verdict.admitted)
         m_deniedUntil[question.customer] = m_clock() + std::min(verdict.retryAfter, m_settings.denialMemory);
     question.handler(verdict);
@@ -193,12 +236,11 @@
             send(number, question);
             continue;
         }
-        if (m_unanswered.emplace(question.host, now + avoidance).second) {
-            logEvent(LogEvent::PeerSilent, { { "peer", question.host }, { "reason", "left a question unanswered" } });
-            chooseAll();
-        }
         Question next = std::move(question);
         m_questions.erase(number);
+        noteUnanswered(next.host);
+        if (next.customer.empty())
+            continue;
         if (next.hosts < m_settings.hosts)
             put(number, std::move(next));
         else
--- a/src/quota_exchange.h
+++ b/src/quota_exchange.h
@@ -19,7 +19,8 @@
 /// hosts in reach, and asks that host for every operation.
 ///
 /// A host that is out of reach may still serve and counts for itself within its part of the rate, so the others leave
-/// that part to it until it is known to be gone.
+/// that part to it until it is known to be gone. A host that is asked though another one should be checks whether that one
+/// still answers; if not, it counts in its place.
 class QuotaExchange final : public QuotaGate {
 public:
     struct Settings {
@@ -46,6 +47,9 @@
     /// Repeats and gives up questions; to be called every few milliseconds.
     void tick();
 
+    /// Notes that a host reported: it can be asked again.
+    void heard(const std::string& host);
+
     /// Returns how many hosts left questions unanswered a moment ago.
     size_t suspects() const { return m_unanswered.size(); }
 
@@ -54,7 +58,7 @@
 
 private:
     struct Question {
-        std::string customer;
+        std::string customer; ///< Empty: only whether the host answers.
         std::string host;
         std::function<void(QuotaBuckets::Verdict)> handler;
         Instant sentAt;
@@ -65,6 +69,8 @@
     std::string choose(const std::string& customer) const;
     QuotaBuckets::Verdict takeHere(const std::string& customer);
     void chooseAll();
+    void verify(const std::string& host);
+    void noteUnanswered(const std::string& host);
     void send(uint64_t number, Question&);
     void put(uint64_t number, Question);
 
--- a/tests/unit_fleet_member.cpp
+++ b/tests/unit_fleet_member.cpp
@@ -173,6 +173,39 @@
         BOOST_TEST(fleet.hosts[i]->member.hostsInReach() == 60U);
 }
 
+// Load pattern: 59 hosts pass on 590 operations a second of a customer that may send 1000, and the host that counts them
+// stops. The one that counts in its place knows as soon as it is asked that it has the whole rate to give out.
+BOOST_AUTO_TEST_CASE(a_counter_that_stops_is_replaced_within_a_second)
+{
+    FakeFleet fleet(60, 2);
+    addCustomers(fleet);
+    fleet.pass(seconds(10));
+    const std::string stopped = fleet.hosts[0]->quota.counter("customer0");
+    fleet.dead.insert(std::stoul(stopped));
+    unsigned asked = 0;
+    unsigned admitted = 0;
+    for (int step = 0; step < 50; ++step) {
+        const bool judged = step >= 10;
+        for (size_t i = 0; i < 60; ++i) {
+            if (fleet.dead.count(i) != 0)
+                continue;
+            asked += judged ? 1 : 0;
+            fleet.hosts[i]->quota.ask("customer0", [&admitted, judged](const QuotaBuckets::Verdict& verdict) {
+                admitted += judged && verdict.admitted ? 1 : 0;
+            });
+        }
+        fleet.pass(milliseconds(100));
+    }
+    BOOST_TEST(asked > 2000U);
+    BOOST_TEST(admitted >= asked * 0.98);
+
+    // Back again, it counts at once.
+    fleet.dead.clear();
+    fleet.pass(seconds(3));
+    for (size_t i = 0; i < 60; ++i)
+        BOOST_TEST(fleet.hosts[i]->quota.counter("customer0") == stopped);
+}
+
 // One host that stops is no reason to ask all others.
 BOOST_AUTO_TEST_CASE(one_silent_host_makes_nobody_probe)
 {
