--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -41,6 +41,7 @@
     , m_evidence(settings.host, channel, m_clock, gateway)
     , m_changes(settings.host, channel, m_clock)
 {
+    m_settings.dutyLease = std::max(m_settings.dutyLease, settings.storeMinLease);
 }
 
 void FleetMember::start()
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -14,11 +14,12 @@
     struct Settings {
         Duration registrationLease = std::chrono::seconds(10);
         Duration registrationRenewal = std::chrono::seconds(3);
-        /// A dead holder's duty is free after this time; shorter leases cost more renewals.
-        Duration dutyLease = std::chrono::seconds(4);
-        Duration dutyRenewal = std::chrono::milliseconds(1200);
+        /// A dead holder's duty is free after this time. No service gets a new primary meanwhile, so it is a few
+        /// renewals only; the store's shortest lease if that is longer.
+        Duration dutyLease = std::chrono::seconds(2);
+        Duration dutyRenewal = std::chrono::milliseconds(600); ///< Three within a lease, as each may be lost.
         /// The holder stops this much before its lease can have ended.
-        Duration dutyMargin = std::chrono::milliseconds(500);
+        Duration dutyMargin = std::chrono::milliseconds(400);
         Duration reportEvery = std::chrono::milliseconds(250);
         /// Hosts of each region that watch for the others in a large fleet, and for hosts that the store refuses.
         size_t relaysPerRegion = 3; ///< A third of the hosts may be cut off from the store at the same time.
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -18,6 +18,7 @@
     std::string promotionAddress; ///< ip:port; empty: promotions are ordered by nobody.
     std::string logLevel = "info";
     bool firstStart = true; ///< The whole system starts for the first time.
+    Duration storeMinLease = std::chrono::seconds(1); ///< The store grants no shorter leases.
     Duration drainLimit = std::chrono::seconds(7); ///< A leaving server gets no new work after this time.
     Duration shutdownGrace = std::chrono::seconds(6); ///< From SIGTERM to SIGKILL.
     size_t maxDescriptors = 4096;
--- a/src/gateway_settings_file.cpp
+++ b/src/gateway_settings_file.cpp
@@ -35,6 +35,7 @@
         { "promotions", &GatewaySettings::promotionAddress, ValueKind::OptionalEndpoint },
         { "log_level", &GatewaySettings::logLevel, ValueKind::Level },
         { "first_start", &GatewaySettings::firstStart },
+        { "store_min_lease", &GatewaySettings::storeMinLease, ValueKind::Text, false, secondUs / 10, 600 * secondUs },
         { "drain_limit", &GatewaySettings::drainLimit, ValueKind::Text, false, secondUs / 10, 600 * secondUs },
         { "shutdown_grace", &GatewaySettings::shutdownGrace, ValueKind::Text, false, secondUs / 10, 600 * secondUs },
         { "large_fleet", &GatewaySettings::largeFleet, ValueKind::Text, false, 2, 1 << 20 },
--- a/src/quota_exchange.h
+++ b/src/quota_exchange.h
@@ -19,8 +19,8 @@
 /// hosts in reach, and asks that host for every operation.
 ///
 /// A host that is out of reach may still serve and counts for itself within its part of the rate, so the others leave
-/// that part to it until it is known to be gone. A host that is asked though another one should be checks whether that one
-/// still answers; if not, it counts in its place.
+/// that part to it until it is known to be gone. A host that is asked though another one should be checks whether that
+/// one still answers; if not, it counts in its place.
 class QuotaExchange final : public QuotaGate {
 public:
     struct Settings {
--- a/tests/unit_fleet_member.cpp
+++ b/tests/unit_fleet_member.cpp
@@ -95,6 +95,22 @@
 }
 
 // Hosts of another region hear fewer reports, and take nobody for silent for that.
+// While nobody holds the duty, no service gets a new primary: a dead holder is followed within 3 s.
+BOOST_AUTO_TEST_CASE(dead_holder_of_the_duty_is_followed_soon)
+{
+    for (const size_t n : { 9U, 60U }) {
+        FakeFleet fleet(n);
+        fleet.pass(seconds(10));
+        BOOST_REQUIRE_EQUAL(fleet.holders(), 1U);
+        size_t holder = 0;
+        while (!fleet.hosts[holder]->duty.holding())
+            ++holder;
+        fleet.dead.insert(holder);
+        fleet.pass(seconds(3));
+        BOOST_TEST(fleet.holders() == 2U); // The dead one does not know.
+    }
+}
+
 BOOST_AUTO_TEST_CASE(other_regions_hear_less)
 {
     FakeFleet fleet(40, 2);
