Wait for a customer's own connection where a server opens slowly

An opening takes 12 ms of one of six slots and queues for it like a statement. Change: the pool measures openings and loans of each server; a customer with a connection in use waits for it if it is likely to be back before another would be open.

--- a/src/connection_pool.cpp
+++ b/src/connection_pool.cpp
@@ -62,6 +62,7 @@
     size_t unanswered = 0;
     TransactionState state = TransactionState::Idle;
     Instant since; ///< Start of the stage.
+    Instant lentAt;
 };
 
 void ConnectionPool::Link::send(const BackendCommand& command)
@@ -142,7 +143,7 @@
         fail(user, BackendCloseReason::Refused);
         return true;
     }
-    if (comes || opening >= m_settings.maxOpening)
+    if (comes || opening >= m_settings.maxOpening || returnsSooner(server, *user))
         return false;
     const size_t cap = std::max(minConnections, static_cast<size_t>(shareOf(entry->service)));
     if (server.connections.size() >= cap) {
@@ -156,6 +157,29 @@
     return true;
 }
 
+// Returns whether a connection that the customer uses is likely to come back before a new one would be open.
+bool ConnectionPool::returnsSooner(const Server& server, const User& user)
+{
+    const auto inUse = std::count_if(server.connections.begin(), server.connections.end(),
+        [&](const auto& it) { return it->customer == user.customer && it->stage != Physical::Stage::Idle; });
+    if (inUse == 0)
+        return false;
+    int64_t ahead = 0;
+    for (const std::shared_ptr<User>& other : server.waiting) {
+        if (other.get() == &user)
+            break;
+        ahead += other->customer == user.customer && other->observer != nullptr ? 1 : 0;
+    }
+    // Loans end evenly over their time.
+    return server.loanTime * (ahead + 1) / (inUse + 1) < server.openingTime;
+}
+
+void ConnectionPool::measure(Duration& average, Duration sample) const
+{
+    const double gain = average == Duration(0) ? 1 : m_settings.timeGain;
+    average += std::chrono::duration_cast<Duration>((sample - average) * gain);
+}
+
 void ConnectionPool::openFor(Server& server, const std::shared_ptr<User>& user)
 {
     const ServerEntry* const entry = m_findServer(user->server);
@@ -176,6 +200,7 @@
     user->connection = &connection;
     if (!untested) {
         connection.stage = Physical::Stage::Lent;
+        connection.lentAt = connection.since;
         announce(user);
         return;
     }
@@ -246,11 +271,15 @@
 
 void ConnectionPool::becomeIdle(Physical& connection)
 {
+    const bool returned = connection.stage == Physical::Stage::Cleaning;
     connection.stage = Physical::Stage::Idle;
     connection.since = m_clock();
     const auto it = m_servers.find(connection.entry.id);
-    if (it != m_servers.end())
-        serveWaiting(it->second);
+    if (it == m_servers.end())
+        return;
+    if (returned)
+        measure(it->second.loanTime, std::chrono::duration_cast<Duration>(connection.since - connection.lentAt));
+    serveWaiting(it->second);
 }
 
 void ConnectionPool::discard(Physical& connection)
@@ -279,7 +308,10 @@
 {
     Server& server = m_servers[connection.entry.id];
     server.allowance.noteOpened();
-    connection.since = m_clock();
+    const Instant now = m_clock();
+    measure(server.openingTime, std::chrono::duration_cast<Duration>(now - connection.since));
+    connection.since = now;
+    connection.lentAt = now;
     if (connection.user == nullptr) {
         becomeIdle(connection);
         return;
@@ -307,6 +339,7 @@
     }
     if (connection.stage == Physical::Stage::Testing && user != nullptr) {
         connection.stage = Physical::Stage::Lent;
+        connection.lentAt = m_clock();
         if (user->observer != nullptr)
             user->observer->backendOpened();
         return;
--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -26,6 +26,9 @@
     Duration keepIdle = std::chrono::seconds(3);
     Duration keepIdlePerConnection = std::chrono::milliseconds(350); ///< For each connection of the share.
     size_t maxWaiting = 8; ///< Waiting for one server; further ones are refused at once.
+    /// Weight of a new measurement in the moving averages of openings and loans: some ten of them, a second of a busy
+    /// server.
+    double timeGain = 0.2;
 };
 
 /// Keeps open connections to backend servers after their use and lends them again to the same customer.
@@ -35,6 +38,9 @@
 /// statement opens one, which takes a slot of the server for about as long as the statement itself. A host that lends
 /// to all others (LinkServer) sees all statements of its customers.
 ///
+/// Where a server is saturated, openings queue for its slots like statements do. A customer with a connection in use
+/// waits for that one then, as it comes back sooner than another would be open, and costs no slot.
+///
 /// A connection that comes back is rolled back and reset before it is lent again, and closed if it still owes replies.
 class ConnectionPool final : public BackendConnector {
 public:
@@ -65,6 +71,8 @@
         ConnectionAllowance allowance;
         std::list<std::unique_ptr<Physical>> connections;
         std::deque<std::shared_ptr<User>> waiting;
+        Duration openingTime { 0 }; ///< Moving average; 0 until one was measured.
+        Duration loanTime { 0 }; ///< From lending to the reset after the return; likewise.
     };
     struct Limit {
         unsigned connections = 1;
@@ -73,6 +81,8 @@
 
     double shareOf(const std::string& service) const;
     bool provide(Server&, const std::shared_ptr<User>&);
+    static bool returnsSooner(const Server&, const User&);
+    void measure(Duration& average, Duration sample) const;
     void openFor(Server&, const std::shared_ptr<User>&);
     void lend(Physical&, const std::shared_ptr<User>&);
     void announce(const std::shared_ptr<User>&);
--- a/tests/unit_connection_pool.cpp
+++ b/tests/unit_connection_pool.cpp
@@ -272,6 +272,47 @@
     BOOST_TEST(connector.links.back().closed);
 }
 
+// Load pattern: a saturated server, at which openings queue for its slots as statements do. A second statement of a
+// customer waits for the connection of the first; before a server that opens fast it gets one of its own.
+BOOST_FIXTURE_TEST_CASE(a_saturated_server_gets_no_needless_opening, Fixture)
+{
+    struct Speed {
+        milliseconds opening;
+        milliseconds loan;
+        size_t connections;
+    };
+    for (const Speed& speed : { Speed { milliseconds(120), milliseconds(100), 1 },
+             Speed { milliseconds(10), milliseconds(100), 2 }, Speed { milliseconds(120), milliseconds(100), 1 } }) {
+        const auto use = [&](const std::string& customer) {
+            Borrower borrower;
+            std::unique_ptr<BackendLink> link = pool.open(entry, customer, borrower);
+            now += speed.opening;
+            settle();
+            BOOST_TEST(borrower.opened == 1U);
+            now += speed.loan;
+            link.reset();
+            connector.answerOwnCommands({ 1, 1 });
+            pass(seconds(10)); // No connection stays.
+        };
+        for (int i = 0; i < 30; ++i)
+            use("customer" + std::to_string(i));
+        const size_t before = openLinks();
+        Borrower first;
+        std::unique_ptr<BackendLink> firstLink = pool.open(entry, "hatter", first);
+        now += speed.opening;
+        settle();
+        Borrower second;
+        const std::unique_ptr<BackendLink> secondLink = pool.open(entry, "hatter", second);
+        settle();
+        BOOST_TEST(openLinks() - before == speed.connections);
+        now += speed.loan / 2;
+        firstLink.reset();
+        connector.answerOwnCommands({ 1, 1 });
+        settle();
+        BOOST_TEST(second.opened == 1U);
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(a_waiting_customer_holds_up_no_other, Fixture)
 {
     Borrower first;
