Split FleetMember into a family of files

Change: duty, reports and relays in files of their own; the two places that claim the duty became dutyItemRead() and tickDuty().

--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -103,29 +103,37 @@
 
     void registerHost();
     void renewRegistration();
+    void fleetChanged();
+
+    // fleet_member_duty.cpp
+    void dutyItemRead();
+    void tickDuty();
     void claimDuty();
     void renewDuty();
     void dutyEnded();
     void passDutyOn();
     bool dutyAllowed() const;
+    Duration claimDelay(Duration least);
+
+    // fleet_member_reports.cpp
     void sendReports();
     void greet();
     void probe();
     void noteSilent(const std::string& host, Peer&, const std::string& reason);
     Duration reportInterval() const;
     Duration silenceLimit(const Peer&) const;
-    Duration claimDelay(Duration least);
     bool reportsSparsely(const Peer&) const;
     bool outOfReach(const Peer&) const;
+    Primaries provenPrimaries() const;
+    enum class ReportKind : uint8_t { Plain, Leaving, Asking, Count }; ///< Asking: the receiver reports back at once.
+    std::string report(ReportKind, const Primaries&) const;
+
+    // fleet_member_relay.cpp
     StoreSource storeSource() const;
     void chooseSource();
     std::vector<std::string> relays() const;
     std::vector<std::pair<std::string, std::string>> watchingHosts() const;
     void relay(const StoreEvents&);
-    void fleetChanged();
-    Primaries provenPrimaries() const;
-    enum class ReportKind : uint8_t { Plain, Leaving, Asking, Count }; ///< Asking: the receiver reports back at once.
-    std::string report(ReportKind, const Primaries&) const;
 
     GatewaySettings m_gatewaySettings;
     Settings m_settings;
--- /dev/null
+++ b/src/fleet_member_relay.cpp
@@ -0,0 +1,84 @@
+#include "fleet_member.h"
+#include "log_event.h"
+#include <algorithm>
+
+// Which hosts watch the store for the others, and what they tell.
+
+namespace plantainwall {
+
+std::vector<std::string> FleetMember::relays() const
+{
+    std::vector<RelayCandidate> candidates;
+    if (m_follower.reachable())
+        candidates.push_back({ m_gatewaySettings.host, m_gatewaySettings.region });
+    for (const auto& [host, peer] : m_peers) {
+        if (peer.registered && peer.storeReachable && !outOfReach(peer))
+            candidates.push_back({ host, peer.region });
+    }
+    return relaysOf(m_gatewaySettings.region, candidates, m_settings.relaysPerRegion);
+}
+
+StoreSource FleetMember::storeSource() const
+{
+    const bool refused = std::any_of(m_peers.begin(), m_peers.end(),
+        [](const auto& peer) { return !peer.second.silent && !peer.second.storeReachable; });
+    if (!largeFleet() && m_follower.reachable() && !refused)
+        return StoreSource::Watch;
+    if (!largeFleet() && !m_follower.reachable())
+        return m_follower.listed() ? StoreSource::Relay : StoreSource::Watch;
+    const std::vector<std::string> hosts = relays();
+    if (std::find(hosts.begin(), hosts.end(), m_gatewaySettings.host) != hosts.end())
+        return StoreSource::WatchForOthers;
+    // Orders to promote must not rest on what another host believes.
+    return m_duty.holding() || !largeFleet() ? StoreSource::Watch : StoreSource::Relay;
+}
+
+void FleetMember::chooseSource()
+{
+    const StoreSource source = storeSource();
+    if (source == m_source)
+        return;
+    m_source = source;
+    m_follower.setSource(source);
+    m_gateway.setEvidenceFromPeers(source == StoreSource::Relay && largeFleet());
+    logEvent(LogEvent::StoreSourceChanged,
+        { { "source", storeSourceName(source) }, { "hosts", m_peers.size() + 1 },
+            { "revision", m_follower.standing().to } });
+}
+
+std::vector<std::pair<std::string, std::string>> FleetMember::watchingHosts() const
+{
+    std::vector<std::pair<std::string, std::string>> sources;
+    if (m_source != StoreSource::Relay)
+        return sources;
+    for (const std::string& host : relays()) {
+        const auto it = m_peers.find(host);
+        if (it != m_peers.end() && !it->second.address.empty())
+            sources.emplace_back(host, it->second.address);
+    }
+    // Hosts begin with different ones, so that the load is spread.
+    if (!sources.empty())
+        std::rotate(
+            sources.begin(), sources.begin() + static_cast<ptrdiff_t>(m_incarnation % sources.size()), sources.end());
+    return sources;
+}
+
+void FleetMember::relay(const StoreEvents& events)
+{
+    for (const std::string& datagram : encodeStoreEvents(events)) {
+        for (const auto& [host, peer] : m_peers) {
+            if (peer.region == m_gatewaySettings.region && !peer.address.empty() && !outOfReach(peer))
+                m_channel.send(peer.address, datagram);
+        }
+    }
+}
+
+void FleetMember::eventsRead(const StoreEvents& events)
+{
+    // Hosts that the store will refuse from now on need also what comes before the others notice and tell them.
+    m_changes.keep(events);
+    if (m_source == StoreSource::WatchForOthers && events.from < events.to)
+        relay(events);
+}
+
+} // namespace plantainwall
