--- a/tests/integration_soak.cpp
+++ b/tests/integration_soak.cpp
@@ -206,6 +206,7 @@
             routes.push_back({ lineRouteName(static_cast<LineRoute>(i)), kinds[i], staleness[i],
                 milliseconds(1000 + 500 * (m_random() % 3)) });
         std::vector<LineCustomerDraft> customers;
+        customers.reserve(3);
         for (int i = 0; i < 3; ++i)
             customers.push_back({ "customer" + std::to_string(i), 1000, !(revoked && i == 2) });
         m_revoked = revoked;
