Keep hosts apart that share one file of log lines

Cause: explain took the greatest time of a file for the clock of all hosts in it, so of two logs in one file the second moved to the end of the first, and unrelated lines came into the surroundings. Change: times are kept in order for each host.

--- a/src/log_explain.cpp
+++ b/src/log_explain.cpp
@@ -96,7 +96,7 @@
 
 void LogExplainer::read(std::istream& in)
 {
-    uint64_t lastTimeUs = 0;
+    std::map<std::string, uint64_t> lastTimes; // By host.
     std::string line;
     while (std::getline(in, line)) {
         if (line.empty())
@@ -115,9 +115,10 @@
             ++m_unreadable;
             continue;
         }
-        // The clock of a host may be set back; its own lines keep their order.
-        record.timeUs = lastTimeUs = std::max(record.timeUs, lastTimeUs);
         record.host = record.text("host");
+        // The clock of a host may be set back; its own lines keep their order.
+        uint64_t& last = lastTimes[record.host];
+        record.timeUs = last = std::max(record.timeUs, last);
         record.event = logEventFromName(eventName(record));
         m_records.push_back(std::move(record));
     }
--- a/tests/unit_log_explain.cpp
+++ b/tests/unit_log_explain.cpp
@@ -100,6 +100,16 @@
     BOOST_TEST(explainer.explain("r1").concluded);
 }
 
+// The logs of several hosts may come in one file, one after the other.
+BOOST_AUTO_TEST_CASE(hosts_may_share_a_file)
+{
+    const std::string log = line("40.000000", "a", LogEvent::Stopped, "")
+        + line(
+            "20.000000", "b", LogEvent::StatementServed, R"("request":"r1","service":"s","server":"s-1","attempt":1)")
+        + line("39.000000", "c", LogEvent::FailoverStep, R"("service":"s","server":"s-1","step":"promote")");
+    BOOST_TEST(explain({ log }, "r1").around.empty());
+}
+
 // A host whose clock is set back keeps the order of its own lines.
 BOOST_AUTO_TEST_CASE(order_of_a_host_is_kept)
 {
