Test the promotion coordinator against a simulated service

A service of a primary and two replicas in virtual time, with registrations, connections, replication and the promotion service as the coordinator sees them. At every promotion that takes effect, the promoted server must have every acknowledged commit; after the last fault, commits must be acknowledged again within 12 s.

--- /dev/null
+++ b/tests/support_replicated_service.cpp
@@ -0,0 +1,721 @@
+#include "support_replicated_service.h"
+#include <algorithm>
+#include <sstream>
+
+namespace plantainwall {
+
+namespace {
+
+    const char* const serviceName = "orders";
+    constexpr Duration stepTime = std::chrono::milliseconds(5);
+    constexpr Duration hostTickInterval = std::chrono::milliseconds(10);
+    /// Interval at which messages are sent again over a path that is cut.
+    constexpr Duration resendInterval = std::chrono::milliseconds(20);
+    /// A replica that was rolled back answers no commands for this long.
+    constexpr Duration rollbackTime = std::chrono::milliseconds(100);
+    constexpr size_t receiveBatch = 20; ///< Commits that a replica can receive in one step while it catches up.
+    constexpr uint64_t firstStartUnixMs = 1'700'000'000'000;
+
+    size_t commonPrefix(const std::vector<uint64_t>& a, const std::vector<uint64_t>& b)
+    {
+        const size_t n = std::min(a.size(), b.size());
+        return static_cast<size_t>(
+            std::mismatch(a.begin(), a.begin() + static_cast<std::ptrdiff_t>(n), b.begin()).first - a.begin());
+    }
+
+    LogPosition positionOf(const std::vector<uint64_t>& log)
+    {
+        return log.empty() ? LogPosition() : LogPosition { log.back(), log.size() };
+    }
+
+    std::string describe(const LogPosition& position)
+    {
+        return std::to_string(position.term) + "." + std::to_string(position.position);
+    }
+
+} // namespace
+
+struct ReplicatedService::Server {
+    std::string id;
+    std::string address;
+    size_t index = 0;
+    bool running = true;
+    bool left = false;
+    bool dark = false;
+    bool storeCut = false;
+    bool replicationCut = false;
+    bool draining = false;
+    std::set<size_t> hostCuts;
+    Duration receiveDelay { 0 };
+    std::vector<uint64_t> log; ///< Terms of the commits.
+    uint64_t term = 1; ///< Newest term that the server knows.
+    uint64_t stoppedAtTerm = 0;
+    uint64_t startedUnixMs = 0;
+    uint64_t incarnation = 1; ///< Rises with each start, with or without the log.
+    Instant busyUntil;
+    // Following the primary.
+    bool linked = false;
+    uint64_t linkTerm = 0;
+    uint64_t linkIncarnation = 0; ///< Incarnation of the primary.
+    Instant linkUsableAt;
+    size_t confirmed = 0; ///< Commits that were confirmed over the present link.
+    // Registration.
+    Instant storeReached;
+    std::optional<ServerEntry> published;
+    bool withdrawnForGood = false;
+};
+
+struct ReplicatedService::Connection {
+    size_t host = 0;
+    std::string server;
+    uint64_t incarnation = 0;
+    BackendObserver* observer = nullptr; ///< Null once the host has closed the connection.
+    bool open = false;
+    bool closed = false;
+    std::deque<std::pair<Instant, BackendCommand>> commands; ///< By time of arrival.
+    std::deque<std::pair<Instant, BackendReply>> replies;
+};
+
+struct ReplicatedService::Link final : BackendLink {
+    Link(ReplicatedService& service, std::shared_ptr<Connection> connection)
+        : service(service)
+        , connection(std::move(connection))
+    {
+    }
+    ~Link() override { connection->observer = nullptr; }
+
+    void send(const BackendCommand& command) override
+    {
+        const Instant due = service.now + service.m_timing.messageDelay;
+        connection->commands.emplace_back(due, command);
+        service.timers.add(due, [owner = &service, it = connection] { owner->deliverCommands(it); });
+    }
+
+    ReplicatedService& service;
+    std::shared_ptr<Connection> connection;
+};
+
+struct ReplicatedService::Host final : BackendConnector, PromotionService {
+    Host(ReplicatedService& service, size_t index)
+        : service(service)
+        , index(index)
+        , gateway(
+              GatewaySettings(), unused, quota, [&service] { return service.now; }, metrics, index + 1)
+    {
+        gateway.setConfiguration(GatewayFixture::configuration(1));
+    }
+
+    std::unique_ptr<BackendLink> open(const ServerEntry& entry, const std::string&, BackendObserver& observer) override
+    {
+        const std::shared_ptr<Connection> connection = std::make_shared<Connection>();
+        connection->host = index;
+        connection->server = entry.id;
+        connection->observer = &observer;
+        service.m_connections.erase(std::remove_if(service.m_connections.begin(), service.m_connections.end(),
+                                        [](const std::weak_ptr<Connection>& it) { return it.expired(); }),
+            service.m_connections.end());
+        service.m_connections.push_back(connection);
+        service.timers.add(service.now + service.m_timing.connectDelay,
+            [owner = &service, connection] { owner->deliverConnect(connection); });
+        return std::make_unique<Link>(service, connection);
+    }
+
+    std::optional<ServerStatus> statusOf(const BackendReply& reply) override
+    {
+        if (reply.error != BackendError::None || reply.rows.empty())
+            return std::nullopt;
+        std::istringstream row(reply.rows.front());
+        ServerStatus status;
+        row >> status.primary >> status.term >> status.received.term >> status.received.position
+            >> status.stoppedAtTerm;
+        return status;
+    }
+
+    void promote(const std::string&, const std::string& id, const std::string&, uint64_t token,
+        std::function<void(PromotionOutcome)> handler) override
+    {
+        service.timers.add(service.now + service.m_timing.promotionDelay,
+            [this, id, token, handler = std::move(handler)] { service.orderPromotion(id, token, index, handler); });
+    }
+
+    ReplicatedService& service;
+    size_t index;
+    FakeConnector unused; ///< Of the gateway, which serves no sessions.
+    FakeQuota quota;
+    Metrics metrics;
+    Gateway gateway;
+    std::unique_ptr<PromotionCoordinator> coordinator;
+};
+
+ReplicatedService::ReplicatedService(size_t hosts, const ReplicatedServiceTiming& timing)
+    : m_timing(timing)
+    , m_leader("p")
+    , m_nextCommit(now)
+{
+    for (size_t i = 0; i < hosts; ++i)
+        m_hosts.push_back(std::make_unique<Host>(*this, i));
+    for (const char* id : { "p", "r1", "r2" })
+        addServer(id, std::string("address of ") + id);
+    activate(0);
+}
+
+ReplicatedService::~ReplicatedService() = default;
+
+void ReplicatedService::addServer(const std::string& id, const std::string& address)
+{
+    std::unique_ptr<Server> server = std::make_unique<Server>();
+    server->id = id;
+    server->address = address;
+    server->index = m_serverIds.size();
+    server->receiveDelay = m_timing.receiveDelay;
+    server->term = m_term;
+    server->startedUnixMs
+        = firstStartUnixMs + static_cast<uint64_t>(now.time_since_epoch() / std::chrono::milliseconds(1));
+    m_serverIds.push_back(id);
+    stepRegistration(*(m_servers[id] = std::move(server)));
+}
+
+ReplicatedService::Server* ReplicatedService::find(const std::string& id)
+{
+    const auto it = m_servers.find(id);
+    return it == m_servers.end() ? nullptr : it->second.get();
+}
+
+const ReplicatedService::Server* ReplicatedService::find(const std::string& id) const
+{
+    const auto it = m_servers.find(id);
+    return it == m_servers.end() ? nullptr : it->second.get();
+}
+
+void ReplicatedService::note(const std::string& event)
+{
+    const int64_t ms = now.time_since_epoch() / std::chrono::milliseconds(1) - 1'000'000;
+    m_trace.push_back(std::to_string(ms) + " ms: " + event);
+}
+
+std::string ReplicatedService::trace() const
+{
+    std::string result;
+    for (const std::string& line : m_trace)
+        result += line + "\n";
+    return result;
+}
+
+void ReplicatedService::pass(Duration duration)
+{
+    for (Duration passed {}; passed < duration; passed += stepTime) {
+        now += stepTime;
+        timers.run(now);
+        stepServers();
+        m_sinceHostTick += stepTime;
+        if (m_sinceHostTick < hostTickInterval)
+            continue;
+        m_sinceHostTick = Duration(0);
+        for (const std::unique_ptr<Host>& host : m_hosts) {
+            host->gateway.tick();
+            if (host->coordinator)
+                host->coordinator->tick(true);
+        }
+    }
+}
+
+bool ReplicatedService::passUntil(Duration limit, const std::function<bool()>& condition)
+{
+    for (Duration passed {}; passed < limit && !condition(); passed += stepTime)
+        pass(stepTime);
+    return condition();
+}
+
+// Coordinators.
+
+void ReplicatedService::activate(size_t host)
+{
+    m_hosts[m_active]->coordinator.reset();
+    m_active = host;
+    ++m_token;
+    Host& it = *m_hosts[host];
+    it.coordinator = std::make_unique<PromotionCoordinator>(
+        it.gateway, it, it, [this] { return now; }, std::to_string(host), it.metrics);
+    it.coordinator->setActive(true, m_token);
+    note("host " + std::to_string(host) + " coordinates");
+}
+
+bool ReplicatedService::coordinatorUnreachable() const
+{
+    const Host& host = *m_hosts[m_active];
+    return host.coordinator && host.coordinator->serversUnreachable();
+}
+
+// Faults.
+
+void ReplicatedService::end(Server& server, bool leaves)
+{
+    server.running = false;
+    server.linked = false;
+    server.stoppedAtTerm = 0;
+    server.left = server.left || leaves;
+    for (const std::weak_ptr<Connection>& entry : m_connections) {
+        const std::shared_ptr<Connection> connection = entry.lock();
+        if (connection && connection->server == server.id && connection->open && !connection->closed)
+            timers.add(now + m_timing.messageDelay,
+                [this, connection] { deliverClose(connection, BackendCloseReason::Lost); });
+    }
+}
+
+void ReplicatedService::start(Server& server)
+{
+    server.running = true;
+    ++server.incarnation;
+    if (!server.log.empty())
+        server.term = m_term;
+    server.storeReached = now;
+}
+
+void ReplicatedService::crash(const std::string& id)
+{
+    Server& server = *find(id);
+    note("crash " + id + " at " + describe(positionOf(server.log)));
+    end(server, false);
+}
+
+void ReplicatedService::restart(const std::string& id)
+{
+    Server& server = *find(id);
+    if (server.running || server.left)
+        return;
+    note("restart " + id + " at " + describe(positionOf(server.log)));
+    start(server);
+}
+
+void ReplicatedService::restartEmpty(const std::string& id)
+{
+    Server& server = *find(id);
+    if (server.left)
+        return;
+    note("restart empty " + id + " from " + describe(positionOf(server.log)));
+    if (server.running)
+        end(server, false);
+    if (holdsOnlyCopy(id))
+        note("the only copy of acknowledged commits is destroyed with " + id);
+    server.log.clear();
+    server.term = 0;
+    if (m_leader == id)
+        m_leader.clear();
+    server.startedUnixMs
+        = firstStartUnixMs + static_cast<uint64_t>(now.time_since_epoch() / std::chrono::milliseconds(1));
+    start(server);
+}
+
+void ReplicatedService::setDark(const std::string& id, bool dark)
+{
+    bool& current = find(id)->dark;
+    if (current != dark)
+        note(id + (dark ? " goes dark" : " is back"));
+    current = dark;
+}
+
+void ReplicatedService::setStoreCut(const std::string& id, bool cut)
+{
+    bool& current = find(id)->storeCut;
+    if (current != cut)
+        note(id + (cut ? " loses the store" : " reaches the store"));
+    current = cut;
+}
+
+void ReplicatedService::setHostCut(const std::string& id, size_t host, bool cut)
+{
+    std::set<size_t>& cuts = find(id)->hostCuts;
+    if (cut ? cuts.insert(host).second : cuts.erase(host) > 0)
+        note(id + (cut ? " loses host " : " reaches host ") + std::to_string(host));
+}
+
+void ReplicatedService::setReplicationCut(const std::string& id, bool cut)
+{
+    bool& current = find(id)->replicationCut;
+    if (current != cut)
+        note(id + (cut ? " loses the replication" : " replicates again"));
+    current = cut;
+}
+
+void ReplicatedService::setReceiveDelay(const std::string& id, Duration delay)
+{
+    Duration& current = find(id)->receiveDelay;
+    if (current != delay)
+        note(id + " receives after " + std::to_string(delay / std::chrono::milliseconds(1)) + " ms");
+    current = delay;
+}
+
+void ReplicatedService::leave(const std::string& id, Duration drainTime, Duration endsAfter)
+{
+    note(id + " drains");
+    find(id)->draining = true;
+    timers.add(now + drainTime, [this, id] {
+        find(id)->withdrawnForGood = true;
+        withdraw(*find(id));
+    });
+    timers.add(now + drainTime + endsAfter, [this, id] {
+        Server& server = *find(id);
+        note(id + " has left at " + describe(positionOf(server.log)));
+        end(server, true);
+        if (holdsOnlyCopy(id))
+            note("the only copy of acknowledged commits leaves with " + id);
+        if (m_leader == id)
+            m_leader.clear();
+    });
+}
+
+void ReplicatedService::replace(const std::string& left, const std::string& id, bool withLog)
+{
+    const Server& old = *find(left);
+    note(id + " starts at the address of " + left + (withLog ? " with its log" : ""));
+    addServer(id, old.address);
+    Server& server = *find(id);
+    if (withLog)
+        server.log = old.log;
+    else
+        server.term = 0;
+}
+
+// State.
+
+bool ReplicatedService::isRunning(const std::string& id) const { return find(id)->running; }
+bool ReplicatedService::isDark(const std::string& id) const { return find(id)->dark; }
+bool ReplicatedService::hasLeft(const std::string& id) const { return find(id)->left; }
+bool ReplicatedService::isDraining(const std::string& id) const { return find(id)->draining; }
+bool ReplicatedService::isRegistered(const std::string& id) const { return find(id)->published.has_value(); }
+size_t ReplicatedService::logSize(const std::string& id) const { return find(id)->log.size(); }
+
+std::vector<std::string> ReplicatedService::servers() const
+{
+    std::vector<std::string> result;
+    for (const std::string& id : m_serverIds) {
+        if (!find(id)->left)
+            result.push_back(id);
+    }
+    return result;
+}
+
+bool ReplicatedService::holdsOnlyCopy(const std::string& id) const
+{
+    size_t others = 0;
+    for (const auto& [other, server] : m_servers) {
+        if (other != id && !server->left)
+            others = std::max(others, commonWithLineage(*server));
+    }
+    return others < std::min(m_acknowledged, commonWithLineage(*find(id)));
+}
+
+// Registration.
+
+void ReplicatedService::stepRegistration(Server& server)
+{
+    if (server.running && !server.dark && !server.storeCut) {
+        server.storeReached = now;
+        const bool primary = m_leader == server.id;
+        if (!server.withdrawnForGood
+            && (!server.published || server.published->primary != primary
+                || server.published->draining != server.draining
+                || server.published->startedUnixMs != server.startedUnixMs))
+            publish(server);
+    } else if (server.published && now - server.storeReached >= m_timing.registrationTimeout)
+        withdraw(server);
+}
+
+void ReplicatedService::publish(Server& server)
+{
+    ServerEntry entry;
+    entry.id = server.id;
+    entry.service = serviceName;
+    entry.address = server.address;
+    entry.slots = 4;
+    entry.draining = server.draining;
+    entry.primary = m_leader == server.id;
+    entry.startedUnixMs = server.startedUnixMs;
+    server.published = entry;
+    for (const std::unique_ptr<Host>& host : m_hosts)
+        timers.add(now + m_timing.registrationDelay, [it = host.get(), entry] {
+            it->gateway.directory().registerServer(entry);
+            it->gateway.serversChanged();
+        });
+}
+
+void ReplicatedService::withdraw(Server& server)
+{
+    if (!server.published)
+        return;
+    note("the registration of " + server.id + " ends");
+    server.published.reset();
+    for (const std::unique_ptr<Host>& host : m_hosts)
+        timers.add(now + m_timing.registrationDelay, [this, it = host.get(), id = server.id] {
+            it->gateway.directory().remove(id, now);
+            it->gateway.serversChanged();
+        });
+}
+
+// Replication.
+
+void ReplicatedService::stepServers()
+{
+    for (const auto& [id, server] : m_servers)
+        stepRegistration(*server);
+    stepReplication();
+}
+
+void ReplicatedService::stepReplication()
+{
+    Server* const leader = m_leader.empty() ? nullptr : find(m_leader);
+    if (leader == nullptr || !leader->running) {
+        for (const auto& [id, server] : m_servers)
+            server->linked = false;
+        m_nextCommit = now;
+        return;
+    }
+    for (; m_nextCommit <= now; m_nextCommit += m_timing.commitInterval) {
+        leader->log.push_back(m_term);
+        m_lineage.push_back(m_term);
+        m_committedAt.push_back(now);
+        m_receivers.push_back(uint64_t(1) << (leader->index % 64));
+    }
+    for (const auto& [id, entry] : m_servers) {
+        Server& server = *entry;
+        if (&server == leader)
+            continue;
+        const bool connected = server.running && !server.dark && !leader->dark && !server.replicationCut
+            && !leader->replicationCut && server.stoppedAtTerm == 0;
+        if (!connected) {
+            server.linked = false;
+            continue;
+        }
+        if (!server.linked || server.linkTerm != m_term || server.linkIncarnation != leader->incarnation) {
+            server.linked = true;
+            server.linkTerm = m_term;
+            server.linkIncarnation = leader->incarnation;
+            server.linkUsableAt = now + m_timing.followDelay;
+            server.confirmed = 0;
+        }
+        if (now < server.linkUsableAt)
+            continue;
+        if (server.confirmed == 0) {
+            server.term = m_term;
+            const size_t common = commonPrefix(server.log, leader->log);
+            if (common < server.log.size()) {
+                server.log.resize(common);
+                server.busyUntil = now + rollbackTime;
+            }
+        }
+        for (size_t i = 0; i < receiveBatch && server.log.size() < leader->log.size(); ++i) {
+            const size_t next = server.log.size();
+            if (m_committedAt[next] + server.receiveDelay > now)
+                break;
+            server.log.push_back(leader->log[next]);
+            m_receivers[next] |= uint64_t(1) << (server.index % 64);
+        }
+        if (server.log.size() > server.confirmed) {
+            server.confirmed = server.log.size();
+            timers.add(now + m_timing.confirmDelay,
+                [this, id = server.id, term = m_term, size = server.confirmed] { confirm(id, term, size); });
+        }
+    }
+}
+
+void ReplicatedService::confirm(const std::string& replica, uint64_t term, size_t size)
+{
+    const Server* const leader = m_leader.empty() ? nullptr : find(m_leader);
+    if (term != m_term || leader == nullptr || !leader->running || leader->dark || find(replica)->dark
+        || size <= m_acknowledged)
+        return;
+    m_acknowledged = size;
+    m_lastAcknowledgement = now;
+}
+
+// Promotions.
+
+void ReplicatedService::orderPromotion(
+    const std::string& id, uint64_t token, size_t host, std::function<void(PromotionOutcome)> handler)
+{
+    const Server* const server = find(id);
+    const bool accepted = token >= m_seenToken && server != nullptr && server->running;
+    m_seenToken = std::max(m_seenToken, token);
+    note("order to promote " + id + " with token " + std::to_string(token) + " of host " + std::to_string(host)
+        + (accepted ? "" : " rejected"));
+    if (accepted && m_leader != id)
+        timers.add(now + m_timing.promotionEffect, [this, id] { takeEffect(id); });
+    PromotionOutcome outcome = accepted ? PromotionOutcome::Done : PromotionOutcome::Rejected;
+    if (m_promotionAnswersLost)
+        outcome = PromotionOutcome::Unanswered;
+    timers.add(now + m_timing.promotionDelay, [handler = std::move(handler), outcome] { handler(outcome); });
+}
+
+size_t ReplicatedService::commonWithLineage(const Server& server) const { return commonPrefix(server.log, m_lineage); }
+
+std::string ReplicatedService::receiversOf(size_t number) const
+{
+    std::string result;
+    for (size_t i = 0; i < m_serverIds.size(); ++i) {
+        if ((m_receivers[number - 1] >> (i % 64) & 1) != 0)
+            result += (result.empty() ? "" : ", ") + m_serverIds[i];
+    }
+    return result;
+}
+
+void ReplicatedService::checkLosses(const Server& target)
+{
+    size_t available = 0;
+    for (const auto& [id, server] : m_servers) {
+        if (!server->left)
+            available = std::max(available, commonWithLineage(*server));
+    }
+    if (available < m_acknowledged) {
+        m_destroyed += m_acknowledged - available;
+        note("no copy remains of " + std::to_string(m_acknowledged - available) + " acknowledged commits");
+        m_acknowledged = available;
+    }
+    const size_t kept = commonWithLineage(target);
+    if (kept >= m_acknowledged)
+        return;
+    const std::string loss = "promoted " + target.id + " with " + describe(positionOf(target.log)) + " lacks "
+        + std::to_string(m_acknowledged - kept) + " acknowledged commits, up to "
+        + describe({ m_lineage[m_acknowledged - 1], m_acknowledged }) + ", which was received by "
+        + receiversOf(m_acknowledged);
+    note("LOST: " + loss);
+    m_losses.push_back(loss);
+}
+
+void ReplicatedService::takeEffect(const std::string& id)
+{
+    Server& target = *find(id);
+    if (!target.running || target.left || m_leader == id)
+        return;
+    checkLosses(target);
+    ++m_promotions;
+    ++m_term;
+    const size_t kept = commonWithLineage(target);
+    m_lineage = target.log;
+    m_committedAt.resize(kept);
+    m_committedAt.resize(m_lineage.size(), now);
+    m_receivers.resize(kept);
+    m_receivers.resize(m_lineage.size(), uint64_t(1) << (target.index % 64));
+    m_acknowledged = std::min(m_acknowledged, kept);
+    m_leader = id;
+    m_nextCommit = now;
+    target.stoppedAtTerm = 0;
+    target.term = m_term;
+    note(id + " leads term " + std::to_string(m_term) + " from " + describe(positionOf(target.log)));
+    for (const auto& [other, server] : m_servers) {
+        if (server.get() == &target || !server->running || server->dark)
+            continue;
+        server->term = m_term;
+        server->stoppedAtTerm = 0;
+        const size_t common = commonPrefix(server->log, m_lineage);
+        if (common < server->log.size()) {
+            server->log.resize(common);
+            server->busyUntil = now + rollbackTime;
+        }
+    }
+}
+
+// Connections.
+
+bool ReplicatedService::pathOpen(const Connection& connection) const
+{
+    const Server* const server = find(connection.server);
+    return server == nullptr || (!server->dark && server->hostCuts.count(connection.host) == 0);
+}
+
+void ReplicatedService::deliverConnect(const std::shared_ptr<Connection>& connection)
+{
+    if (connection->observer == nullptr)
+        return;
+    if (!pathOpen(*connection)) {
+        timers.add(now + resendInterval, [this, connection] { deliverConnect(connection); });
+        return;
+    }
+    const Server* const server = find(connection->server);
+    if (server->running) {
+        connection->open = true;
+        connection->incarnation = server->incarnation;
+        connection->observer->backendOpened();
+        return;
+    }
+    const bool addressReused = std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& other) {
+        return other.second.get() != server && other.second->address == server->address && other.second->running;
+    });
+    deliverClose(connection, addressReused ? BackendCloseReason::Misrouted : BackendCloseReason::Refused);
+}
+
+void ReplicatedService::deliverClose(const std::shared_ptr<Connection>& connection, BackendCloseReason reason)
+{
+    if (connection->observer == nullptr || connection->closed)
+        return;
+    if (!pathOpen(*connection)) {
+        timers.add(now + resendInterval, [this, connection, reason] { deliverClose(connection, reason); });
+        return;
+    }
+    connection->closed = true;
+    connection->observer->backendClosed(reason);
+}
+
+void ReplicatedService::deliverCommands(const std::shared_ptr<Connection>& connection)
+{
+    if (connection->closed)
+        return;
+    if (!pathOpen(*connection)) {
+        if (connection->observer != nullptr)
+            timers.add(now + resendInterval, [this, connection] { deliverCommands(connection); });
+        return;
+    }
+    Server& server = *find(connection->server);
+    if (!server.running || server.incarnation != connection->incarnation) {
+        deliverClose(connection, BackendCloseReason::Lost);
+        return;
+    }
+    while (!connection->commands.empty() && connection->commands.front().first <= now) {
+        const BackendCommand command = std::move(connection->commands.front().second);
+        connection->commands.pop_front();
+        const Instant due = now + m_timing.messageDelay;
+        connection->replies.emplace_back(due, execute(server, command));
+        timers.add(due, [this, connection] { deliverReplies(connection); });
+    }
+}
+
+void ReplicatedService::deliverReplies(const std::shared_ptr<Connection>& connection)
+{
+    if (connection->observer == nullptr || connection->closed)
+        return;
+    if (!pathOpen(*connection)) {
+        timers.add(now + resendInterval, [this, connection] { deliverReplies(connection); });
+        return;
+    }
+    while (connection->observer != nullptr && !connection->closed && !connection->replies.empty()
+        && connection->replies.front().first <= now) {
+        BackendReply reply = std::move(connection->replies.front().second);
+        connection->replies.pop_front();
+        connection->observer->backendReplied(std::move(reply));
+    }
+}
+
+BackendReply ReplicatedService::execute(Server& server, const BackendCommand& command)
+{
+    if (now < server.busyUntil)
+        return errorReply(BackendError::Busy);
+    const bool leads = m_leader == server.id;
+    if (command.kind == BackendCommandKind::StopReceiving && !leads && command.term > m_term) {
+        if (server.stoppedAtTerm == 0)
+            note(server.id + " stops at " + describe(positionOf(server.log)));
+        server.stoppedAtTerm = std::max(server.stoppedAtTerm, command.term);
+    } else if (command.kind == BackendCommandKind::ResumeReceiving) {
+        if (server.stoppedAtTerm != 0)
+            note(server.id + " resumes");
+        server.stoppedAtTerm = 0;
+    } else if (command.kind == BackendCommandKind::Demote && leads && command.term > m_term) {
+        note(server.id + " is demoted at " + describe(positionOf(server.log)));
+        m_leader.clear();
+    }
+    const LogPosition received = positionOf(server.log);
+    std::ostringstream row;
+    row << (m_leader == server.id) << ' ' << server.term << ' ' << received.term << ' ' << received.position << ' '
+        << server.stoppedAtTerm;
+    return okReply(row.str(), received);
+}
+
+} // namespace plantainwall
