--- a/tests/support_replicated_service.h
+++ b/tests/support_replicated_service.h
@@ -17,6 +17,8 @@
     Duration registrationTimeout = std::chrono::milliseconds(1500);
     Duration promotionDelay = std::chrono::milliseconds(20); ///< One way, between a host and the promotion service.
     Duration promotionEffect = std::chrono::milliseconds(300); ///< From the accepted order until the server leads.
+    bool promotesStopped = false; ///< A promotion takes effect although the server's process has ended meanwhile.
+    bool promotionResumes = true; ///< A promotion lets all stopped replicas that it reaches receive again.
 };
 
 /// A service of one primary "p" and two replicas "r1" and "r2" in virtual time, with the hosts that coordinate its
@@ -57,7 +59,12 @@
     /// Disconnects a replica from the primary only.
     void setReplicationCut(const std::string& id, bool cut);
     void setReceiveDelay(const std::string& id, Duration delay);
-    /// Reports a server as draining, removes its registration after the time and then ends its process, with its log.
+    void drain(const std::string& id);
+    /// Removes the registration of a draining server.
+    void deregister(const std::string& id);
+    /// Ends the process of a deregistered server, with its log.
+    void exit(const std::string& id);
+    /// Drains a server, removes its registration after the time and then ends its process.
     /// @param endsAfter time from the removal of the registration to the end of the process.
     void leave(const std::string& id, Duration drainTime, Duration endsAfter);
     /// Starts a replica at the address of a server that has left, with that server's log or empty.
@@ -81,6 +88,7 @@
     bool holdsOnlyCopy(const std::string& id) const;
     size_t acknowledged() const { return m_acknowledged; }
     Instant lastAcknowledgement() const { return m_lastAcknowledgement; }
+    unsigned orders() const { return m_orders; } ///< Accepted orders of promotions.
     unsigned promotions() const { return m_promotions; } ///< Promotions that took effect.
     size_t destroyed() const { return m_destroyed; } ///< Acknowledged commits of which no copy remained.
     /// Acknowledged commits that a promoted server lacked although a copy existed.
@@ -140,6 +148,7 @@
     std::vector<uint64_t> m_receivers; ///< Bit mask of the servers, by their order, that received the commit.
     size_t m_acknowledged = 0; ///< The first commits of the lineage that are acknowledged.
     Instant m_lastAcknowledgement;
+    unsigned m_orders = 0;
     unsigned m_promotions = 0;
     size_t m_destroyed = 0;
     std::vector<std::string> m_losses;
