Log the state of every known server at a promotion

Logs could not tell whether a promotion left out a server, chose the wrong log, or trusted a server that had restarted empty. failover_server gives one line for each server known to the coordinator when it promotes one or gives up; server_registered gives the start time.

--- a/src/log_event.h
+++ b/src/log_event.h
@@ -63,6 +63,7 @@
     PeerSilent,
     LinesDropped,
     StoreSourceChanged,
+    FailoverServer,
     Count
 };
 
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -64,6 +64,8 @@
         { 51, "store_source_changed", LogLevel::Info,
             "The host's source of store changes is a different one: its own watch, a watch shared with other hosts, or "
             "another host." },
+        { 52, "failover_server", LogLevel::Warn,
+            "State of one server of a service when a failover promotes a server or gives up." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/src/promotion_coordinator.cpp
+++ b/src/promotion_coordinator.cpp
@@ -183,6 +183,8 @@
 {
     if (step.action == FailoverAction::None)
         return;
+    if (step.action == FailoverAction::Promote || step.action == FailoverAction::ResumeReceiving)
+        logServers(service);
     if (step.action == FailoverAction::Promote) {
         promote(service, step);
         return;
@@ -211,6 +213,28 @@
     }
 }
 
+void PromotionCoordinator::logServers(const std::string& service) const
+{
+    const Instant now = m_clock();
+    const auto millisecondsSince = [now](std::optional<Instant> instant) {
+        return instant ? std::chrono::duration_cast<std::chrono::milliseconds>(now - *instant).count() : int64_t(-1);
+    };
+    for (const auto& [id, member] : m_members) {
+        if (member->service != service)
+            continue;
+        const FailoverMember& report = member->report;
+        const ServerStatus status = report.status ? *report.status : ServerStatus();
+        const ServerEntry* const entry = m_gateway.directory().find(id);
+        logEvent(LogEvent::FailoverServer,
+            { { "service", service }, { "server", id }, { "registered", entry != nullptr },
+                { "started", entry != nullptr ? entry->startedUnixMs : 0 }, { "draining", report.draining },
+                { "primary", status.primary }, { "term", status.term }, { "received_term", status.received.term },
+                { "received", status.received.position }, { "stopped_at_term", status.stoppedAtTerm },
+                { "answered_ms_ago", report.status ? millisecondsSince(report.answeredAt) : -1 },
+                { "silent_ms", millisecondsSince(report.silentSince) }, { "refused", report.refused } });
+    }
+}
+
 void PromotionCoordinator::promote(const std::string& service, const FailoverPlan::Step& step)
 {
     // Every order has its own token, so that a late, unanswered order is rejected in favour of a newer one.
--- a/src/promotion_coordinator.h
+++ b/src/promotion_coordinator.h
@@ -38,6 +38,7 @@
     void pollServers(const std::string& service, Instant now);
     void carryOut(const std::string& service, const FailoverPlan::Step&);
     void promote(const std::string& service, const FailoverPlan::Step&);
+    void logServers(const std::string& service) const;
     void sendCommand(const std::string& id, BackendCommandKind, uint64_t term);
 
     Gateway& m_gateway;
