Vary start times and late orders in the random schedules

Half of the schedules change the start time of a server that starts again with its log. COORDINATOR_LATE_ORDERS=1 adds orders of promotions that arrive up to 3 s late.

--- a/tests/support_replicated_service.cpp
+++ b/tests/support_replicated_service.cpp
@@ -23,6 +23,11 @@
             std::mismatch(a.begin(), a.begin() + static_cast<std::ptrdiff_t>(n), b.begin()).first - a.begin());
     }
 
+    uint64_t unixMs(Instant now)
+    {
+        return firstStartUnixMs + static_cast<uint64_t>(now.time_since_epoch() / std::chrono::milliseconds(1));
+    }
+
     LogPosition positionOf(const std::vector<uint64_t>& log)
     {
         return log.empty() ? LogPosition() : LogPosition { log.back(), log.size() };
@@ -134,7 +139,14 @@
     void promote(const std::string&, const std::string& id, const std::string&, uint64_t token,
         std::function<void(PromotionOutcome)> handler) override
     {
-        service.timers.add(service.now + service.m_timing.promotionDelay,
+        const Duration delay = service.m_timing.promotionDelay + service.m_promotionLateness;
+        const Duration timeout = service.m_timing.promotionTimeout;
+        if (delay + service.m_timing.promotionDelay > timeout) {
+            service.timers.add(
+                service.now + timeout, [handler = std::move(handler)] { handler(PromotionOutcome::Unanswered); });
+            handler = [](PromotionOutcome) {};
+        }
+        service.timers.add(service.now + delay,
             [this, id, token, handler = std::move(handler)] { service.orderPromotion(id, token, index, handler); });
     }
 
@@ -169,8 +181,7 @@
     server->index = m_serverIds.size();
     server->receiveDelay = m_timing.receiveDelay;
     server->term = m_term;
-    server->startedUnixMs
-        = firstStartUnixMs + static_cast<uint64_t>(now.time_since_epoch() / std::chrono::milliseconds(1));
+    server->startedUnixMs = unixMs(now);
     m_serverIds.push_back(id);
     stepRegistration(*(m_servers[id] = std::move(server)));
 }
@@ -284,6 +295,8 @@
     if (server.running || server.left)
         return;
     note("restart " + id + " at " + describe(positionOf(server.log)));
+    if (m_timing.restartChangesStart)
+        server.startedUnixMs = unixMs(now);
     start(server);
 }
 
@@ -301,8 +314,7 @@
     server.term = 0;
     if (m_leader == id)
         m_leader.clear();
-    server.startedUnixMs
-        = firstStartUnixMs + static_cast<uint64_t>(now.time_since_epoch() / std::chrono::milliseconds(1));
+    server.startedUnixMs = unixMs(now);
     start(server);
 }
 
--- a/tests/support_replicated_service.h
+++ b/tests/support_replicated_service.h
@@ -18,6 +18,8 @@
     Duration promotionDelay = std::chrono::milliseconds(20); ///< One way, between a host and the promotion service.
     Duration promotionEffect = std::chrono::milliseconds(300); ///< From the accepted order until the server leads.
     bool promotesStopped = false; ///< A promotion takes effect although the server's process has ended meanwhile.
+    Duration promotionTimeout = std::chrono::seconds(1); ///< An order without an answer for this long is unanswered.
+    bool restartChangesStart = false; ///< A server that starts again with its log has a new start time.
     bool promotionResumes = true; ///< A promotion lets all stopped replicas that it reaches receive again.
 };
 
@@ -71,6 +73,8 @@
     void replace(const std::string& left, const std::string& id, bool withLog);
     /// The answers to orders of promotions are lost.
     void setPromotionAnswersLost(bool lost) { m_promotionAnswersLost = lost; }
+    /// Orders of promotions arrive later by this time.
+    void setPromotionLateness(Duration late) { m_promotionLateness = late; }
 
     // State.
 
@@ -139,6 +143,7 @@
     uint64_t m_token = 100; ///< Of the newest coordinator.
     uint64_t m_seenToken = 0; ///< Greatest token that the promotion service has seen.
     bool m_promotionAnswersLost = false;
+    Duration m_promotionLateness { 0 };
     std::string m_leader; ///< Empty after a demotion.
     uint64_t m_term = 1;
     Instant m_nextCommit;
--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -5,7 +5,8 @@
 // Changes of the primary under faults, in virtual time: no acknowledged commit is lost, and the service recovers.
 //
 // To run more seeds by hand: COORDINATOR_SEEDS=5000 COORDINATOR_FIRST=1 build/unit_promotion_coordinator
-// --run_test=random_faults. COORDINATOR_LOG=info writes the log of the coordinators.
+// --run_test=random_faults. COORDINATOR_LATE_ORDERS=1 adds orders of promotions that arrive late. COORDINATOR_LOG=info
+// writes the log of the coordinators.
 
 using namespace plantainwall;
 using std::chrono::milliseconds;
@@ -50,6 +51,7 @@
             service.setHostCut(id, host, false);
     }
     service.setPromotionAnswersLost(false);
+    service.setPromotionLateness(Duration(0));
 }
 
 /// A service whose replica r1 lags behind, with the log level of the coordinators.
@@ -85,9 +87,10 @@
 /// A random schedule of faults over one service with two hosts.
 class RandomFaults {
 public:
-    explicit RandomFaults(uint64_t seed)
+    RandomFaults(uint64_t seed, bool lateOrders)
         : m_random(seed)
         , m_service(2, timing(m_random))
+        , m_lateOrders(lateOrders)
     {
     }
 
@@ -123,6 +126,7 @@
     void changeCoordinator();
     void leave();
     void losePromotionAnswers();
+    void delayPromotions();
 
     static constexpr Duration faultsEnd = seconds(26);
     static constexpr Duration settleLimit = seconds(15); ///< For the last servers to leave and to be replaced.
@@ -132,6 +136,7 @@
 
     std::mt19937_64 m_random;
     ReplicatedService m_service;
+    bool m_lateOrders;
     unsigned m_replaced = 0;
     std::string m_leaving;
     Instant m_destroyedAt; ///< When a log was last destroyed.
@@ -143,6 +148,7 @@
     ReplicatedServiceTiming timing;
     timing.promotesStopped = random() % 2 == 0;
     timing.promotionResumes = random() % 2 == 0;
+    timing.restartChangesStart = random() % 2 == 0;
     return timing;
 }
 
@@ -279,6 +285,14 @@
     healAfter(between(milliseconds(300), seconds(2)), [this] { m_service.setPromotionAnswersLost(false); });
 }
 
+void RandomFaults::delayPromotions()
+{
+    if (!m_lateOrders)
+        return;
+    m_service.setPromotionLateness(between(milliseconds(100), seconds(3)));
+    healAfter(between(seconds(1), seconds(5)), [this] { m_service.setPromotionLateness(Duration(0)); });
+}
+
 bool RandomFaults::settled() const
 {
     const std::vector<std::string> ids = m_service.servers();
@@ -289,10 +303,11 @@
 
 std::string RandomFaults::run()
 {
-    constexpr Fault faults[] = { &RandomFaults::crash, &RandomFaults::crash, &RandomFaults::restartEmpty,
-        &RandomFaults::goDark, &RandomFaults::loseStore, &RandomFaults::loseStore, &RandomFaults::loseHost,
-        &RandomFaults::losePrimary, &RandomFaults::lagBehind, &RandomFaults::lagBehind,
-        &RandomFaults::changeCoordinator, &RandomFaults::leave, &RandomFaults::losePromotionAnswers };
+    constexpr Fault faults[]
+        = { &RandomFaults::crash, &RandomFaults::crash, &RandomFaults::restartEmpty, &RandomFaults::goDark,
+              &RandomFaults::loseStore, &RandomFaults::loseStore, &RandomFaults::loseHost, &RandomFaults::losePrimary,
+              &RandomFaults::lagBehind, &RandomFaults::lagBehind, &RandomFaults::changeCoordinator,
+              &RandomFaults::leave, &RandomFaults::losePromotionAnswers, &RandomFaults::delayPromotions };
     pass(warmUp);
     const Instant end = m_service.now + faultsEnd - warmUp;
     while (m_service.now < end && m_service.losses().empty()) {
@@ -482,17 +497,39 @@
     it.check(seconds(2));
 }
 
+BOOST_AUTO_TEST_CASE(rolling_replacement_of_all_servers)
+{
+    LaggingReplica it;
+    for (const char* id : { "r1", "r2", "p" }) {
+        it.service.leave(id, seconds(3), milliseconds(300));
+        it.service.pass(seconds(4));
+        it.service.replace(id, std::string("new ") + id, true);
+        it.service.pass(seconds(5));
+        BOOST_TEST(acknowledges(it.service), "no commit is acknowledged after the replacement of " << id);
+    }
+    it.service.crash(it.service.leader());
+    const Instant crashed = it.service.now;
+    const unsigned promotions = it.service.promotions();
+    const bool recovered = it.service.passUntil(seconds(30),
+        [&] { return it.service.promotions() > promotions && it.service.lastAcknowledgement() > crashed; });
+    BOOST_TEST(recovered);
+    BOOST_TEST((it.service.now - crashed <= crashRecoveryTime),
+        "it took " << (it.service.now - crashed) / milliseconds(1) << " ms");
+    it.check(seconds(2));
+}
+
 BOOST_AUTO_TEST_CASE(random_faults)
 {
     setLogLevel(std::getenv("COORDINATOR_LOG") != nullptr ? std::getenv("COORDINATOR_LOG") : "error");
     const uint64_t first = numberFromEnvironment("COORDINATOR_FIRST", 1);
     const uint64_t seeds = numberFromEnvironment("COORDINATOR_SEEDS", 300);
+    const bool lateOrders = numberFromEnvironment("COORDINATOR_LATE_ORDERS", 0) != 0;
     constexpr size_t maxTraces = 2;
     size_t failures = 0;
     size_t promotions = 0;
     size_t destroyed = 0;
     for (uint64_t seed = first; seed < first + seeds; ++seed) {
-        RandomFaults schedule(seed);
+        RandomFaults schedule(seed, lateOrders);
         const std::string violation = schedule.run();
         promotions += schedule.promotions();
         destroyed += schedule.destroyed();
