Take the term of a promoted server from its own status

What callers saw: after a promotion whose answers were lost, or whose server ended before it led, no later change of the primary came to an end and writes of the service were refused. Cause: the coordinator added one to the service's term for every accepted order. If the server led already, or never did, the term was one too high, and the live primary counted as a replica that never stops receiving.

--- a/src/promotion_coordinator.cpp
+++ b/src/promotion_coordinator.cpp
@@ -68,6 +68,7 @@
     Instant openedAt;
     Instant reconnectAt;
     Instant lastRequestAt;
+    Instant promotedAt; ///< When the last order to promote it was accepted.
     FailoverMember report;
 };
 
@@ -161,7 +162,10 @@
             member->close(now);
             continue;
         }
-        if (member->open && member->requestTimes.empty() && now - member->lastRequestAt >= m_settings.pollInterval)
+        const Duration pollInterval = now - member->promotedAt < m_settings.promotedPollTime
+            ? m_settings.promotedPollInterval
+            : m_settings.pollInterval;
+        if (member->open && member->requestTimes.empty() && now - member->lastRequestAt >= pollInterval)
             sendCommand(entry->id, BackendCommandKind::Status, 0);
     }
 }
@@ -258,7 +262,10 @@
                 return;
             if (outcome == PromotionOutcome::Done) {
                 m_metrics.count(MetricCounter::Promotions);
-                m_gateway.directory().notePrimary(service, target, m_gateway.directory().term(service) + 1);
+                // The server may lead already, or end before it does, so only its own status tells the new term.
+                const auto member = m_members.find(target);
+                if (member != m_members.end())
+                    member->second->promotedAt = m_clock();
             }
             const auto it = m_plans.find(service);
             if (it != m_plans.end())
