Count servers without a registration and lost logs at a promotion

What callers saw: commits that had been acknowledged were gone after a change of the primary (LOST). Cause: absence from the registry was taken as the end of a server, silence as the end of its replication, and an answer under an id as proof of its log. A server cut from the store alone went on confirming commits and was neither asked nor stopped; a new coordinator, with an empty plan, knew the registered servers only; a confirming replica that restarted empty counted by its new log; a replica that was only silent when the primary last reported counted as covered when it ended later. Change: servers whose registrations ended are polled and stopped too, those before the staying ones. ReplicaLogs counts every log until its server is down (refuses, is replaced at its address, or is unregistered and silent for 5 s) and another replica has reached a position that the primary reported after that. A log lost by a restart counts the same way. A primary that answers is demoted before another is promoted, and without that a server that is down must have left a request of this attempt unanswered. Unregistered servers are forgotten 60 s after they are settled. Why this works: a commit is acknowledged after one replica has received it. That replica is stopped, or its end preceded a position of the primary that covers the commit, or the demoted primary's log is compared.

--- /dev/null
+++ b/src/failover_member.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "gateway_ports.h"
+
+namespace plantainwall {
+
+/// State of one server as the promotion coordinator knows it.
+struct FailoverMember {
+    std::string id;
+    std::string address;
+    /// False: its registration has ended. It may still run, receive and confirm commits.
+    bool registered = true;
+    Instant lapsedAt; ///< When the registration ended.
+    /// An earlier process under an id that was registered again with another start time. It has ended.
+    bool ended = false;
+    /// It was down, and its log was not needed, when a coordinator last asked it.
+    bool settled = false;
+    uint64_t startedUnixMs = 0; ///< Start of its process; 0 if unknown. A restarted server may have lost its log.
+    bool registeredPrimary = false; ///< Its last registration says that it is primary.
+    bool draining = false;
+    uint64_t provenTerm = 0; ///< Newest term that it is known to have led; 0 if none.
+    std::optional<ServerStatus> status; ///< Last status received.
+    Instant requestedAt; ///< When the last status was requested.
+    Instant answeredAt; ///< When the last status was received.
+    /// The last connection was refused because the process does not run; a server at its connection limit does not
+    /// count.
+    bool refused = false;
+    bool replaced = false; ///< Another server answers at its address.
+    std::optional<Instant> silentSince; ///< Time of the first unanswered request since the last answer.
+    Instant failedAt; ///< Start of the latest connection attempt or request that was not answered in time.
+};
+
+/// Returns whether a server is primary of the newest term, by its own status or, before it has reported one, by
+/// assumption.
+bool leads(const FailoverMember&, const std::string& assumedPrimary, uint64_t term);
+
+/// Returns the server with an id, or null. Processes that have ended are not returned.
+const FailoverMember* findMember(const std::vector<FailoverMember>&, const std::string& id);
+
+} // namespace plantainwall
--- a/src/failover_plan.cpp
+++ b/src/failover_plan.cpp
@@ -10,19 +10,8 @@
     static_assert(sizeof(reasonNames) / sizeof(reasonNames[0]) == static_cast<size_t>(FailoverReason::Count),
         "one entry for each FailoverReason");
 
-    /// Returns whether a server is primary of the newest term, by its own status or, before it has reported one, by
-    /// assumption.
-    bool leads(const FailoverMember& member, const std::string& assumedPrimary, uint64_t term)
-    {
-        return member.status ? member.status->primary && member.status->term >= term : member.id == assumedPrimary;
-    }
-
-    const FailoverMember* findMember(const std::vector<FailoverMember>& members, const std::string& id)
-    {
-        const auto it = std::find_if(
-            members.begin(), members.end(), [&](const FailoverMember& member) { return member.id == id; });
-        return it == members.end() ? nullptr : &*it;
-    }
+    /// Returns whether a replica can become primary and stay it.
+    bool isStaying(const FailoverMember& member) { return member.registered && !member.draining; }
 
 } // namespace
 
@@ -30,6 +19,7 @@
 
 FailoverPlan::FailoverPlan(const FailoverSettings& settings)
     : m_settings(settings)
+    , m_logs(settings.logs)
 {
 }
 
@@ -47,7 +37,7 @@
         return now - since >= limit;
     };
     const FailoverMember* const leader = primary.empty() ? nullptr : findMember(members, primary);
-    const bool gone = !primary.empty() && leader == nullptr;
+    const bool gone = !primary.empty() && (leader == nullptr || !leader->registered);
     const bool unreachable = leader != nullptr && leader->silentSince
         && now - *leader->silentSince >= (leader->refused ? m_settings.refusedTimeout : m_settings.unreachableTimeout);
     const bool withoutPrimary
@@ -56,7 +46,7 @@
     bool confirmed = false;
     size_t replicas = 0;
     for (const FailoverMember& member : members) {
-        if (!member.status || leads(member, primary, term))
+        if (!member.status || member.ended || leads(member, primary, term))
             continue;
         ++replicas;
         leftStopped = leftStopped || (!member.silentSince && member.status->stoppedAtTerm > 0);
@@ -83,55 +73,107 @@
     return unconfirmed ? FailoverReason::Unconfirmed : FailoverReason::None;
 }
 
-void FailoverPlan::updateReplicas(
-    Instant now, const std::string& primary, const std::vector<FailoverMember>& members, uint64_t term)
+FailoverPlan::Step FailoverPlan::resumeStopped(const std::vector<FailoverMember>& members)
 {
-    const FailoverMember* const leader = primary.empty() ? nullptr : findMember(members, primary);
-    const bool leaderAnswers = leader != nullptr && leader->status && leader->status->primary && !leader->silentSince;
+    Step step;
+    step.reason = m_reason;
+    for (const FailoverMember& member : members) {
+        if (member.status && member.status->stoppedAtTerm > 0)
+            step.servers.push_back(member.id);
+    }
+    if (!step.servers.empty())
+        step.action = FailoverAction::ResumeReceiving;
+    return step;
+}
+
+FailoverPlan::Stopped FailoverPlan::stoppedReplicas(
+    const std::string& primary, const std::vector<FailoverMember>& members, uint64_t term) const
+{
+    Stopped stopped;
+    const auto hasLonger = [](const FailoverMember* best, const FailoverMember& member) {
+        return best == nullptr || best->status->received < member.status->received;
+    };
     for (const FailoverMember& member : members) {
-        if (leads(member, primary, term)) {
-            m_replicas.erase(member.id);
-            m_primaryAtLoss.erase(member.id);
+        if (member.ended || leads(member, primary, term) || !m_logs.isCurrent(member)
+            || member.requestedAt < m_startedAt)
             continue;
-        }
-        Replica& replica = m_replicas[member.id];
-        replica.silentSince = member.silentSince;
-        if (!member.silentSince)
-            m_primaryAtLoss.erase(member.id);
+        // Nobody leads, so a demoted primary receives nothing.
+        const bool demoted = m_demotedAt && member.id == m_demoted && !member.status->primary;
+        if (member.status->stoppedAtTerm < m_term && !demoted)
+            continue;
+        stopped.ids.push_back(member.id);
+        stopped.longest = laterPosition(stopped.longest, member.status->received);
+        if (member.id == m_demoted)
+            stopped.demoted = true;
+        else
+            stopped.longestButDemoted = laterPosition(stopped.longestButDemoted, member.status->received);
+        if (hasLonger(stopped.best, member))
+            stopped.best = &member;
+        if (isStaying(member) && hasLonger(stopped.bestStaying, member))
+            stopped.bestStaying = &member;
     }
-    LogPosition longest;
+    return stopped;
+}
+
+const FailoverMember* FailoverPlan::chooseTarget(Instant now, const Stopped& stopped,
+    const std::vector<FailoverMember>& members, gsl::span<const ReplicaLogs::Missing> missing) const
+{
+    const bool demotedStandsIn = stopped.demoted && !m_logs.hasLostLog(m_demoted);
+    if (!missing.empty() && !demotedStandsIn)
+        return nullptr;
+    const LogPosition& needed = missing.empty() ? stopped.longestButDemoted : stopped.longest;
+    if (stopped.bestStaying != nullptr && !(stopped.bestStaying->status->received < needed))
+        return stopped.bestStaying;
+    // A primary that leaves would soon be replaced again, so proof that the silent servers are still down is awaited.
+    const FailoverMember* const demoted = demotedStandsIn ? findMember(members, m_demoted) : nullptr;
+    const bool waits = !missing.empty() && demoted != nullptr && !isStaying(*demoted) && stopped.bestStaying != nullptr
+        && m_demotedAt && now - *m_demotedAt < m_settings.catchUpTimeout;
+    return waits ? nullptr : stopped.best;
+}
+
+void FailoverPlan::chooseStage(Instant now, const FailoverMember* leader, const std::string& primary,
+    const std::vector<FailoverMember>& members, uint64_t term)
+{
+    if (m_allStoppingSince)
+        return;
+    bool leavingStopped = true;
+    Instant stoppedAt = m_startedAt;
+    LogPosition longestStaying;
+    size_t leaving = 0;
+    size_t staying = 0;
     for (const FailoverMember& member : members) {
-        if (!leads(member, primary, term) && member.status && !member.silentSince)
-            longest = laterPosition(longest, member.status->received);
+        if (member.ended || member.silentSince || !m_logs.isCurrent(member) || leads(member, primary, term))
+            continue;
+        if (isStaying(member)) {
+            ++staying;
+            longestStaying = laterPosition(longestStaying, member.status->received);
+            continue;
+        }
+        ++leaving;
+        leavingStopped = leavingStopped && member.status->stoppedAtTerm >= m_term && member.requestedAt >= m_startedAt;
+        stoppedAt = std::max(stoppedAt, member.answeredAt);
     }
-    for (auto it = m_replicas.begin(); it != m_replicas.end();) {
-        Replica& replica = it->second;
-        const bool registered = findMember(members, it->first) != nullptr;
-        if (!registered && !replica.silentSince)
-            replica.silentSince = now;
-        if (replica.silentSince && leaderAnswers && leader->requestedAt > *replica.silentSince)
-            m_primaryAtLoss.try_emplace(it->first, leader->status->received);
-        const auto seen = m_primaryAtLoss.find(it->first);
-        const bool covered = seen != m_primaryAtLoss.end() && !(longest < seen->second);
-        if (!registered && covered) {
-            m_primaryAtLoss.erase(it->first);
-            it = m_replicas.erase(it);
-        } else
-            ++it;
+    const bool caughtUp = leavingStopped && leader != nullptr && leader->requestedAt > stoppedAt
+        && !(longestStaying < leader->status->received);
+    if (leader == nullptr || leaving == 0 || staying == 0 || caughtUp
+        || now - m_startedAt >= m_settings.catchUpTimeout) {
+        m_allStoppingSince = now;
+        m_repeatAt = now;
     }
 }
 
-FailoverPlan::Step FailoverPlan::resumeStopped(const std::vector<FailoverMember>& members)
+void FailoverPlan::noteDemoted(const FailoverMember* leader, const std::vector<FailoverMember>& members, uint64_t term)
 {
-    Step step;
-    step.reason = m_reason;
     for (const FailoverMember& member : members) {
-        if (member.status && member.status->stoppedAtTerm > 0)
-            step.servers.push_back(member.id);
+        if (member.ended || member.silentSince || !member.status || member.status->primary)
+            continue;
+        const bool byOther
+            = m_demoted.empty() && leader == nullptr && member.provenTerm > 0 && member.provenTerm >= term;
+        if (byOther)
+            m_demoted = member.id;
+        if (!m_demotedAt && member.id == m_demoted)
+            m_demotedAt = member.answeredAt;
     }
-    if (!step.servers.empty())
-        step.action = FailoverAction::ResumeReceiving;
-    return step;
 }
 
 FailoverPlan::Step FailoverPlan::collect(
@@ -140,51 +182,27 @@
     Step step;
     step.term = m_term;
     step.reason = m_reason;
-    const FailoverMember* best = nullptr;
-    const FailoverMember* bestStaying = nullptr;
     const FailoverMember* leader = nullptr;
-    LogPosition longest;
-    bool complete = true;
-    std::vector<std::string> stopped;
     for (const FailoverMember& member : members) {
-        if (member.status && member.status->primary && member.status->term >= m_term) {
+        if (!member.ended && member.status && member.status->primary && member.status->term >= m_term) {
             // Another host's promotion took effect first.
             m_phase = Phase::Resuming;
             m_target = member.id;
             m_repeatAt = m_startedAt;
             return step;
         }
-        if (leads(member, primary, term)) {
-            if (member.status && !member.silentSince)
-                leader = &member;
-            continue;
-        }
-        if (!member.status || member.status->stoppedAtTerm < m_term || member.requestedAt < m_startedAt)
-            continue;
-        stopped.push_back(member.id);
-        longest = laterPosition(longest, member.status->received);
-        if (best == nullptr || best->status->received < member.status->received)
-            best = &member;
-        if (!member.draining && (bestStaying == nullptr || bestStaying->status->received < member.status->received))
-            bestStaying = &member;
+        if (leads(member, primary, term) && member.status && !member.silentSince)
+            leader = &member;
     }
-    for (const auto& [id, replica] : m_replicas) {
-        if (std::find(stopped.begin(), stopped.end(), id) != stopped.end())
-            continue;
-        const FailoverMember* const member = findMember(members, id);
-        // A server that does not answer this host may still receive and confirm commits.
-        const auto seen = m_primaryAtLoss.find(id);
-        const bool down = member == nullptr || (member->refused && member->silentSince);
-        if (down && seen != m_primaryAtLoss.end() && !(longest < seen->second))
-            continue;
-        complete = false;
-        if (member != nullptr)
-            step.servers.push_back(id);
-    }
-    complete = complete || std::find(stopped.begin(), stopped.end(), m_demoted) != stopped.end();
-    if (complete && best != nullptr) {
-        const bool stayingHasAll = bestStaying != nullptr && !(bestStaying->status->received < longest);
-        m_target = stayingHasAll ? bestStaying->id : best->id;
+    noteDemoted(leader, members, term);
+    const Stopped stopped = stoppedReplicas(primary, members, term);
+    const std::optional<Instant> unansweredSince = leader != nullptr
+        ? std::nullopt
+        : std::optional<Instant>(m_demotedAt ? std::max(m_startedAt, *m_demotedAt) : m_startedAt);
+    std::vector<ReplicaLogs::Missing> missing = m_logs.missing(stopped.ids, stopped.longestButDemoted, unansweredSince);
+    const FailoverMember* const target = chooseTarget(now, stopped, members, missing);
+    if (target != nullptr && leader == nullptr) {
+        m_target = target->id;
         m_phase = Phase::Promoting;
         m_failedAttempts = 0;
         m_ordered = true;
@@ -193,35 +211,58 @@
         step.servers = { m_target };
         return step;
     }
-    if (leader != nullptr && now - m_startedAt >= m_settings.demoteAfter && now >= m_repeatAt) {
+    chooseStage(now, leader, primary, members, term);
+    const Instant stageStart = m_allStoppingSince ? *m_allStoppingSince : m_startedAt;
+    const bool demoteDue = target != nullptr || (m_allStoppingSince && now - stageStart >= m_settings.demoteAfter);
+    if (leader != nullptr && demoteDue && (now >= m_repeatAt || m_demoted != leader->id)) {
         m_repeatAt = now + m_settings.stopRepeatInterval;
         m_demoted = leader->id;
+        m_demotedAt.reset();
         m_ordered = true;
         step.action = FailoverAction::Demote;
         step.servers = { leader->id };
         return step;
     }
-    if (now - m_startedAt > m_settings.collectTimeout && !m_ordered) {
+    if (m_allStoppingSince && now - stageStart > m_settings.collectTimeout && !m_ordered) {
         m_phase = Phase::Watching;
-        ++m_failedAttempts;
+        // Another host can reach a server that does not answer this one, but cannot replace a lost log.
+        if (std::any_of(missing.begin(), missing.end(), [](const auto& log) { return !log.lost; }))
+            ++m_failedAttempts;
         m_noChangeBefore = now + m_settings.pauseAfterAbort;
         m_since.clear();
-        return resumeStopped(members);
+        Step resume = resumeStopped(members);
+        resume.missing = std::move(missing);
+        return resume;
+    }
+    for (const ReplicaLogs::Missing& log : missing) {
+        const FailoverMember* const member = findMember(members, log.id);
+        if (!log.lost && member != nullptr && (m_allStoppingSince || !isStaying(*member)))
+            step.servers.push_back(log.id);
+    }
+    if (now >= m_reportMissingAt) {
+        m_reportMissingAt = now + m_settings.reportMissingInterval;
+        step.missing = std::move(missing);
     }
     if (now >= m_repeatAt && !step.servers.empty()) {
         m_repeatAt = now + m_settings.stopRepeatInterval;
         m_term = std::max(m_term, term + 1);
         step.term = m_term;
         step.action = FailoverAction::StopReceiving;
-        return step;
     }
     return step;
 }
 
+void FailoverPlan::restartAttempt(Instant now)
+{
+    m_phase = Phase::Collecting;
+    m_startedAt = now;
+    m_allStoppingSince = now;
+}
+
 FailoverPlan::Step FailoverPlan::step(
     Instant now, const std::string& primary, const std::vector<FailoverMember>& members, uint64_t term)
 {
-    updateReplicas(now, primary, members, term);
+    m_logs.update(now, primary, members, term);
     switch (m_phase) {
     case Phase::Watching: {
         if (now < m_noChangeBefore)
@@ -231,6 +272,8 @@
             return {};
         m_phase = Phase::Collecting;
         m_startedAt = now;
+        m_allStoppingSince.reset();
+        m_reportMissingAt = now + m_settings.reportMissingInterval;
         m_repeatAt = now;
         m_term = term + 1;
         m_ordered = false;
@@ -258,15 +301,16 @@
         if (!leads) {
             if (now - m_repeatAt <= m_settings.effectTimeout)
                 return {};
-            m_phase = Phase::Collecting;
-            m_startedAt = now;
+            restartAttempt(now);
             return {};
         }
         m_phase = Phase::Watching;
+        m_logs.primaryChanged(now);
         m_noChangeBefore = now + m_settings.pauseAfterChange;
         m_since.clear();
         m_unconfirmedPosition = LogPosition();
         m_demoted.clear();
+        m_demotedAt.reset();
         return resumeStopped(members);
     }
     case Phase::Count:
@@ -286,8 +330,7 @@
         m_repeatAt = now;
     } else if (outcome == PromotionOutcome::Rejected) {
         // The target does not run, or another host ordered a change, so the replicas are polled again.
-        m_phase = Phase::Collecting;
-        m_startedAt = now;
+        restartAttempt(now);
     }
 }
 
--- a/src/failover_plan.h
+++ b/src/failover_plan.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "gateway_ports.h"
-#include "primary_positions.h"
-#include <map>
+#include "replica_logs.h"
 
 namespace plantainwall {
 
@@ -26,19 +24,11 @@
     Duration pauseAfterChange = std::chrono::milliseconds(3000);
     Duration effectTimeout = std::chrono::milliseconds(4000); ///< An accepted promotion takes effect within this time.
     Duration orderRepeatDelay = std::chrono::milliseconds(200);
-};
-
-/// State of one server as the promotion coordinator knows it.
-struct FailoverMember {
-    std::string id;
-    bool draining = false;
-    std::optional<ServerStatus> status; ///< Last status received.
-    Instant requestedAt; ///< When the last status was requested.
-    Instant answeredAt; ///< When the last status was received.
-    /// The last connection was refused because the process does not run; a server at its connection limit does not
-    /// count.
-    bool refused = false;
-    std::optional<Instant> silentSince; ///< Time of the first unanswered request since the last answer.
+    /// Replicas that stay have this long to receive what leaving ones confirmed, and servers that do not answer to be
+    /// asked again: two status requests and their answers.
+    Duration catchUpTimeout = std::chrono::milliseconds(1200);
+    Duration reportMissingInterval = std::chrono::milliseconds(2000);
+    ReplicaLogsSettings logs;
 };
 
 enum class FailoverAction : uint8_t { None, StopReceiving, ResumeReceiving, Demote, Promote, Count };
@@ -54,9 +44,15 @@
 /// receiving at a term above the newest. From then on no commit is acknowledged, and the longest log among all replicas
 /// holds every acknowledged commit. A replica that does not answer may hold the only copy of a commit, so no server is
 /// promoted without it, unless
-/// - its process does not run, and the remaining logs reach a position that the primary reported after that, or
+/// - it is proven that its log is not needed (see ReplicaLogs), or
 /// - the old primary answers: once demoted it acknowledges nothing more, and its log holds all that it acknowledged.
 ///
+/// A primary that answers is always demoted first. A replica that this host does not know could otherwise confirm a
+/// commit until the promotion takes effect.
+///
+/// Replicas that leave or are not registered are stopped first. The others then confirm every later commit, and one of
+/// them can be promoted although only a leaving replica had received the newest ones.
+///
 /// An order without an answer may still be carried out, so it is repeated for the same server until it is answered.
 class FailoverPlan {
 public:
@@ -65,13 +61,15 @@
         std::vector<std::string> servers;
         uint64_t term = 0;
         FailoverReason reason = FailoverReason::None;
+        /// Logs that have prevented a promotion; set from time to time and when an attempt ends without one.
+        std::vector<ReplicaLogs::Missing> missing;
     };
 
     explicit FailoverPlan(const FailoverSettings& = {});
 
     /// Returns the next step.
     /// @param primary Server assumed to be primary; empty if none.
-    /// @param members All registered servers of the service.
+    /// @param members All registered servers of the service, and those whose registrations have ended.
     /// @param term Newest term seen.
     Step step(Instant now, const std::string& primary, const std::vector<FailoverMember>& members, uint64_t term);
 
@@ -85,15 +83,32 @@
     /// them.
     unsigned failedAttempts() const { return m_failedAttempts; }
 
+    /// See ReplicaLogs::settled().
+    std::vector<std::pair<std::string, uint64_t>> settled() const { return m_logs.settled(); }
+
 private:
     enum class Phase : uint8_t { Watching, Collecting, Promoting, Resuming, Count };
 
-    struct Replica {
-        std::optional<Instant> silentSince;
+    /// Replicas that have stopped receiving in this attempt.
+    struct Stopped {
+        std::vector<std::string> ids;
+        const FailoverMember* best = nullptr; ///< Longest log.
+        const FailoverMember* bestStaying = nullptr; ///< Longest log of a replica that is registered and not leaving.
+        LogPosition longest;
+        LogPosition longestButDemoted; ///< Longest log without that of the demoted primary.
+        bool demoted = false; ///< The demoted primary is among them.
     };
 
-    /// Updates the set of replicas that may hold an acknowledged commit that no other replica has.
-    void updateReplicas(Instant, const std::string& primary, const std::vector<FailoverMember>&, uint64_t term);
+    /// Chooses the server to promote, given the logs that are needed besides those of the stopped servers.
+    const FailoverMember* chooseTarget(
+        Instant, const Stopped&, const std::vector<FailoverMember>&, gsl::span<const ReplicaLogs::Missing>) const;
+    Stopped stoppedReplicas(const std::string& primary, const std::vector<FailoverMember>&, uint64_t term) const;
+    /// Records when the primary became a replica, by an order of this coordinator or of an earlier one.
+    void noteDemoted(const FailoverMember* leader, const std::vector<FailoverMember>&, uint64_t term);
+    /// Decides whether the staying replicas are stopped too; before, only those that leave are.
+    void chooseStage(Instant, const FailoverMember* leader, const std::string& primary,
+        const std::vector<FailoverMember>&, uint64_t term);
+    void restartAttempt(Instant);
     FailoverReason findReason(Instant, const std::string& primary, const std::vector<FailoverMember>&, uint64_t term);
     Step collect(Instant, const std::string& primary, const std::vector<FailoverMember>&, uint64_t term);
     Step resumeStopped(const std::vector<FailoverMember>&);
@@ -104,18 +119,19 @@
     uint64_t m_term = 0; ///< Term at which replicas stop receiving.
     std::string m_target;
     std::string m_demoted; ///< Primary of the newest term that was ordered to demote itself.
+    std::optional<Instant> m_demotedAt; ///< When it reported that it is a replica.
     bool m_ordered = false; ///< A promotion or demotion was ordered in this attempt.
     bool m_waitingForAnswer = false;
     unsigned m_failedAttempts = 0;
-    std::map<std::string, Replica> m_replicas; ///< Servers that may hold an acknowledged commit, registered or not.
+    ReplicaLogs m_logs;
     Instant m_startedAt;
+    std::optional<Instant> m_allStoppingSince; ///< When the staying replicas were stopped too.
+    Instant m_reportMissingAt; ///< When the logs that prevent a promotion are returned next.
     Instant m_repeatAt; ///< When the stop or the order is repeated; once accepted, when its answer was received.
     Instant m_noChangeBefore;
     std::map<FailoverReason, Instant> m_since; ///< Since when each condition has held without interruption.
     LogPosition m_unconfirmedPosition;
     Instant m_unconfirmedAt;
-    /// Position that the primary reported after a replica stopped answering, by replica.
-    std::map<std::string, LogPosition> m_primaryAtLoss;
 };
 
 } // namespace plantainwall
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -64,6 +64,7 @@
     LinesDropped,
     StoreSourceChanged,
     FailoverServer,
+    FailoverBlocked,
     Count
 };
 
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -66,6 +66,8 @@
             "another host." },
         { 52, "failover_server", LogLevel::Warn,
             "State of one server of a service when a failover promotes a server or gives up." },
+        { 53, "failover_blocked", LogLevel::Warn,
+            "No server can be promoted yet: the named server's log may hold acknowledged commits that others lack." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/src/promotion_coordinator.cpp
+++ b/src/promotion_coordinator.cpp
@@ -29,6 +29,7 @@
         const std::optional<ServerStatus> status = coordinator.m_connector.statusOf(reply);
         report.silentSince.reset();
         report.refused = false;
+        report.replaced = false;
         if (!status)
             return;
         report.status = status;
@@ -45,6 +46,7 @@
     void backendClosed(BackendCloseReason reason) override
     {
         report.refused = reason == BackendCloseReason::Refused;
+        report.replaced = report.replaced || reason == BackendCloseReason::Misrouted;
         close(coordinator.m_clock());
     }
 
@@ -52,9 +54,12 @@
     {
         if (!report.silentSince)
             report.silentSince = requestTimes.empty() ? now : requestTimes.front();
+        report.failedAt = requestTimes.empty() ? openedAt : requestTimes.front();
         open = false;
         requestTimes.clear();
-        reconnectAt = now + coordinator.m_settings.reconnectInterval;
+        reconnectAt = now
+            + (report.registered ? coordinator.m_settings.reconnectInterval
+                                 : coordinator.m_settings.lapsedReconnectInterval);
         if (link)
             coordinator.m_closed.push_back(std::move(link));
     }
@@ -69,6 +74,7 @@
     Instant reconnectAt;
     Instant lastRequestAt;
     Instant promotedAt; ///< When the last order to promote it was accepted.
+    Instant listedAt; ///< When the directory last had it.
     FailoverMember report;
 };
 
@@ -111,28 +117,55 @@
     if (!m_active || m_gateway.configuration() == nullptr)
         return;
     const Instant now = m_clock();
-    for (auto it = m_members.begin(); it != m_members.end();)
-        it = m_gateway.directory().find(it->first) == nullptr ? m_members.erase(it) : std::next(it);
     for (const auto& [name, service] : m_gateway.configuration()->services) {
         pollServers(name, now);
-        if (!mayOrder)
+        if (mayOrder)
+            planService(name, now);
+    }
+    for (auto it = m_members.begin(); it != m_members.end();)
+        it = it->second->listedAt < now ? m_members.erase(it) : std::next(it);
+}
+
+void PromotionCoordinator::planService(const std::string& service, Instant now)
+{
+    std::vector<FailoverMember> reports;
+    bool allPolled = true;
+    const std::pair<std::string, uint64_t> proven = m_gateway.directory().provenPrimary(service);
+    const auto addReport = [&](const std::string& id) {
+        const auto it = m_members.find(id);
+        if (it == m_members.end())
+            return;
+        reports.push_back(it->second->report);
+        reports.back().provenTerm = proven.first == id ? proven.second : 0;
+        allPolled = allPolled && (reports.back().status || reports.back().silentSince);
+    };
+    for (const ServerEntry* const entry : m_gateway.directory().members(service))
+        addReport(entry->id);
+    // A new coordinator first polls all servers: a registration may be outdated and does not identify the primary.
+    if (reports.empty())
+        return;
+    for (const LapsedServer* const server : m_gateway.directory().lapsed(service)) {
+        if (!server->ended) {
+            addReport(server->entry.id);
             continue;
-        std::vector<FailoverMember> reports;
-        bool allPolled = true;
-        for (const ServerEntry* const entry : m_gateway.directory().members(name)) {
-            const auto it = m_members.find(entry->id);
-            if (it == m_members.end())
-                continue;
-            reports.push_back(it->second->report);
-            allPolled = allPolled && (reports.back().status || reports.back().silentSince);
         }
-        // A new coordinator first polls all servers: a registration may be outdated and does not identify the primary.
-        if (!allPolled || reports.empty())
-            continue;
-        FailoverPlan& plan = m_plans.try_emplace(name).first->second;
-        const std::string primary = m_gateway.directory().knownPrimary(name);
-        carryOut(name, plan.step(now, primary, reports, m_gateway.directory().term(name)));
+        FailoverMember report;
+        report.id = server->entry.id;
+        report.registered = false;
+        report.ended = true;
+        report.startedUnixMs = server->entry.startedUnixMs;
+        report.registeredPrimary = server->entry.primary;
+        reports.push_back(report);
     }
+    if (!allPolled)
+        return;
+    FailoverPlan& plan = m_plans.try_emplace(service).first->second;
+    const std::string primary = m_gateway.directory().knownPrimary(service);
+    carryOut(service, plan.step(now, primary, reports, m_gateway.directory().term(service)));
+    for (const auto& [id, startedUnixMs] : m_gateway.directory().settleLapsed(service, plan.settled(), now))
+        logEvent(LogEvent::ServerRemoved,
+            { { "service", service }, { "server", id }, { "started", startedUnixMs },
+                { "reason", "does not run, and no commit is missing from the other servers" } });
 }
 
 void PromotionCoordinator::pollServers(const std::string& service, Instant now)
@@ -140,41 +173,73 @@
     const GatewayConfiguration& configuration = *m_gateway.configuration();
     const std::string customer = configuration.customers.empty() ? m_host : configuration.customers.begin()->first;
     for (const ServerEntry* const entry : m_gateway.directory().members(service)) {
-        std::unique_ptr<Member>& member = m_members[entry->id];
-        if (member == nullptr) {
-            member = std::make_unique<Member>(*this, entry->id);
-            member->report.id = entry->id;
-        }
-        member->service = service;
-        member->report.draining = entry->draining;
-        if (!member->link) {
-            if (now < member->reconnectAt)
-                continue;
-            member->openedAt = now;
-            member->link = m_connector.open(*entry, customer, *member);
+        FailoverMember& report = pollServer(*entry, customer, now).report;
+        report.registered = true;
+        report.settled = false;
+    }
+    for (const LapsedServer* const server : m_gateway.directory().lapsed(service)) {
+        if (server->ended)
             continue;
-        }
-        const Instant waitingSince
-            = !member->open ? member->openedAt : (member->requestTimes.empty() ? now : member->requestTimes.front());
-        if (now - waitingSince > m_settings.answerTimeout && !member->report.silentSince)
+        FailoverMember& report = pollServer(server->entry, customer, now).report;
+        report.registered = false;
+        report.lapsedAt = server->since;
+        report.settled = server->settledAt.has_value();
+    }
+}
+
+PromotionCoordinator::Member& PromotionCoordinator::pollServer(
+    const ServerEntry& entry, const std::string& customer, Instant now)
+{
+    std::unique_ptr<Member>& member = m_members[entry.id];
+    if (member == nullptr) {
+        member = std::make_unique<Member>(*this, entry.id);
+        member->report.id = entry.id;
+    }
+    member->service = entry.service;
+    member->listedAt = now;
+    member->report.address = entry.address;
+    member->report.startedUnixMs = entry.startedUnixMs;
+    member->report.draining = entry.draining;
+    if (!member->link) {
+        if (now < member->reconnectAt)
+            return *member;
+        member->openedAt = now;
+        member->link = m_connector.open(entry, customer, *member);
+        return *member;
+    }
+    const Instant waitingSince
+        = !member->open ? member->openedAt : (member->requestTimes.empty() ? now : member->requestTimes.front());
+    if (now - waitingSince > m_settings.answerTimeout) {
+        member->report.failedAt = waitingSince;
+        if (!member->report.silentSince)
             member->report.silentSince = waitingSince;
-        if (now - waitingSince > m_settings.replaceAfter) {
-            member->close(now);
-            continue;
-        }
-        const Duration pollInterval = now - member->promotedAt < m_settings.promotedPollTime
-            ? m_settings.promotedPollInterval
-            : m_settings.pollInterval;
-        if (member->open && member->requestTimes.empty() && now - member->lastRequestAt >= pollInterval)
-            sendCommand(entry->id, BackendCommandKind::Status, 0);
     }
+    if (now - waitingSince > m_settings.replaceAfter) {
+        member->close(now);
+        return *member;
+    }
+    const Duration pollInterval = now - member->promotedAt < m_settings.promotedPollTime
+        ? m_settings.promotedPollInterval
+        : m_settings.pollInterval;
+    if (member->open && member->requestTimes.empty() && now - member->lastRequestAt >= pollInterval)
+        sendCommand(entry.id, BackendCommandKind::Status, 0);
+    return *member;
 }
 
 void PromotionCoordinator::sendCommand(const std::string& id, BackendCommandKind kind, uint64_t term)
 {
     const auto it = m_members.find(id);
-    if (it == m_members.end() || !it->second->open || !it->second->link)
+    if (it == m_members.end())
+        return;
+    if (!it->second->open || !it->second->link) {
+        // A server that is needed is connected to again at once. It may run although the last attempt failed.
+        if (it->second->report.silentSince && m_clock() - it->second->openedAt > m_settings.answerTimeout) {
+            if (it->second->link)
+                it->second->close(m_clock());
+            it->second->reconnectAt = m_clock();
+        }
         return;
+    }
     BackendCommand command;
     command.kind = kind;
     command.term = term;
@@ -185,6 +250,7 @@
 
 void PromotionCoordinator::carryOut(const std::string& service, const FailoverPlan::Step& step)
 {
+    logMissing(service, step);
     if (step.action == FailoverAction::None)
         return;
     if (step.action == FailoverAction::Promote || step.action == FailoverAction::ResumeReceiving)
@@ -228,17 +294,23 @@
             continue;
         const FailoverMember& report = member->report;
         const ServerStatus status = report.status ? *report.status : ServerStatus();
-        const ServerEntry* const entry = m_gateway.directory().find(id);
         logEvent(LogEvent::FailoverServer,
-            { { "service", service }, { "server", id }, { "registered", entry != nullptr },
-                { "started", entry != nullptr ? entry->startedUnixMs : 0 }, { "draining", report.draining },
-                { "primary", status.primary }, { "term", status.term }, { "received_term", status.received.term },
+            { { "service", service }, { "server", id }, { "registered", report.registered },
+                { "started", report.startedUnixMs }, { "draining", report.draining }, { "primary", status.primary },
+                { "term", status.term }, { "received_term", status.received.term },
                 { "received", status.received.position }, { "stopped_at_term", status.stoppedAtTerm },
                 { "answered_ms_ago", report.status ? millisecondsSince(report.answeredAt) : -1 },
                 { "silent_ms", millisecondsSince(report.silentSince) }, { "refused", report.refused } });
     }
 }
 
+void PromotionCoordinator::logMissing(const std::string& service, const FailoverPlan::Step& step) const
+{
+    for (const ReplicaLogs::Missing& missing : step.missing)
+        logEvent(LogEvent::FailoverBlocked,
+            { { "service", service }, { "server", missing.id }, { "reason", missing.reason }, { "term", step.term } });
+}
+
 void PromotionCoordinator::promote(const std::string& service, const FailoverPlan::Step& step)
 {
     // Every order has its own token, so that a late, unanswered order is rejected in favour of a newer one.
--- a/src/promotion_coordinator.h
+++ b/src/promotion_coordinator.h
@@ -5,7 +5,8 @@
 
 namespace plantainwall {
 
-/// Polls the status of every server of every service and changes primaries, while this host is the coordinator.
+/// Polls the status of every server of every service and changes primaries, while this host is the coordinator. Servers
+/// whose registrations have ended are polled too, as long as they may hold an acknowledged commit.
 class PromotionCoordinator {
 public:
     struct Settings {
@@ -20,6 +21,8 @@
         /// A connection without an answer for this long is replaced.
         Duration replaceAfter = std::chrono::milliseconds(1500);
         Duration reconnectInterval = std::chrono::milliseconds(300);
+        /// The same for a server whose registration has ended: most of those do not run any more.
+        Duration lapsedReconnectInterval = std::chrono::milliseconds(1000);
     };
 
     PromotionCoordinator(Gateway&, BackendConnector&, PromotionService&, Gateway::Clock, std::string host, Metrics&);
@@ -40,9 +43,12 @@
     struct Member;
 
     void pollServers(const std::string& service, Instant now);
+    Member& pollServer(const ServerEntry&, const std::string& customer, Instant now);
+    void planService(const std::string& service, Instant now);
     void carryOut(const std::string& service, const FailoverPlan::Step&);
     void promote(const std::string& service, const FailoverPlan::Step&);
     void logServers(const std::string& service) const;
+    void logMissing(const std::string& service, const FailoverPlan::Step&) const;
     void sendCommand(const std::string& id, BackendCommandKind, uint64_t term);
 
     Gateway& m_gateway;
--- /dev/null
+++ b/src/replica_logs.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "failover_member.h"
+#include "primary_positions.h"
+#include <gsl/span>
+#include <map>
+
+namespace plantainwall {
+
+struct ReplicaLogsSettings {
+    /// A server without a registration that does not answer counts as down after this long. A longer time protects
+    /// commits of a server that only the primary reaches; a shorter one lets the service survive the loss of a second
+    /// server sooner.
+    Duration goneTimeout = std::chrono::milliseconds(5000);
+};
+
+/// Tracks which logs of one service may hold an acknowledged commit that no other log has. A decision object.
+///
+/// A commit is acknowledged once any replica has received it, so every log counts until it is proven that it is not
+/// needed: its server can receive no more, and after that the primary reported a position that another replica's log
+/// has reached. Whether a server is registered proves nothing about its process, and an answer under its id proves
+/// nothing about its log, because a restarted server may have lost it.
+class ReplicaLogs {
+public:
+    /// A log without which no server may be promoted.
+    struct Missing {
+        std::string id;
+        std::string_view reason; ///< For logs.
+        bool lost = false; ///< Lost by a restart; no answer of the server can replace it.
+    };
+
+    explicit ReplicaLogs(const ReplicaLogsSettings& = {});
+
+    /// Updates the state of all logs. Parameters as in FailoverPlan::step.
+    void update(Instant now, const std::string& primary, const std::vector<FailoverMember>&, uint64_t term);
+
+    /// Records that a new primary leads; it holds every acknowledged commit, but other logs may not yet.
+    void primaryChanged(Instant now);
+
+    /// Returns whether the last status is that of the server's present process.
+    bool isCurrent(const FailoverMember&) const;
+
+    /// Returns whether the server restarted without its log since this was last proven to be harmless.
+    bool hasLostLog(const std::string& id) const;
+
+    /// Returns the logs that are needed, given the servers that have stopped receiving.
+    /// @param longest Longest log among the stopped servers but the demoted primary.
+    /// @param unansweredSince A server that is down is not needed only if it left a request unanswered that was made
+    ///     after this time. Without a value every server is needed: a primary that answers could at any moment
+    ///     acknowledge a commit that a restarted server has confirmed.
+    std::vector<Missing> missing(
+        gsl::span<const std::string> stopped, const LogPosition& longest, std::optional<Instant> unansweredSince) const;
+
+    /// Returns id and start time (Unix milliseconds) of the unregistered servers that are down and whose logs are not
+    /// needed. They may still answer again.
+    std::vector<std::pair<std::string, uint64_t>> settled() const;
+
+private:
+    /// Proof that a log which grows no more is not needed.
+    struct Coverage {
+        Instant since; ///< The log has not grown since.
+        std::optional<LogPosition> primaryPosition; ///< First position that the primary reported after `since`.
+        std::string primary; ///< The primary that reported it.
+        std::optional<Instant> coveredAt; ///< When a log other than that primary's had reached the position.
+    };
+
+    struct Copy {
+        std::string address;
+        uint64_t startedUnixMs = 0;
+        uint64_t term = 0; ///< Last term that it reported.
+        LogPosition received; ///< Last position that it reported.
+        Instant validFrom; ///< Answers to earlier requests are from an earlier process.
+        bool restarted = false; ///< The process has not answered yet; its first status shows whether it kept the log.
+        bool leading = false; ///< Log of the primary: the replicas hold all that it acknowledged.
+        bool registered = true;
+        Instant failedAt; ///< See FailoverMember.
+        bool replaced = false; ///< See FailoverMember.
+        std::optional<Instant> unlistedSince; ///< Since when update() was called without it.
+        std::optional<Coverage> down; ///< Set while the server can receive nothing.
+    };
+
+    struct LostCopy {
+        std::string id;
+        uint64_t startedUnixMs = 0; ///< 0: the restart was recognized by its log.
+        bool wasPrimary = false; ///< Not needed before the primary changes.
+        uint64_t term = 0; ///< Last term and position that it reported; 0 if unknown.
+        LogPosition received;
+        Coverage coverage;
+    };
+
+    void updateCopy(Instant, const FailoverMember&, bool leading);
+    void noteLost(Instant, const std::string& id, uint64_t startedUnixMs, bool wasPrimary, const Copy&);
+    void checkLogKept(Instant, const std::string& id, const ServerStatus&);
+    /// Marks logs as covered that a later process at the server's address, or under its id, has kept.
+    void checkSuccessors(Instant, const std::vector<FailoverMember>&);
+    bool isDown(Instant, const FailoverMember&) const;
+
+    ReplicaLogsSettings m_settings;
+    std::map<std::string, Copy> m_copies; ///< By server id.
+    std::vector<LostCopy> m_lostCopies;
+};
+
+} // namespace plantainwall
--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -33,9 +33,13 @@
     KnownServer& known = m_servers[entry.id];
     const bool restarted = known.entry.startedUnixMs != entry.startedUnixMs && !known.entry.id.empty();
     const bool becamePrimary = entry.primary && (!known.entry.primary || restarted);
+    if (restarted && known.entry.startedUnixMs != 0)
+        lapse(known.entry, m_expiredAt, true);
     known.entry = entry;
     known.missingSince.reset();
-    m_lapsed.erase(entry.id);
+    for (auto& [process, server] : m_lapsed)
+        server.ended = server.ended || process.first == entry.id;
+    m_lapsed.erase({ entry.id, entry.startedUnixMs });
     Leadership& leadership = m_leadership[entry.service];
     if (becamePrimary) {
         leadership.id = entry.id;
@@ -50,7 +54,7 @@
     if (it == m_servers.end())
         return false;
     if (it->second.entry.draining) {
-        lapse(it->second.entry, now);
+        lapse(it->second.entry, now, false);
         m_servers.erase(it);
         return true;
     }
@@ -75,6 +79,7 @@
 
 std::vector<std::string> ServerDirectory::expire(Instant now)
 {
+    m_expiredAt = now;
     std::vector<std::string> removed;
     if (m_storeUnreachable || (m_storeReachableSince && now - *m_storeReachableSince < m_settings.returnGrace))
         return removed;
@@ -84,15 +89,15 @@
             continue;
         }
         removed.push_back(it->first);
-        lapse(it->second.entry, *it->second.missingSince);
+        lapse(it->second.entry, *it->second.missingSince, false);
         it = m_servers.erase(it);
     }
     return removed;
 }
 
-void ServerDirectory::lapse(const ServerEntry& entry, Instant since)
+void ServerDirectory::lapse(const ServerEntry& entry, Instant since, bool ended)
 {
-    m_lapsed[entry.id] = { entry, since };
+    m_lapsed[{ entry.id, entry.startedUnixMs }] = { entry, since, ended, {} };
     size_t n = 0;
     auto oldest = m_lapsed.end();
     for (auto it = m_lapsed.begin(); it != m_lapsed.end(); ++it) {
@@ -109,20 +114,50 @@
 std::vector<const LapsedServer*> ServerDirectory::lapsed(const std::string& service) const
 {
     std::vector<const LapsedServer*> result;
-    for (const auto& [id, server] : m_lapsed) {
+    for (const auto& [process, server] : m_lapsed) {
         if (server.entry.service == service)
             result.push_back(&server);
     }
     return result;
 }
 
-void ServerDirectory::addLapsed(const ServerEntry& entry, Instant now)
+void ServerDirectory::addLapsed(const ServerEntry& entry, bool settled, Instant now)
 {
-    if (m_servers.count(entry.id) == 0 && m_lapsed.count(entry.id) == 0)
-        lapse(entry, now);
+    const auto registered = m_servers.find(entry.id);
+    const uint64_t registeredStart = registered == m_servers.end() ? 0 : registered->second.entry.startedUnixMs;
+    const bool known = registered != m_servers.end() && entry.startedUnixMs >= registeredStart;
+    if (known || m_lapsed.count({ entry.id, entry.startedUnixMs }) != 0)
+        return;
+    lapse(entry, now, registered != m_servers.end());
+    const auto added = m_lapsed.find({ entry.id, entry.startedUnixMs });
+    if (settled && added != m_lapsed.end())
+        added->second.settledAt = now;
 }
 
-void ServerDirectory::forgetLapsed(const std::string& id) { m_lapsed.erase(id); }
+std::vector<std::pair<std::string, uint64_t>> ServerDirectory::settleLapsed(
+    const std::string& service, const std::vector<std::pair<std::string, uint64_t>>& settled, Instant now)
+{
+    std::vector<std::pair<std::string, uint64_t>> dropped;
+    for (auto it = m_lapsed.begin(); it != m_lapsed.end();) {
+        LapsedServer& server = it->second;
+        const bool isSettled = std::find(settled.begin(), settled.end(), it->first) != settled.end();
+        if (server.entry.service == service && !isSettled)
+            server.settledAt.reset();
+        else if (server.entry.service == service && !server.settledAt)
+            server.settledAt = now;
+        const bool drop = server.entry.service == service && server.settledAt
+            && (server.ended || now - *server.settledAt >= m_settings.forgetAfter);
+        if (drop)
+            dropped.push_back(it->first);
+        it = drop ? m_lapsed.erase(it) : std::next(it);
+    }
+    return dropped;
+}
+
+void ServerDirectory::forgetLapsed(const std::string& id, uint64_t startedUnixMs)
+{
+    m_lapsed.erase({ id, startedUnixMs });
+}
 
 const ServerEntry* ServerDirectory::find(const std::string& id) const
 {
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -17,12 +17,17 @@
     /// Lapsed servers that are kept per service; the oldest are dropped. A service has a few servers, and restarts of
     /// them are minutes apart, so more than this many have not been needed for long.
     size_t maxLapsedPerService = 16;
+    /// A lapsed server that is down may start again without reaching the store; it is kept for this long in case it
+    /// answers again.
+    Duration forgetAfter = std::chrono::seconds(60);
 };
 
 /// A server whose registration ended. It may still run, receive and confirm commits.
 struct LapsedServer {
     ServerEntry entry;
     Instant since; ///< When the registration ended, or when this host learned of the server.
+    bool ended = false; ///< The id was registered again by a process that started later.
+    std::optional<Instant> settledAt; ///< Since when it has been known to be down and not needed.
 };
 
 /// Lists the servers of each service and determines its primary, from the servers' registrations and their replies. A
@@ -36,7 +41,8 @@
     /// at once.
     std::vector<std::string> replaceAll(const std::vector<ServerEntry>&, Instant now);
 
-    /// Adds or updates a registered server, which ends its lapsed state.
+    /// Adds or updates a registered server, which ends its lapsed state. Another start time means that the process with
+    /// the id before has ended; it is kept as lapsed.
     void registerServer(const ServerEntry&);
 
     /// Records that a registration was removed. A draining server lapses at once, any other after the grace time.
@@ -52,12 +58,19 @@
     /// Returns the lapsed servers of a service. The pointers are valid until the next change of this directory.
     std::vector<const LapsedServer*> lapsed(const std::string& service) const;
 
-    /// Adds a lapsed server that is known from another source than its registration. Ignored if the id is registered,
-    /// in its grace time or lapsed.
-    void addLapsed(const ServerEntry&, Instant now);
+    /// Adds a lapsed server that is known from another source than its registration. Ignored if its process, or an
+    /// earlier one with the id, is registered, in its grace time or lapsed.
+    /// @param settled Whether it was down and not needed according to that source.
+    void addLapsed(const ServerEntry&, bool settled, Instant now);
 
-    /// Drops a lapsed server, for example because its process has ended. Ignored if the id is not lapsed.
-    void forgetLapsed(const std::string& id);
+    /// Records which lapsed servers of a service (id and start, Unix milliseconds) are down and not needed. Servers
+    /// that have been for forgetAfter, and processes that have ended, are dropped. Returns what was dropped.
+    std::vector<std::pair<std::string, uint64_t>> settleLapsed(
+        const std::string& service, const std::vector<std::pair<std::string, uint64_t>>& settled, Instant now);
+
+    /// Drops a lapsed server, for example because its process has ended. Ignored if it is not lapsed.
+    /// @param startedUnixMs Start of the process, as in its entry.
+    void forgetLapsed(const std::string& id, uint64_t startedUnixMs);
 
     const ServerEntry* find(const std::string& id) const;
     std::vector<const ServerEntry*> members(const std::string& service) const;
@@ -104,12 +117,14 @@
         std::map<std::string, Instant> deniedAt;
     };
 
-    void lapse(const ServerEntry&, Instant since);
+    void lapse(const ServerEntry&, Instant since, bool ended);
 
     DirectorySettings m_settings;
     std::map<std::string, KnownServer> m_servers;
-    std::map<std::string, LapsedServer> m_lapsed; ///< By id; none of them is in m_servers.
+    /// By id and start of the process. The processes in m_servers are not among them.
+    std::map<std::pair<std::string, uint64_t>, LapsedServer> m_lapsed;
     std::map<std::string, Leadership> m_leadership;
+    Instant m_expiredAt; ///< Time of the last call of expire().
     bool m_storeUnreachable = false;
     std::optional<Instant> m_storeReachableSince;
 };
--- a/tests/unit_failover_plan.cpp
+++ b/tests/unit_failover_plan.cpp
@@ -64,6 +64,7 @@
         step("p");
         silence("r2");
         get("r2").refused = replicaEnded;
+        step("p");
         now += std::chrono::milliseconds(500);
         answer("p");
         answer("r1");
@@ -160,6 +161,7 @@
     BOOST_TEST(std::count(stop.servers.begin(), stop.servers.end(), "r1") == 1);
     fleet.now += std::chrono::milliseconds(10);
     fleet.stop("r1", stop.term);
+    fleet.get("r2").failedAt = fleet.now;
     const FailoverPlan::Step promote = fleet.step("p");
     BOOST_REQUIRE((promote.action == FailoverAction::Promote));
     BOOST_TEST(promote.servers.front() == "r1");
--- a/tests/unit_server_directory.cpp
+++ b/tests/unit_server_directory.cpp
@@ -82,13 +82,13 @@
     directory.registerServer(entryOf("missing"));
     directory.remove("missing", now);
     for (const char* const id : { "registered", "missing", "other" })
-        directory.addLapsed(entryOf(id), now);
+        directory.addLapsed(entryOf(id), false, now);
     BOOST_TEST(lapsedIds(directory) == Ids { "other" });
-    directory.addLapsed(entryOf("other"), now + seconds(5));
+    directory.addLapsed(entryOf("other"), false, now + seconds(5));
     BOOST_TEST((directory.lapsed("orders").front()->since == now));
     BOOST_TEST(directory.find("other") == nullptr);
-    directory.forgetLapsed("registered");
-    directory.forgetLapsed("other");
+    directory.forgetLapsed("registered", 0);
+    directory.forgetLapsed("other", 0);
     BOOST_TEST(directory.lapsed("orders").empty());
     BOOST_TEST(directory.size() == 2U);
 }
@@ -99,10 +99,10 @@
     settings.maxLapsedPerService = 3;
     ServerDirectory directory(settings);
     const Instant now { seconds(100) };
-    directory.addLapsed(entryOf("a", "invoices"), now);
+    directory.addLapsed(entryOf("a", "invoices"), false, now);
     int passed = 0;
     for (const char* const id : { "e", "d", "c", "b" })
-        directory.addLapsed(entryOf(id), now + seconds(++passed));
+        directory.addLapsed(entryOf(id), false, now + seconds(++passed));
     BOOST_TEST(lapsedIds(directory) == (Ids { "b", "c", "d" }));
     BOOST_TEST(lapsedIds(directory, "invoices") == Ids { "a" });
 }
