Keep servers known as lapsed after their registration

Cause: the directory dropped a server when its registration ended (after the grace time, or at once if it was draining). But absence from the registry is no proof that the process has ended: a server that is cut off from the store only still receives and confirms commits, and a promotion that does not ask it may lose them. Change: ServerDirectory keeps such servers as lapsed, at most 16 per service. They get no statements: find(), members(), primary(), knownPrimary() and size() leave them out as before, and the results of remove(), replaceAll() and expire() are unchanged. A new registration ends the state. addLapsed() and forgetLapsed() are for other sources. Nothing uses the lapsed servers yet.

--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -35,6 +35,7 @@
     const bool becamePrimary = entry.primary && (!known.entry.primary || restarted);
     known.entry = entry;
     known.missingSince.reset();
+    m_lapsed.erase(entry.id);
     Leadership& leadership = m_leadership[entry.service];
     if (becamePrimary) {
         leadership.id = entry.id;
@@ -49,6 +50,7 @@
     if (it == m_servers.end())
         return false;
     if (it->second.entry.draining) {
+        lapse(it->second.entry, now);
         m_servers.erase(it);
         return true;
     }
@@ -82,11 +84,46 @@
             continue;
         }
         removed.push_back(it->first);
+        lapse(it->second.entry, *it->second.missingSince);
         it = m_servers.erase(it);
     }
     return removed;
 }
 
+void ServerDirectory::lapse(const ServerEntry& entry, Instant since)
+{
+    m_lapsed[entry.id] = { entry, since };
+    size_t n = 0;
+    auto oldest = m_lapsed.end();
+    for (auto it = m_lapsed.begin(); it != m_lapsed.end(); ++it) {
+        if (it->second.entry.service != entry.service)
+            continue;
+        ++n;
+        if (oldest == m_lapsed.end() || it->second.since < oldest->second.since)
+            oldest = it;
+    }
+    if (n > m_settings.maxLapsedPerService)
+        m_lapsed.erase(oldest);
+}
+
+std::vector<const LapsedServer*> ServerDirectory::lapsed(const std::string& service) const
+{
+    std::vector<const LapsedServer*> result;
+    for (const auto& [id, server] : m_lapsed) {
+        if (server.entry.service == service)
+            result.push_back(&server);
+    }
+    return result;
+}
+
+void ServerDirectory::addLapsed(const ServerEntry& entry, Instant now)
+{
+    if (m_servers.count(entry.id) == 0 && m_lapsed.count(entry.id) == 0)
+        lapse(entry, now);
+}
+
+void ServerDirectory::forgetLapsed(const std::string& id) { m_lapsed.erase(id); }
+
 const ServerEntry* ServerDirectory::find(const std::string& id) const
 {
     const auto it = m_servers.find(id);
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -14,10 +14,20 @@
     /// A server that denied being primary is not used as primary for this long: one store round trip and the delay of
     /// a registration.
     Duration denialTime = std::chrono::milliseconds(300);
+    /// Lapsed servers that are kept per service; the oldest are dropped. A service has a few servers, and restarts of
+    /// them are minutes apart, so more than this many have not been needed for long.
+    size_t maxLapsedPerService = 16;
+};
+
+/// A server whose registration ended. It may still run, receive and confirm commits.
+struct LapsedServer {
+    ServerEntry entry;
+    Instant since; ///< When the registration ended, or when this host learned of the server.
 };
 
 /// Lists the servers of each service and determines its primary, from the servers' registrations and their replies. A
-/// decision object.
+/// server stays known as lapsed after its registration: it gets no statements, and find(), members(), primary() and
+/// size() leave it out. A decision object.
 class ServerDirectory {
 public:
     explicit ServerDirectory(const DirectorySettings& = {});
@@ -26,19 +36,29 @@
     /// at once.
     std::vector<std::string> replaceAll(const std::vector<ServerEntry>&, Instant now);
 
-    /// Adds or updates a registered server.
+    /// Adds or updates a registered server, which ends its lapsed state.
     void registerServer(const ServerEntry&);
 
-    /// Records that a registration was removed. A draining server is removed at once, any other after the grace time.
-    /// Returns whether it was removed at once.
+    /// Records that a registration was removed. A draining server lapses at once, any other after the grace time.
+    /// Returns whether it lapsed at once.
     bool remove(const std::string& id, Instant now);
 
     void storeBecameUnreachable();
     void storeReachableAgain(Instant now);
 
-    /// Removes servers whose grace time has expired and returns their ids.
+    /// Makes servers lapsed whose grace time has expired and returns their ids.
     std::vector<std::string> expire(Instant now);
 
+    /// Returns the lapsed servers of a service. The pointers are valid until the next change of this directory.
+    std::vector<const LapsedServer*> lapsed(const std::string& service) const;
+
+    /// Adds a lapsed server that is known from another source than its registration. Ignored if the id is registered,
+    /// in its grace time or lapsed.
+    void addLapsed(const ServerEntry&, Instant now);
+
+    /// Drops a lapsed server, for example because its process has ended. Ignored if the id is not lapsed.
+    void forgetLapsed(const std::string& id);
+
     const ServerEntry* find(const std::string& id) const;
     std::vector<const ServerEntry*> members(const std::string& service) const;
 
@@ -84,8 +104,11 @@
         std::map<std::string, Instant> deniedAt;
     };
 
+    void lapse(const ServerEntry&, Instant since);
+
     DirectorySettings m_settings;
     std::map<std::string, KnownServer> m_servers;
+    std::map<std::string, LapsedServer> m_lapsed; ///< By id; none of them is in m_servers.
     std::map<std::string, Leadership> m_leadership;
     bool m_storeUnreachable = false;
     std::optional<Instant> m_storeReachableSince;
--- /dev/null
+++ b/tests/unit_server_directory.cpp
@@ -0,0 +1,108 @@
+#include "server_directory.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace plantainwall;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+ServerEntry entryOf(const std::string& id, const std::string& service = "orders")
+{
+    ServerEntry entry;
+    entry.id = id;
+    entry.service = service;
+    entry.address = "127.0.0.1:1";
+    return entry;
+}
+
+std::vector<std::string> lapsedIds(const ServerDirectory& directory, const std::string& service = "orders")
+{
+    std::vector<std::string> ids;
+    for (const LapsedServer* const server : directory.lapsed(service))
+        ids.push_back(server->entry.id);
+    return ids;
+}
+
+using Ids = std::vector<std::string>;
+
+} // namespace
+
+BOOST_TEST_DONT_PRINT_LOG_VALUE(Ids)
+
+// A server that lost only the store is absent from the registry, but still receives and confirms commits.
+BOOST_AUTO_TEST_CASE(server_stays_known_after_its_registration_ended)
+{
+    ServerDirectory directory;
+    Instant now { seconds(100) };
+    directory.registerServer(entryOf("a"));
+    directory.registerServer(entryOf("b"));
+    const Instant ended = now;
+    BOOST_TEST(!directory.remove("a", now));
+    BOOST_TEST(directory.lapsed("orders").empty());
+    BOOST_TEST(directory.find("a") != nullptr);
+    now += milliseconds(2600);
+    BOOST_TEST(directory.expire(now) == Ids { "a" });
+    BOOST_TEST(directory.find("a") == nullptr);
+    BOOST_TEST(directory.members("orders").size() == 1U);
+    BOOST_TEST(directory.primary("orders", now) == "b");
+    BOOST_TEST(directory.size() == 1U);
+    BOOST_REQUIRE(lapsedIds(directory) == Ids { "a" });
+    BOOST_TEST((directory.lapsed("orders").front()->since == ended));
+    BOOST_TEST(directory.lapsed("invoices").empty());
+    directory.registerServer(entryOf("a"));
+    BOOST_TEST(directory.lapsed("orders").empty());
+    BOOST_TEST(directory.find("a") != nullptr);
+}
+
+// A draining server receives and confirms commits until its process ends, which may be long after its registration.
+BOOST_AUTO_TEST_CASE(draining_server_lapses_at_once)
+{
+    for (const bool listed : { false, true }) {
+        ServerDirectory directory;
+        const Instant now { seconds(100) };
+        ServerEntry entry = entryOf("a");
+        entry.draining = true;
+        directory.registerServer(entry);
+        if (listed)
+            BOOST_TEST(directory.replaceAll({}, now) == Ids { "a" });
+        else
+            BOOST_TEST(directory.remove("a", now));
+        BOOST_TEST(directory.size() == 0U);
+        BOOST_REQUIRE(lapsedIds(directory) == Ids { "a" });
+        BOOST_TEST(directory.lapsed("orders").front()->entry.draining);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(servers_of_another_source_are_added_only_if_unknown)
+{
+    ServerDirectory directory;
+    const Instant now { seconds(100) };
+    directory.registerServer(entryOf("registered"));
+    directory.registerServer(entryOf("missing"));
+    directory.remove("missing", now);
+    for (const char* const id : { "registered", "missing", "other" })
+        directory.addLapsed(entryOf(id), now);
+    BOOST_TEST(lapsedIds(directory) == Ids { "other" });
+    directory.addLapsed(entryOf("other"), now + seconds(5));
+    BOOST_TEST((directory.lapsed("orders").front()->since == now));
+    BOOST_TEST(directory.find("other") == nullptr);
+    directory.forgetLapsed("registered");
+    directory.forgetLapsed("other");
+    BOOST_TEST(directory.lapsed("orders").empty());
+    BOOST_TEST(directory.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(oldest_lapsed_servers_of_a_service_are_dropped)
+{
+    DirectorySettings settings;
+    settings.maxLapsedPerService = 3;
+    ServerDirectory directory(settings);
+    const Instant now { seconds(100) };
+    directory.addLapsed(entryOf("a", "invoices"), now);
+    int passed = 0;
+    for (const char* const id : { "e", "d", "c", "b" })
+        directory.addLapsed(entryOf(id), now + seconds(++passed));
+    BOOST_TEST(lapsedIds(directory) == (Ids { "b", "c", "d" }));
+    BOOST_TEST(lapsedIds(directory, "invoices") == Ids { "a" });
+}
