Omit removed items from the fake store's listings

Cause: FakeFleetStore::list() returned removed items too, as a watch does. A real store lists existing items only. A host that started (or listed again) after a removal registered the removed server and saw a released coordinator lease as held; seen in a trial of a test in which a host starts after a registration has ended. Change: listings leave out removed items; watches still return them. No check is changed.

--- a/tests/support_fleet.cpp
+++ b/tests/support_fleet.cpp
@@ -42,7 +42,12 @@
 
 void FakeFleetStore::list(const std::string&, const std::string&, std::function<void(StoreItems)> handler)
 {
-    afterRoundTrip([this, handler = std::move(handler)] { handler(unavailable ? StoreItems() : since(0)); });
+    afterRoundTrip([this, handler = std::move(handler)] {
+        StoreItems listing = unavailable ? StoreItems() : since(0);
+        const auto isRemoved = [](const StoreItem& item) { return item.removed; };
+        listing.items.erase(std::remove_if(listing.items.begin(), listing.items.end(), isRemoved), listing.items.end());
+        handler(std::move(listing));
+    });
 }
 
 void FakeFleetStore::watch(const std::string&, uint64_t after, Duration wait, std::function<void(StoreItems)> handler)
