Record the servers of each service that may hold commits in the store

Cause: lapsed servers were known only to hosts that had seen their registrations. A host whose process started later, and then became the promotion coordinator, promoted the only registered server without having asked the others. Change: the active coordinator writes the registered and lapsed servers of each service to plantainwall/replicas/<service> without a lease (compare-and-swap, whenever the content differs, four writes at a time, with pauses after writes, conflicts and failures; only while it can read the store and its lease lasts). Nothing waits for the write. Every host adds the listed servers to its directory as lapsed. Hosts other than the coordinator drop a lapsed server that the item no longer lists (unless the item went back to a lower revision, as in a restored copy), or that no item lists for 60 s. The decisions are in ReplicaRecords; FleetMember only passes items and writes on. Only items with a new value are decoded. The coordinator's own forgetting of lapsed servers is not part of this change: until it comes, a listed server stays listed until it is one of more than 16 lapsed ones of its service.

--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -42,6 +42,7 @@
 void FleetMember::configurationRead(std::shared_ptr<const GatewayConfiguration> configuration)
 {
     m_gateway.setConfiguration(std::move(configuration));
+    m_replicaItemsChanged = true;
     m_gateway.serversChanged();
 }
 
@@ -79,6 +80,7 @@
 
 void FleetMember::ownItemsChanged()
 {
+    m_replicaItemsChanged = true;
     std::set<std::string> listed;
     for (const auto& [key, item] : m_follower.ownItems()) {
         if (key.rfind(hostsPrefix, 0) != 0)
@@ -171,6 +173,7 @@
     m_positionExchange.tick([this] { return watchingHosts(); });
     m_changeExchange.tick(m_follower.missingAfter(), [this] { return watchingHosts(); });
     m_quota.tick();
+    tickReplicaRecords();
     tickCoordinator();
 }
 
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -4,6 +4,7 @@
 #include "link_borrower.h"
 #include "position_exchange.h"
 #include "promotion_coordinator.h"
+#include "replica_record.h"
 #include "store_follower.h"
 
 namespace plantainwall {
@@ -136,6 +137,9 @@
     }; ///< ReplyRequested: the receiver sends a report back at once.
     std::string report(ReportKind, const Primaries&) const;
 
+    // fleet_member_replicas.cpp
+    void tickReplicaRecords();
+
     // fleet_member_relay.cpp
     StoreSource storeSource() const;
     void chooseSource();
@@ -157,6 +161,8 @@
     StoreFollower m_follower;
     PositionExchange m_positionExchange;
     ChangeExchange m_changeExchange;
+    ReplicaRecords m_replicaRecords;
+    bool m_replicaItemsChanged = false; ///< The own items or the configured services have changed since the last tick.
     std::map<std::string, Peer> m_peers; ///< Registered hosts other than this one, by name.
     uint64_t m_registrationLease = 0;
     uint64_t m_coordinatorLease = 0;
--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -116,6 +116,27 @@
     return result;
 }
 
+std::vector<const LapsedServer*> ServerDirectory::lapsed() const
+{
+    std::vector<const LapsedServer*> result;
+    for (const auto& [id, server] : m_lapsed)
+        result.push_back(&server);
+    return result;
+}
+
+std::map<std::string, std::vector<const ServerEntry*>> ServerDirectory::replicas() const
+{
+    std::map<std::string, std::vector<const ServerEntry*>> result;
+    for (const auto& [id, known] : m_servers)
+        result[known.entry.service].push_back(&known.entry);
+    for (const auto& [id, server] : m_lapsed)
+        result[server.entry.service].push_back(&server.entry);
+    for (auto& [service, servers] : result)
+        std::sort(
+            servers.begin(), servers.end(), [](const ServerEntry* a, const ServerEntry* b) { return a->id < b->id; });
+    return result;
+}
+
 void ServerDirectory::addLapsed(const ServerEntry& entry, Instant now)
 {
     if (m_servers.count(entry.id) == 0 && m_lapsed.count(entry.id) == 0)
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -52,6 +52,13 @@
     /// Returns the lapsed servers of a service. The pointers are valid until the next change of this directory.
     std::vector<const LapsedServer*> lapsed(const std::string& service) const;
 
+    /// Returns the lapsed servers of all services. The pointers are valid until the next change of this directory.
+    std::vector<const LapsedServer*> lapsed() const;
+
+    /// Returns all servers by service, lapsed ones included, in order of their ids. The pointers are valid until the
+    /// next change of this directory.
+    std::map<std::string, std::vector<const ServerEntry*>> replicas() const;
+
     /// Adds a lapsed server that is known from another source than its registration. Ignored if the id is registered,
     /// in its grace time or lapsed.
     void addLapsed(const ServerEntry&, Instant now);
--- a/tests/support_fleet.cpp
+++ b/tests/support_fleet.cpp
@@ -75,19 +75,27 @@
     return [this, handler = std::move(handler)](Result result) { handler(refuses ? Result() : std::move(result)); };
 }
 
+std::function<void(StoreItems)> FakeHostStore::filterRead(std::function<void(StoreItems)> handler) const
+{
+    return filter<StoreItems>([this, handler = std::move(handler)](
+                                  StoreItems items) { handler(refusesReads ? StoreItems() : std::move(items)); });
+}
+
 void FakeHostStore::list(const std::string& prefix, const std::string& after, std::function<void(StoreItems)> handler)
 {
-    m_store.list(prefix, after, filter(std::move(handler)));
+    m_store.list(prefix, after, filterRead(std::move(handler)));
 }
 
 void FakeHostStore::watch(
     const std::string& prefix, uint64_t after, Duration wait, std::function<void(StoreItems)> handler)
 {
-    m_store.watch(prefix, after, wait, filter(std::move(handler)));
+    m_store.watch(prefix, after, wait, filterRead(std::move(handler)));
 }
 
 void FakeHostStore::write(const StoreWrite& write, std::function<void(StoreResult)> handler)
 {
+    if (beforeWrite)
+        beforeWrite(write);
     m_store.write(write, filter(std::move(handler)));
 }
 
@@ -98,6 +106,10 @@
 
 void FakeHostStore::keepLease(uint64_t lease, std::function<void(StoreResult)> handler)
 {
+    if (refusesRenewals) {
+        m_store.keepLease(0, [handler = std::move(handler)](const StoreResult&) { handler({}); });
+        return;
+    }
     m_store.keepLease(lease, filter(std::move(handler)));
 }
 
@@ -114,6 +126,19 @@
     notifyWatches();
 }
 
+void FakeFleetStore::erase(const std::string& key)
+{
+    StoreItem& item = m_items[key];
+    item = { key, {}, ++m_revision, true };
+    notifyWatches();
+}
+
+std::optional<std::string> FakeFleetStore::valueOf(const std::string& key) const
+{
+    const auto it = m_items.find(key);
+    return it == m_items.end() || it->second.removed ? std::nullopt : std::make_optional(it->second.value);
+}
+
 void FakeFleetStore::notifyWatches()
 {
     const std::vector<std::shared_ptr<Watch>> watches = std::move(m_watches);
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -36,6 +36,12 @@
     /// Writes an item as a client outside the fleet does.
     void put(const std::string& key, const std::string& value, uint64_t lease = 0);
 
+    /// Removes an item as a client outside the fleet does.
+    void erase(const std::string& key);
+
+    /// Returns the value of an item, or nothing if it does not exist.
+    std::optional<std::string> valueOf(const std::string& key) const;
+
     unsigned watches = 0; ///< Watch calls so far.
     unsigned leases = 0; ///< Leases created so far.
     bool unavailable = false; ///< Every call fails.
@@ -83,9 +89,13 @@
     void endLease(uint64_t, std::function<void(StoreResult)>) override;
 
     bool refuses = false; ///< Fails every call of this host.
+    bool refusesReads = false; ///< Fails every listing and watch of this host.
+    bool refusesRenewals = false; ///< Fails every renewal of a lease of this host.
+    std::function<void(const StoreWrite&)> beforeWrite; ///< Called before each write; may be empty.
 
 private:
     template <typename Result> std::function<void(Result)> filter(std::function<void(Result)>) const;
+    std::function<void(StoreItems)> filterRead(std::function<void(StoreItems)>) const;
 
     FakeFleetStore& m_store;
 };
