--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -1,5 +1,6 @@
 #include "server_directory.h"
 #include <algorithm>
+#include <tuple>
 
 namespace plantainwall {
 
@@ -121,17 +122,44 @@
     return result;
 }
 
-void ServerDirectory::addLapsed(const ServerEntry& entry, bool settled, Instant now)
+void ServerDirectory::addLapsed(const ServerEntry& entry, Instant now)
 {
     const auto registered = m_servers.find(entry.id);
     const uint64_t registeredStart = registered == m_servers.end() ? 0 : registered->second.entry.startedUnixMs;
     const bool known = registered != m_servers.end() && entry.startedUnixMs >= registeredStart;
-    if (known || m_lapsed.count({ entry.id, entry.startedUnixMs }) != 0)
-        return;
-    lapse(entry, now, registered != m_servers.end());
-    const auto added = m_lapsed.find({ entry.id, entry.startedUnixMs });
-    if (settled && added != m_lapsed.end())
-        added->second.settledAt = now;
+    if (!known && m_lapsed.count({ entry.id, entry.startedUnixMs }) == 0)
+        lapse(entry, now, registered != m_servers.end());
+}
+
+std::vector<const LapsedServer*> ServerDirectory::lapsed() const
+{
+    std::vector<const LapsedServer*> result;
+    for (const auto& [process, server] : m_lapsed)
+        result.push_back(&server);
+    return result;
+}
+
+std::map<std::string, std::vector<const ServerEntry*>> ServerDirectory::replicas() const
+{
+    std::map<std::string, std::vector<const ServerEntry*>> result;
+    for (const auto& [id, known] : m_servers)
+        result[known.entry.service].push_back(&known.entry);
+    for (const auto& [process, server] : m_lapsed) {
+        if (!server.settledAt)
+            result[server.entry.service].push_back(&server.entry);
+    }
+    for (auto& [service, servers] : result)
+        std::sort(servers.begin(), servers.end(), [](const ServerEntry* a, const ServerEntry* b) {
+            return std::tie(a->id, a->startedUnixMs) < std::tie(b->id, b->startedUnixMs);
+        });
+    return result;
+}
+
+void ServerDirectory::noteSettled(const std::string& id, uint64_t startedUnixMs, Instant now)
+{
+    const auto it = m_lapsed.find({ id, startedUnixMs });
+    if (it != m_lapsed.end() && !it->second.settledAt)
+        it->second.settledAt = now;
 }
 
 std::vector<std::pair<std::string, uint64_t>> ServerDirectory::settleLapsed(
@@ -212,7 +240,10 @@
 bool ServerDirectory::noteReportedPrimary(const std::string& service, const std::string& id, uint64_t term, Instant now)
 {
     const std::string known = primary(service, now);
-    if (term < this->term(service) || (term == this->term(service) && !known.empty()) || find(id) == nullptr)
+    const bool lapsed
+        = std::any_of(m_lapsed.begin(), m_lapsed.end(), [&](const auto& server) { return server.first.first == id; });
+    if (term < this->term(service) || (term == this->term(service) && !known.empty())
+        || (find(id) == nullptr && !lapsed))
         return false;
     return notePrimary(service, id, term);
 }
