Log what happens to configurations of a restored store

What callers saw: after the metadata store had been restored from a copy some seconds old, a configuration that the store had acknowledged came into force on no host. The logs showed nothing: a configuration that is not applied left no line, and no line carried the store's era.

The lines now distinguish three causes: - configuration_not_applied: the item was read but ignored; with its reason, version, revision and era, and the version and revision in force. - store_restored: the era has risen, or an answer's revision is below the one from which this host watches (revision, store_revision), so that it waits for changes that the store does not have yet. - relay_era_differs: relayed state of another era was taken as up to date. store_reachable, store_unreachable, store_source_changed and store_item_rejected carry the era, server_registered the start and the sequence number of the entry; new metric plantainwall_store_era.

Nothing is decided by it yet.

--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -71,6 +71,9 @@
     /// Returns names and addresses of the reachable hosts in the data centre's region; empty in a small fleet.
     std::vector<std::pair<std::string, std::string>> lenders(const std::string& dataCentre) const override;
 
+    /// Returns the newest era of the store that this host has seen; 0 if the store reports none.
+    uint64_t storeEra() const { return m_follower.era(); }
+
     /// Returns the number of hosts that share the connections to the servers of this host's region.
     size_t lendingHosts() const;
 
--- a/src/fleet_member_relay.cpp
+++ b/src/fleet_member_relay.cpp
@@ -42,7 +42,7 @@
     m_follower.setSource(source);
     m_gateway.setPositionsFromPeers(source == StoreSource::Relay && largeFleet());
     logEvent(LogEvent::StoreSourceChanged,
-        { { "source", storeSourceName(source) }, { "hosts", m_peers.size() + 1 },
+        { { "source", storeSourceName(source) }, { "hosts", m_peers.size() + 1 }, { "era", m_follower.era() },
             { "revision", m_follower.knownState().to } });
 }
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -92,7 +92,8 @@
         server.speed = ServerSpeed(distance);
         logEvent(LogEvent::ServerRegistered,
             { { "service", entry.service }, { "server", entry.id }, { "address", entry.address },
-                { "data_centre", entry.dataCentre }, { "primary", entry.primary }, { "draining", entry.draining } });
+                { "data_centre", entry.dataCentre }, { "primary", entry.primary }, { "draining", entry.draining },
+                { "started_unix_ms", entry.startedUnixMs }, { "sequence", entry.sequence } });
     }
     server.service = entry.service;
     server.slots = std::max(1U, entry.slots);
--- a/src/gateway_config.h
+++ b/src/gateway_config.h
@@ -54,6 +54,7 @@
     bool draining = false;
     bool primary = false; ///< Whether the server considers itself primary.
     uint64_t startedUnixMs = 0; ///< Unix milliseconds of its start; 0 if unknown.
+    uint64_t sequence = 0; ///< Rises with each entry that the server writes between two starts; 0 if unknown.
 };
 
 } // namespace plantainwall
--- a/src/gateway_ports.h
+++ b/src/gateway_ports.h
@@ -145,6 +145,7 @@
     std::vector<StoreItem> items;
     bool more = false;
     uint64_t asOf = 0;
+    uint64_t era = 0; ///< See MetadataStore.
 };
 
 struct StoreWrite {
@@ -157,9 +158,14 @@
 struct StoreResult {
     StoreOutcome outcome = StoreOutcome::Unreachable;
     uint64_t number = 0; ///< Revision of a write, id of a lease.
+    uint64_t era = 0; ///< See MetadataStore.
 };
 
 /// The metadata store. Each callback is called once, never from within the function that it is passed to.
+///
+/// The store may be replaced by an older copy of itself. Its era then rises; revisions and lease ids go back and are
+/// given out again, so that they are comparable within one era only. Results of failed calls carry the era too; it is 0
+/// if there was no answer or the store does not report it.
 class MetadataStore {
 public:
     virtual ~MetadataStore() = default;
--- a/src/http_channel.cpp
+++ b/src/http_channel.cpp
@@ -1,5 +1,6 @@
 #include "http_channel.h"
 #include "endpoint.h"
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
@@ -19,6 +20,15 @@
 
 } // namespace
 
+std::string_view HttpOutcome::header(std::string_view name) const
+{
+    for (const auto& [key, value] : headers) {
+        if (boost::algorithm::iequals(key, name))
+            return value;
+    }
+    return {};
+}
+
 class HttpChannel::Connection : public std::enable_shared_from_this<Connection> {
 public:
     Connection(boost::asio::io_context& loop, const std::string& address)
@@ -117,6 +127,8 @@
                 if (!ec) {
                     outcome.answered = true;
                     outcome.status = parser->get().result_int();
+                    for (const http::fields::value_type& it : parser->get())
+                        outcome.headers.emplace_back(it.name_string(), it.value());
                     outcome.body = std::move(parser->get().body());
                     if (!parser->keep_alive())
                         self->m_stream.reset();
--- a/src/http_channel.h
+++ b/src/http_channel.h
@@ -20,7 +20,11 @@
 struct HttpOutcome {
     bool answered = false; ///< False if no answer arrived; the server may have executed the call.
     unsigned status = 0;
+    std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+
+    /// Returns the value of a header, whose name is compared without regard to case; empty if there is none.
+    std::string_view header(std::string_view name) const;
 };
 
 /// Sends HTTP/1.1 calls to one address, one at a time over one connection, on an event loop. If a call is not answered
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -63,6 +63,9 @@
     PeerSilent,
     LinesDropped,
     StoreSourceChanged,
+    StoreRestored,
+    RelayEraDiffers,
+    ConfigurationNotApplied,
     Count
 };
 
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -64,6 +64,12 @@
         { 51, "store_source_changed", LogLevel::Info,
             "The host's source of store changes is a different one: its own watch, a watch shared with other hosts, or "
             "another host." },
+        { 52, "store_restored", LogLevel::Warn,
+            "The store has a newer era or an older revision than before: it was restored from a copy." },
+        { 53, "relay_era_differs", LogLevel::Info,
+            "Another host relayed changes of the store from a different era than the one known here." },
+        { 54, "configuration_not_applied", LogLevel::Info,
+            "A configuration was read from the store but not put in force; the field reason says why." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -31,6 +31,7 @@
         RateShare,
         BackendConnects,
         StatementLatency,
+        StoreEra,
         Count
     };
 
@@ -60,6 +61,9 @@
         { "plantainwall_backend_connects_total", MetricType::Counter, "", "Connections opened to backend servers." },
         { "plantainwall_statement_seconds", MetricType::Histogram, "route",
             "Time from a statement to its answer, by what its route asks of reads." },
+        { "plantainwall_store_era", MetricType::Gauge, "",
+            "Newest era of the metadata store that this host has seen; it rises when the store is restored from a "
+            "copy." },
     };
     static_assert(sizeof(families) / sizeof(families[0]) == static_cast<size_t>(Family::Count), "one for each Family");
 
@@ -93,6 +97,7 @@
         { Family::SeatsHeld, "" },
         { Family::ConfigurationRevision, "" },
         { Family::ConfigurationAge, "" },
+        { Family::StoreEra, "" },
     };
     static_assert(
         sizeof(gauges) / sizeof(gauges[0]) == static_cast<size_t>(MetricGauge::Count), "one for each MetricGauge");
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -30,6 +30,7 @@
     SeatsHeld, ///< Rate slices that this host holds.
     ConfigurationRevision,
     ConfigurationAge, ///< In seconds.
+    StoreEra,
     Count
 };
 
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -40,6 +40,7 @@
 
 void StoreFollower::pageReceived(StoreItems page)
 {
+    noteEra(page.era, page.asOf, "list");
     if (page.outcome != StoreOutcome::Ok) {
         storeCallFailed(page.outcome, "list");
         return;
@@ -98,6 +99,7 @@
 
 void StoreFollower::watchAnswered(const StoreItems& events, Instant sentAt, Duration wait)
 {
+    noteEra(events.era, events.asOf, "watch");
     if (events.outcome == StoreOutcome::HistoryLost) {
         storeCallSucceeded();
         list();
@@ -115,6 +117,7 @@
     changes.from = m_revision;
     changes.to = std::max(m_revision, events.asOf);
     changes.items = events.items;
+    changes.era = m_era;
     advance(events.items, changes.to);
     changes.age = std::chrono::duration_cast<Duration>(m_clock() - m_stateAsOf);
     m_observer.eventsRead(changes);
@@ -149,6 +152,12 @@
 void StoreFollower::applyRelayed(const StoreEvents& events)
 {
     const Instant now = m_clock();
+    if (events.era != m_era && events.era != m_differingEra) {
+        m_differingEra = events.era;
+        logEvent(LogEvent::RelayEraDiffers,
+            { { "era", m_era }, { "relayed_era", events.era }, { "revision", m_revision },
+                { "relayed_revision", events.to }, { "source", storeSourceName(m_source) } });
+    }
     m_reportedRevision = std::max(m_reportedRevision, events.to);
     if (m_listed && !m_listingInProgress && events.from <= m_revision && events.from < events.to)
         advance(events.items, events.to);
@@ -167,7 +176,7 @@
 
 StoreEvents StoreFollower::knownState() const
 {
-    return { m_revision, m_revision, std::chrono::duration_cast<Duration>(m_clock() - m_stateAsOf), {} };
+    return { m_revision, m_revision, std::chrono::duration_cast<Duration>(m_clock() - m_stateAsOf), {}, m_era };
 }
 
 void StoreFollower::apply(const StoreItem& item)
@@ -199,22 +208,47 @@
         return m_decoder.server(item);
     } catch (const std::exception& error) {
         logEvent(LogEvent::StoreItemRejected,
-            { { "key", item.key }, { "revision", item.revision }, { "reason", error.what() } });
+            { { "key", item.key }, { "revision", item.revision }, { "era", m_era }, { "reason", error.what() } });
         return std::nullopt;
     }
 }
 
 void StoreFollower::decodeConfiguration(const StoreItem& item)
 {
-    if (item.revision <= m_configurationRevision)
+    if (item.revision == m_configurationRevision)
         return;
     try {
-        m_observer.configurationRead(m_decoder.configuration(item));
+        const std::shared_ptr<const GatewayConfiguration> configuration = m_decoder.configuration(item);
+        const bool olderRevision = item.revision < m_configurationRevision;
+        if (olderRevision || configuration->version <= m_configurationVersion)
+            logEvent(LogEvent::ConfigurationNotApplied,
+                { { "reason", olderRevision ? "older revision" : "no newer version" },
+                    { "version", configuration->version }, { "version_in_force", m_configurationVersion },
+                    { "revision", item.revision }, { "revision_in_force", m_configurationRevision },
+                    { "era", m_era } });
+        if (olderRevision)
+            return;
+        m_configurationVersion = std::max(m_configurationVersion, configuration->version);
+        m_observer.configurationRead(configuration);
         m_configurationRevision = item.revision;
     } catch (const std::exception& error) {
         logEvent(LogEvent::StoreItemRejected,
-            { { "key", item.key }, { "revision", item.revision }, { "reason", error.what() } });
+            { { "key", item.key }, { "revision", item.revision }, { "era", m_era }, { "reason", error.what() } });
+    }
+}
+
+void StoreFollower::noteEra(uint64_t era, uint64_t storeRevision, std::string_view call)
+{
+    const bool newerEra = era > m_era && m_listed;
+    const bool olderRevision = storeRevision != 0 && storeRevision < m_revision;
+    if (newerEra || (olderRevision && storeRevision != m_loggedStoreRevision)) {
+        m_loggedStoreRevision = storeRevision;
+        logEvent(LogEvent::StoreRestored,
+            { { "call", call }, { "era", era }, { "previous_era", m_era }, { "revision", m_revision },
+                { "store_revision", storeRevision }, { "reported_revision", m_reportedRevision },
+                { "source", storeSourceName(m_source) } });
     }
+    m_era = std::max(m_era, era);
 }
 
 void StoreFollower::storeCallFailed(StoreOutcome outcome, std::string_view call)
@@ -223,7 +257,8 @@
     m_listingInProgress = false;
     if (m_reachable || !m_reachabilityReported) {
         logEvent(LogEvent::StoreUnreachable,
-            { { "call", call }, { "outcome", storeOutcomeName(outcome) }, { "revision", m_revision } });
+            { { "call", call }, { "outcome", storeOutcomeName(outcome) }, { "era", m_era },
+                { "revision", m_revision } });
         m_reachabilityReported = true;
         m_reachable = false;
         m_observer.storeReachable(false);
@@ -243,7 +278,7 @@
         return;
     m_reachable = true;
     m_reachabilityReported = true;
-    logEvent(LogEvent::StoreReachable, { { "revision", m_revision } });
+    logEvent(LogEvent::StoreReachable, { { "era", m_era }, { "revision", m_revision } });
     m_observer.storeReachable(true);
 }
 
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -94,6 +94,9 @@
 
     bool reachable() const { return m_reachable; }
 
+    /// Returns the newest era of the store that an answer carried; 0 if none did.
+    uint64_t era() const { return m_era; }
+
     /// Returns whether a complete listing has been read.
     bool listed() const { return m_listed; }
 
@@ -106,6 +109,7 @@
     void advance(const std::vector<StoreItem>&, uint64_t to);
     void storeCallFailed(StoreOutcome, std::string_view call);
     void storeCallSucceeded();
+    void noteEra(uint64_t era, uint64_t storeRevision, std::string_view call);
     void apply(const StoreItem&);
     std::optional<ServerEntry> decodeServer(const StoreItem&) const;
     void decodeConfiguration(const StoreItem&);
@@ -128,6 +132,10 @@
     uint64_t m_listingRevision = 0;
     uint64_t m_revision = 0;
     uint64_t m_configurationRevision = 0;
+    uint64_t m_configurationVersion = 0;
+    uint64_t m_era = 0;
+    uint64_t m_differingEra = 0; ///< Last era of a relay that was logged as different.
+    uint64_t m_loggedStoreRevision = 0; ///< Last revision of the store that was logged as older than m_revision.
     Duration m_retryDelay;
     bool m_reachable = false;
     bool m_reachabilityReported = false; ///< The observer has been notified at least once.
--- a/src/store_relay.cpp
+++ b/src/store_relay.cpp
@@ -25,12 +25,14 @@
         return entry;
     }
 
-    std::string encodeDatagram(uint64_t from, uint64_t to, Duration age, const std::vector<value>& items)
+    std::string encodeDatagram(const StoreEvents& events, uint64_t from, uint64_t to, const std::vector<value>& items)
     {
         value body = value::object();
         body["f"] = value::number(from);
         body["t"] = value::number(to);
-        body["a"] = value::number(static_cast<int64_t>(age.count()));
+        body["a"] = value::number(static_cast<int64_t>(events.age.count()));
+        if (events.era != 0)
+            body["e"] = value::number(events.era);
         if (!items.empty())
             body["i"] = value::array(items);
         return std::string(datagramPrefix) + body.serialize();
@@ -49,13 +51,13 @@
         // Base64 encodes three bytes as four characters; field names and punctuation add fewer than 50.
         const size_t size = item.key.size() + item.value.size() * 4 / 3 + 50;
         if (size > maxDatagramBytes) {
-            datagrams.push_back(encodeDatagram(events.to, events.to, events.age, {}));
+            datagrams.push_back(encodeDatagram(events, events.to, events.to, {}));
             return datagrams;
         }
         const bool newRevision = i == 0 || item.revision != events.items[i - 1].revision;
         if (newRevision && !chunk.empty() && bytes + size > maxDatagramBytes) {
             const uint64_t to = events.items[i - 1].revision;
-            datagrams.push_back(encodeDatagram(from, to, events.age, chunk));
+            datagrams.push_back(encodeDatagram(events, from, to, chunk));
             from = to;
             chunk.clear();
             bytes = 0;
@@ -63,7 +65,7 @@
         chunk.push_back(encodeItem(item));
         bytes += size;
     }
-    datagrams.push_back(encodeDatagram(chunk.empty() ? events.to : from, events.to, events.age, chunk));
+    datagrams.push_back(encodeDatagram(events, chunk.empty() ? events.to : from, events.to, chunk));
     return datagrams;
 }
 
@@ -73,7 +75,7 @@
     items.reserve(events.items.size());
     for (const StoreItem& item : events.items)
         items.push_back(encodeItem(item));
-    return encodeDatagram(events.from, events.to, events.age, items);
+    return encodeDatagram(events, events.from, events.to, items);
 }
 
 bool isStoreEvents(std::string_view datagram) { return datagram.substr(0, datagramPrefix.size()) == datagramPrefix; }
@@ -88,6 +90,8 @@
     events.from = number(body, "f");
     events.to = number(body, "t");
     events.age = Duration(static_cast<int64_t>(number(body, "a")));
+    if (body.has_field("e"))
+        events.era = number(body, "e");
     if (!body.has_field("i"))
         return events;
     for (const value& entry : body.at("i").as_array()) {
--- a/src/store_relay.h
+++ b/src/store_relay.h
@@ -12,6 +12,7 @@
     uint64_t to = 0;
     Duration age { 0 }; ///< Time since the store was last known to have no change after `to`.
     std::vector<StoreItem> items; ///< In order of their revisions.
+    uint64_t era = 0; ///< Era of the revisions; see MetadataStore.
 };
 
 /// Returns the datagrams that relay the events to other hosts. If an item is too large for a datagram, it and all items
