Test fleets whose metadata store comes back as an older copy

FakeFleetStore can take a copy of its items, revisions and leases and come back as that copy with a higher era; it then gives out revisions and lease ids again, cuts or loses watches, and ends the history of revisions that it does not have. FakeHostStore counts calls with leases that were not granted to the host in the newest era that it was told. The fixtures of unit_store_follower and unit_log_event that the new tests need too moved to support_*.h unchanged.

--- a/tests/support_fleet.cpp
+++ b/tests/support_fleet.cpp
@@ -1,5 +1,6 @@
 #include "support_fleet.h"
 #include <cpprest/json.h>
+#include <sstream>
 
 namespace plantainwall {
 
@@ -29,7 +30,10 @@
 StoreItems FakeFleetStore::since(uint64_t revision) const
 {
     StoreItems result;
-    result.outcome = StoreOutcome::Ok;
+    result.outcome = revision > m_revision ? StoreOutcome::HistoryLost : StoreOutcome::Ok;
+    result.era = m_era;
+    if (result.outcome != StoreOutcome::Ok)
+        return result;
     result.asOf = m_revision;
     for (const auto& [key, item] : m_items) {
         if (item.revision > revision)
@@ -48,7 +52,7 @@
 void FakeFleetStore::watch(const std::string&, uint64_t after, Duration wait, std::function<void(StoreItems)> handler)
 {
     ++watches;
-    if (unavailable || m_revision > after) {
+    if (unavailable || m_revision != after) {
         afterRoundTrip(
             [this, after, handler = std::move(handler)] { handler(unavailable ? StoreItems() : since(after)); });
         return;
@@ -61,15 +65,68 @@
         if (watch->done)
             return;
         watch->done = true;
-        watch->handler(unavailable ? StoreItems() : since(watch->after));
+        watch->handler(unavailable || watch->lost ? StoreItems() : since(watch->after));
     });
 }
 
-template <typename Result> std::function<void(Result)> FakeHostStore::filter(std::function<void(Result)> handler) const
+void FakeFleetStore::snapshot() { m_copy = { m_items, m_leaseOf, m_leases, m_revision, leases }; }
+
+void FakeFleetStore::restore()
+{
+    m_items = m_copy.items;
+    m_leaseOf = m_copy.leaseOf;
+    m_leases = m_copy.leases;
+    m_revision = m_copy.revision;
+    leases = m_copy.lastLease;
+    ++m_era;
+    for (auto& [id, lease] : m_leases) {
+        lease.endsAt = m_now + lease.lifetime;
+        scheduleLeaseEnd(id);
+    }
+    for (const std::shared_ptr<Watch>& watch : m_watches) {
+        watch->lost = true;
+        if (watch->done || losesWatches)
+            continue;
+        watch->done = true;
+        afterRoundTrip([watch] { watch->handler({}); });
+    }
+    m_watches.clear();
+}
+
+std::vector<uint64_t> FakeFleetStore::leasesOf(const std::string& prefix) const
+{
+    std::vector<uint64_t> result;
+    for (const auto& [key, item] : m_items) {
+        if (!item.removed && key.rfind(prefix, 0) == 0)
+            result.push_back(m_leaseOf.at(key));
+    }
+    return result;
+}
+
+template <typename Result> std::function<void(Result)> FakeHostStore::filter(std::function<void(Result)> handler)
 {
-    return [this, handler = std::move(handler)](Result result) { handler(refuses ? Result() : std::move(result)); };
+    return [this, handler = std::move(handler)](Result result) {
+        if (refuses)
+            result = {};
+        if (rejects) {
+            const uint64_t era = result.era;
+            result = {};
+            result.outcome = StoreOutcome::Refused;
+            result.era = era;
+        }
+        m_newestEra = std::max(m_newestEra, result.era);
+        handler(std::move(result));
+    };
 }
 
+bool FakeHostStore::holds(uint64_t lease) const
+{
+    const auto it = m_eraOfLease.find(lease);
+    return it != m_eraOfLease.end() && it->second == m_store.era();
+}
+
+void FakeHostStore::checkLease(uint64_t lease) { callsWithForeignLease += m_eraOfLease[lease] == m_newestEra ? 0 : 1; }
+
 void FakeHostStore::list(const std::string& prefix, const std::string& after, std::function<void(StoreItems)> handler)
 {
     m_store.list(prefix, after, filter(std::move(handler)));
@@ -83,22 +140,30 @@
 
 void FakeHostStore::write(const StoreWrite& write, std::function<void(StoreResult)> handler)
 {
+    checkLease(write.lease);
     m_store.write(write, filter(std::move(handler)));
 }
 
 void FakeHostStore::createLease(Duration lifetime, std::function<void(StoreResult)> handler)
 {
-    m_store.createLease(lifetime, filter(std::move(handler)));
+    m_store.createLease(lifetime,
+        filter(std::function<void(StoreResult)>([this, handler = std::move(handler)](const StoreResult& result) {
+            if (result.outcome == StoreOutcome::Ok)
+                m_eraOfLease[result.number] = result.era;
+            handler(result);
+        })));
 }
 
 void FakeHostStore::keepLease(uint64_t lease, std::function<void(StoreResult)> handler)
 {
+    checkLease(lease);
     m_store.keepLease(lease, filter(std::move(handler)));
 }
 
 void FakeHostStore::endLease(uint64_t lease, std::function<void(StoreResult)> handler)
 {
-    if (!refuses)
+    checkLease(lease);
+    if (!refuses && !rejects)
         m_store.endLease(lease, std::move(handler));
 }
 
@@ -124,19 +189,21 @@
 void FakeFleetStore::write(const StoreWrite& write, std::function<void(StoreResult)> handler)
 {
     StoreResult result;
+    result.era = unavailable ? 0 : m_era;
     const auto it = m_items.find(write.key);
     const uint64_t revision = it == m_items.end() || it->second.removed ? 0 : it->second.revision;
     result.outcome = unavailable ? StoreOutcome::Unreachable : StoreOutcome::Conflict;
     if (!unavailable && revision == write.expectedRevision) {
         put(write.key, write.value, write.lease);
-        result = { StoreOutcome::Ok, m_revision };
+        result = { StoreOutcome::Ok, m_revision, m_era };
     }
     afterRoundTrip([result, handler = std::move(handler)] { handler(result); });
 }
 
 void FakeFleetStore::createLease(Duration lifetime, std::function<void(StoreResult)> handler)
 {
-    const StoreResult result { unavailable ? StoreOutcome::Unreachable : StoreOutcome::Ok, ++leases };
+    const StoreResult result { unavailable ? StoreOutcome::Unreachable : StoreOutcome::Ok, ++leases,
+        unavailable ? 0 : m_era };
     if (!unavailable) {
         m_leases[leases] = { lifetime, m_now + lifetime };
         scheduleLeaseEnd(leases);
@@ -146,7 +213,7 @@
 
 void FakeFleetStore::keepLease(uint64_t lease, std::function<void(StoreResult)> handler)
 {
-    StoreResult result { unavailable ? StoreOutcome::Unreachable : StoreOutcome::NotFound, 0 };
+    StoreResult result { unavailable ? StoreOutcome::Unreachable : StoreOutcome::NotFound, 0, unavailable ? 0 : m_era };
     const auto it = m_leases.find(lease);
     if (!unavailable && it != m_leases.end()) {
         it->second.endsAt = m_now + it->second.lifetime;
@@ -198,7 +265,14 @@
     entry.service = "orders";
     entry.address = "127.0.0.1:1";
     entry.slots = 4;
-    entry.primary = item.value == "primary";
+    std::istringstream words(item.value);
+    std::string word;
+    words >> word;
+    entry.primary = word == "primary";
+    entry.draining = item.value.find("draining") != std::string::npos;
+    if (entry.draining)
+        words >> word;
+    words >> entry.sequence >> entry.startedUnixMs;
     return entry;
 }
 
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -17,7 +17,8 @@
     std::multimap<Instant, std::function<void()>> m_tasks;
 };
 
-/// Metadata store of a fleet in virtual time: items, revisions, watches and leases.
+/// Metadata store of a fleet in virtual time: items, revisions, watches and leases. It may be replaced by an older
+/// copy.
 class FakeFleetStore final : public MetadataStore {
 public:
     explicit FakeFleetStore(FakeTimers& timers, const Instant& now)
@@ -36,15 +37,29 @@
     /// Writes an item as a client outside the fleet does.
     void put(const std::string& key, const std::string& value, uint64_t lease = 0);
 
+    /// Copies the items, revisions and leases.
+    void snapshot();
+
+    /// Replaces the items, revisions and leases by those of the last copy and raises the era. Revisions and lease ids
+    /// are given out again. Watches in progress are cut.
+    void restore();
+
+    /// Returns the leases of the items whose keys have a prefix.
+    std::vector<uint64_t> leasesOf(const std::string& prefix) const;
+
+    uint64_t era() const { return m_era; }
+
     unsigned watches = 0; ///< Watch calls so far.
     unsigned leases = 0; ///< Leases created so far.
     bool unavailable = false; ///< Every call fails.
+    bool losesWatches = false; ///< Watches that restore() cuts remain unanswered until their wait has passed.
 
 private:
     struct Watch {
         uint64_t after;
         std::function<void(StoreItems)> handler;
         bool done = false;
+        bool lost = false;
     };
 
     struct Lease {
@@ -52,6 +67,14 @@
         Instant endsAt;
     };
 
+    struct Copy {
+        std::map<std::string, StoreItem> items;
+        std::map<std::string, uint64_t> leaseOf;
+        std::map<uint64_t, Lease> leases;
+        uint64_t revision = 1;
+        unsigned lastLease = 0;
+    };
+
     void afterRoundTrip(std::function<void()>);
     void scheduleLeaseEnd(uint64_t lease);
     void removeItemsOf(uint64_t lease);
@@ -65,6 +88,8 @@
     std::map<uint64_t, Lease> m_leases;
     std::vector<std::shared_ptr<Watch>> m_watches;
     uint64_t m_revision = 1;
+    uint64_t m_era = 1;
+    Copy m_copy;
 };
 
 /// Access of one host to the store.
@@ -82,14 +107,25 @@
     void keepLease(uint64_t, std::function<void(StoreResult)>) override;
     void endLease(uint64_t, std::function<void(StoreResult)>) override;
 
+    /// Returns whether a lease was granted to this host in the present era.
+    bool holds(uint64_t lease) const;
+
     bool refuses = false; ///< Fails every call of this host.
+    bool rejects = false; ///< Rejects every call of this host with an answer, which carries the era.
+    /// Renewals, ends and writes with a lease that was not granted to this host in the newest era that it was told.
+    unsigned callsWithForeignLease = 0;
 
 private:
-    template <typename Result> std::function<void(Result)> filter(std::function<void(Result)>) const;
+    template <typename Result> std::function<void(Result)> filter(std::function<void(Result)>);
+    void checkLease(uint64_t lease);
 
     FakeFleetStore& m_store;
+    std::map<uint64_t, uint64_t> m_eraOfLease; ///< Era in which this host was last granted the lease.
+    uint64_t m_newestEra = 0;
 };
 
+/// A configuration's value starts with its version. A server's value is its role, optionally "draining", optionally its
+/// sequence number and the time of its start.
 struct FakeFleetDecoder final : StoreDecoder {
     bool isConfiguration(std::string_view key) const override { return key == "config"; }
     bool isServer(std::string_view key) const override { return key.substr(0, 2) == "s/"; }
--- a/tests/unit_log_event.cpp
+++ b/tests/unit_log_event.cpp
@@ -1,4 +1,5 @@
 #include "log_event.h"
+#include "support_log_capture.h"
 #include <boost/test/unit_test.hpp>
 #include <cpprest/json.h>
 #include <fstream>
@@ -17,14 +18,6 @@
     return page.str();
 }
 
-/// Redirects std::cerr, which the log writes to.
-struct CerrCapture {
-    std::ostringstream text;
-    std::streambuf* const before = std::cerr.rdbuf(text.rdbuf());
-
-    ~CerrCapture() { std::cerr.rdbuf(before); }
-};
-
 } // namespace
 
 // Guards against input that ends its field or starts a new line.
--- /dev/null
+++ b/tests/unit_restored_store.cpp
@@ -0,0 +1,417 @@
+#include "support_fleet.h"
+#include "support_log_capture.h"
+#include "support_store_follower.h"
+#include <boost/test/unit_test.hpp>
+#include <cpprest/json.h>
+
+using namespace plantainwall;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Time without the store before it comes back as a copy.
+constexpr Duration outage = milliseconds(2400);
+
+/// A new configuration must be in force on every host within this time.
+constexpr Duration configurationTime = seconds(4);
+
+/// Servers register again within about 2 s after the store is back.
+constexpr Duration registrationTime = seconds(2);
+
+constexpr size_t smallFleet = 5;
+constexpr size_t largeFleet = 60;
+
+struct RestoredFleet : FakeFleet {
+    explicit RestoredFleet(size_t n)
+        : FakeFleet(n)
+    {
+        pass(seconds(10));
+    }
+
+    /// Makes the revision of the store much higher than the hosts' own writes after a restore can.
+    void writeMuch()
+    {
+        for (int i = 0; i < 300; ++i)
+            store.put("s/r2", "replica");
+    }
+
+    void restoreStore()
+    {
+        store.unavailable = true;
+        pass(outage);
+        store.restore();
+        store.unavailable = false;
+    }
+
+    /// Returns the number of living hosts on which a version is in force.
+    size_t hostsWith(uint64_t version) const
+    {
+        size_t n = 0;
+        for (size_t i = 0; i < hosts.size(); ++i)
+            n += versionAt(i) == version ? 1 : 0;
+        return n;
+    }
+
+    /// Returns the number of hosts with a registration under a lease that they hold.
+    size_t registeredHosts() const
+    {
+        size_t n = 0;
+        for (size_t i = 0; i < hosts.size(); ++i) {
+            const std::vector<uint64_t> leases = store.leasesOf("plantainwall/hosts/" + std::to_string(i) + "/");
+            n += std::any_of(leases.begin(), leases.end(), [&](uint64_t lease) { return hosts[i]->store.holds(lease); })
+                ? 1
+                : 0;
+        }
+        return n;
+    }
+
+    size_t callsWithForeignLease() const
+    {
+        size_t n = 0;
+        for (const std::unique_ptr<Host>& host : hosts)
+            n += host->store.callsWithForeignLease;
+        return n;
+    }
+};
+
+/// Returns the tokens of the coordinators in the order in which they became active.
+std::vector<uint64_t> coordinatorTokens(const std::string& log)
+{
+    std::vector<uint64_t> tokens;
+    std::istringstream lines(log);
+    for (std::string line; std::getline(lines, line);) {
+        const web::json::value event = web::json::value::parse(line);
+        if (event.at("name").as_string() == "duty_gained")
+            tokens.push_back(static_cast<uint64_t>(event.at("token").as_number().to_int64()));
+    }
+    return tokens;
+}
+
+/// A configuration that a datagram cannot hold.
+std::string largeConfiguration(uint64_t version)
+{
+    std::string value = std::to_string(version) + " ";
+    std::mt19937 random(static_cast<unsigned>(version));
+    while (value.size() < 40000)
+        value += static_cast<char>('a' + random() % 26);
+    return value;
+}
+
+void checkConfigurationAfterRestore(size_t fleetSize)
+{
+    RestoredFleet fleet(fleetSize);
+    fleet.store.snapshot();
+    fleet.writeMuch();
+    fleet.store.put("config", "2");
+    fleet.pass(seconds(1));
+    BOOST_TEST(fleet.hostsWith(2) == fleetSize);
+    fleet.restoreStore();
+    fleet.pass(seconds(1));
+    BOOST_TEST(fleet.hostsWith(2) == fleetSize); // The copy has version 1.
+    fleet.store.put("config", largeConfiguration(3));
+    fleet.pass(configurationTime);
+    BOOST_TEST(fleet.hostsWith(3) == fleetSize);
+}
+
+} // namespace
+
+// Guards against a configuration that never comes into force because its revision is below that of an older version.
+BOOST_AUTO_TEST_CASE(a_configuration_after_a_restore_comes_into_force)
+{
+    const CerrCapture capture;
+    checkConfigurationAfterRestore(smallFleet);
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_after_a_restore_comes_into_force_in_a_large_fleet)
+{
+    const CerrCapture capture;
+    checkConfigurationAfterRestore(largeFleet);
+}
+
+// Guards against hosts that wait for the end of a watch that was lost with the store's earlier history.
+BOOST_AUTO_TEST_CASE(lost_watches_do_not_delay_a_configuration)
+{
+    const CerrCapture capture;
+    for (const size_t fleetSize : { smallFleet, largeFleet }) {
+        RestoredFleet fleet(fleetSize);
+        fleet.store.losesWatches = true;
+        fleet.store.snapshot();
+        fleet.writeMuch();
+        fleet.store.put("config", "2");
+        fleet.pass(seconds(1));
+        fleet.store.restore();
+        fleet.store.put("config", "3");
+        fleet.pass(configurationTime);
+        BOOST_TEST(fleet.hostsWith(3) == fleetSize);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(two_restores_in_a_row)
+{
+    const CerrCapture capture;
+    for (const size_t fleetSize : { smallFleet, largeFleet }) {
+        RestoredFleet fleet(fleetSize);
+        fleet.store.snapshot();
+        fleet.writeMuch();
+        fleet.store.put("config", "2");
+        fleet.pass(seconds(1));
+        fleet.restoreStore();
+        fleet.pass(milliseconds(300));
+        fleet.restoreStore();
+        fleet.store.put("config", "3");
+        fleet.pass(configurationTime);
+        BOOST_TEST(fleet.hostsWith(3) == fleetSize);
+        fleet.restoreStore(); // The copy has version 1 again.
+        fleet.pass(configurationTime);
+        BOOST_TEST(fleet.hostsWith(3) == fleetSize);
+        BOOST_TEST(fleet.registeredHosts() == fleetSize);
+        BOOST_TEST(fleet.callsWithForeignLease() == 0U);
+    }
+}
+
+// Guards against a host that lacks changes because the store has given out its revision again: such a watch is not told
+// that the history is lost.
+BOOST_AUTO_TEST_CASE(revisions_given_out_again_hide_no_change)
+{
+    const CerrCapture capture;
+    for (const size_t fleetSize : { smallFleet, largeFleet }) {
+        RestoredFleet fleet(fleetSize);
+        fleet.store.snapshot();
+        fleet.store.put("config", "2");
+        fleet.store.put("s/lost", "replica");
+        fleet.pass(milliseconds(200));
+        fleet.store.unavailable = true;
+        fleet.pass(outage);
+        fleet.store.restore();
+        fleet.store.put("s/r3", "replica");
+        fleet.store.put("config", "3");
+        fleet.writeMuch();
+        fleet.store.unavailable = false;
+        fleet.pass(configurationTime);
+        BOOST_TEST(fleet.hostsWith(3) == fleetSize);
+        for (const std::unique_ptr<FakeFleet::Host>& host : fleet.hosts) {
+            BOOST_TEST(host->fixture.gateway.directory().find("r3") != nullptr);
+            host->fixture.gateway.tick(); // Removes servers whose grace time has expired.
+            BOOST_TEST(host->fixture.gateway.directory().find("lost") == nullptr);
+        }
+    }
+}
+
+// Guards against hosts that keep a lease of the earlier history, which may be another host's by now. The copy may be
+// older than all registrations.
+BOOST_AUTO_TEST_CASE(hosts_register_again_with_leases_of_their_own)
+{
+    const CerrCapture capture;
+    for (const size_t fleetSize : { smallFleet, largeFleet }) {
+        for (const bool beforeRegistrations : { true, false }) {
+            RestoredFleet fleet(0);
+            fleet.store.snapshot();
+            for (size_t i = 0; i < fleetSize; ++i) {
+                fleet.hosts.push_back(std::make_unique<FakeFleet::Host>(fleet, i, 1, true));
+                fleet.hosts.back()->member.start();
+            }
+            fleet.pass(seconds(5));
+            if (!beforeRegistrations)
+                fleet.store.snapshot();
+            BOOST_TEST(fleet.registeredHosts() == fleetSize);
+            fleet.pass(seconds(1));
+            fleet.restoreStore();
+            fleet.pass(registrationTime);
+            BOOST_TEST(fleet.registeredHosts() == fleetSize);
+            fleet.pass(seconds(15)); // Leases that only the copy has end.
+            BOOST_TEST(fleet.registeredHosts() == fleetSize);
+            BOOST_TEST(fleet.store.leasesOf("plantainwall/hosts/").size() == fleetSize);
+            BOOST_TEST(fleet.callsWithForeignLease() == 0U);
+            for (const std::unique_ptr<FakeFleet::Host>& host : fleet.hosts)
+                host->member.leave();
+            BOOST_TEST(fleet.callsWithForeignLease() == 0U);
+            BOOST_TEST(fleet.store.leasesOf("plantainwall/hosts/").empty());
+        }
+    }
+}
+
+// Guards against two coordinators and against fencing tokens that go back with the revisions.
+BOOST_AUTO_TEST_CASE(one_coordinator_with_a_rising_token)
+{
+    CerrCapture capture;
+    for (const size_t fleetSize : { smallFleet, largeFleet }) {
+        capture.clear();
+        RestoredFleet fleet(fleetSize);
+        fleet.store.snapshot();
+        fleet.writeMuch();
+        fleet.pass(seconds(4));
+        for (int restores = 0; restores < 3; ++restores) {
+            fleet.restoreStore();
+            bool coordinated = false;
+            for (int i = 0; i < 300; ++i) {
+                fleet.pass(milliseconds(20));
+                BOOST_TEST(fleet.activeCoordinators() <= 1U);
+                coordinated = coordinated || (i < 150 && fleet.activeCoordinators() == 1);
+            }
+            BOOST_TEST(coordinated);
+        }
+        BOOST_TEST(fleet.callsWithForeignLease() == 0U);
+        const std::vector<uint64_t> tokens = coordinatorTokens(capture.text.str());
+        BOOST_TEST(tokens.size() >= 4U);
+        BOOST_TEST(std::is_sorted(tokens.begin(), tokens.end(), std::less_equal<uint64_t>()));
+    }
+}
+
+// Guards against statements to a draining server whose entry in the copy is older than its notice.
+BOOST_AUTO_TEST_CASE(a_draining_server_stays_draining)
+{
+    const CerrCapture capture;
+    for (const size_t fleetSize : { smallFleet, largeFleet }) {
+        RestoredFleet fleet(fleetSize);
+        const auto hostsWhereDraining = [&] {
+            return static_cast<size_t>(std::count_if(fleet.hosts.begin(), fleet.hosts.end(), [](const auto& host) {
+                const ServerEntry* const entry = host->fixture.gateway.directory().find("r1");
+                return entry != nullptr && entry->draining;
+            }));
+        };
+        fleet.store.put("s/r1", "replica 40 7");
+        fleet.pass(seconds(1));
+        fleet.store.snapshot();
+        fleet.store.put("s/r1", "replica draining 41 7");
+        fleet.pass(seconds(1));
+        BOOST_TEST(hostsWhereDraining() == fleetSize);
+        fleet.restoreStore();
+        for (int i = 0; i < 40; ++i) {
+            fleet.pass(milliseconds(100));
+            BOOST_TEST(hostsWhereDraining() == fleetSize);
+        }
+        fleet.store.put("s/r1", "replica 1 8"); // Started again: its numbers start anew.
+        fleet.pass(seconds(1));
+        BOOST_TEST(hostsWhereDraining() == 0U);
+    }
+}
+
+// Guards against changes that another host relayed before it knew of the restore, and that arrive after it.
+BOOST_AUTO_TEST_CASE(relayed_changes_of_the_earlier_history_are_ignored)
+{
+    const CerrCapture capture;
+    RestoredFleet fleet(largeFleet);
+    fleet.store.snapshot();
+    fleet.channel.sent.clear();
+    for (int i = 0; i < 300; ++i) {
+        fleet.store.put("s/ghost", "replica");
+        if (i % 10 == 0)
+            fleet.pass(milliseconds(20));
+    }
+    fleet.pass(seconds(1));
+    std::vector<std::string> relayed;
+    for (const FakePeerNetwork::Datagram& datagram : fleet.channel.sent) {
+        if (datagram.to == "7" && isStoreEvents(datagram.text))
+            relayed.push_back(datagram.text);
+    }
+    BOOST_TEST(relayed.size() > 3U);
+    fleet.restoreStore();
+    for (int i = 0; i < 50; ++i) {
+        fleet.pass(milliseconds(100));
+        for (const std::unique_ptr<FakeFleet::Host>& host : fleet.hosts) {
+            for (const std::string& datagram : relayed)
+                host->member.peerDatagram(datagram);
+        }
+    }
+    for (const std::unique_ptr<FakeFleet::Host>& host : fleet.hosts) {
+        host->fixture.gateway.tick();
+        BOOST_TEST(host->fixture.gateway.directory().find("ghost") == nullptr);
+    }
+    fleet.store.put("config", "3");
+    fleet.pass(configurationTime);
+    BOOST_TEST(fleet.hostsWith(3) == largeFleet);
+}
+
+BOOST_FIXTURE_TEST_CASE(pages_of_two_eras_start_again, FollowerFixture)
+{
+    store.answer(StoreOutcome::Ok, { { "config", "7", 30, false } }, 40, true, 1);
+    store.answer(StoreOutcome::Ok, { { "s/a", "x", 4, false } }, 12, true, 2);
+    BOOST_TEST(store.lists.back().empty());
+    BOOST_TEST(versions.empty());
+    BOOST_TEST(listed == 0U);
+    store.answer(StoreOutcome::Ok, { { "config", "6", 3, false } }, 12, true, 2);
+    store.answer(StoreOutcome::Ok, { { "s/a", "x", 4, false } }, 13, false, 2);
+    BOOST_TEST((versions == std::vector<uint64_t> { 6 }));
+    BOOST_TEST(listed == 1U);
+    BOOST_TEST(store.watches.back() == 12U);
+}
+
+// The revision of the watch exists in the new era too; the events after it are not all that has changed.
+BOOST_FIXTURE_TEST_CASE(events_of_a_newer_era_are_not_applied, FollowerFixture)
+{
+    store.answer(StoreOutcome::Ok, {}, 10, false, 1);
+    store.answer(StoreOutcome::Ok, { { "s/b", "x", 12, false } }, 12, false, 2);
+    BOOST_TEST(written.empty());
+    BOOST_TEST(relayed.empty());
+    BOOST_REQUIRE(store.lists.size() == 2U);
+    store.answer(StoreOutcome::Ok, { { "s/a", "x", 9, false }, { "s/b", "x", 12, false } }, 12, false, 2);
+    BOOST_TEST(listed == 2U);
+    BOOST_TEST(store.watches.back() == 12U);
+}
+
+// A rejected call carries the era too. The first listing after it may have lower revisions.
+BOOST_FIXTURE_TEST_CASE(a_failed_call_reveals_the_era, FollowerFixture)
+{
+    store.answer(StoreOutcome::Ok, { { "config", "7", 20, false } }, 20, false, 1);
+    store.answer(StoreOutcome::Refused, {}, 0, false, 2);
+    BOOST_TEST(follower.era() == 2U);
+    follower.applyRelayed({ 20, 25, Duration(0), { { "s/a", "x", 25, false } }, 1 });
+    BOOST_TEST(written.empty());
+    runDelayedTask();
+    store.answer(StoreOutcome::Ok, { { "config", "8", 5, false } }, 6, false, 2);
+    BOOST_TEST((versions == std::vector<uint64_t> { 7, 8 }));
+    BOOST_TEST(store.watches.back() == 6U);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_answer_of_an_older_era_changes_nothing, FollowerFixture)
+{
+    store.answer(StoreOutcome::Ok, { { "config", "7", 3, false } }, 5, false, 2);
+    store.answer(StoreOutcome::Ok, { { "config", "8", 20, false }, { "s/a", "x", 21, false } }, 21, false, 1);
+    BOOST_TEST(follower.era() == 2U);
+    BOOST_TEST((versions == std::vector<uint64_t> { 7 }));
+    BOOST_TEST(written.empty());
+    runDelayedTask();
+    store.answer(StoreOutcome::Ok, { { "config", "9", 8, false } }, 9, false, 2);
+    BOOST_TEST((versions == std::vector<uint64_t> { 7, 9 }));
+}
+
+// Versions order configurations, whatever their revisions are, and an unreadable one hides no later one.
+BOOST_FIXTURE_TEST_CASE(configurations_are_ordered_by_version, FollowerFixture)
+{
+    store.answer(StoreOutcome::Ok, { { "config", "7", 20, false } }, 20, false, 1);
+    store.answer(StoreOutcome::Unreachable);
+    runDelayedTask();
+    store.answer(StoreOutcome::Ok, { { "config", "6", 5, false } }, 6, false, 2);
+    store.answer(StoreOutcome::Ok,
+        { { "config", "7", 7, false }, { "config", "broken", 8, false }, { "config", "9", 9, false },
+            { "config", "broken", 10, false } },
+        10, false, 2);
+    runDelayedTask();
+    store.answer(StoreOutcome::Ok, { { "config", "8", 30, false } }, 30, false, 2);
+    BOOST_TEST((versions == std::vector<uint64_t> { 7, 9 }));
+    runDelayedTask();
+    store.answer(StoreOutcome::Ok, { { "config", "10", 31, false } }, 31, false, 2);
+    BOOST_TEST(versions.back() == 10U);
+}
+
+// Another host may call the restored store first.
+BOOST_FIXTURE_TEST_CASE(a_relay_of_a_newer_era_leads_to_a_listing, FollowerFixture)
+{
+    store.answer(StoreOutcome::Ok, {}, 10, false, 1);
+    follower.setSource(StoreSource::Relay);
+    store.answer(StoreOutcome::Ok, {}, 10, false, 1);
+    follower.applyRelayed({ 10, 12, Duration(0), { { "s/a", "x", 12, false } }, 2 });
+    BOOST_TEST(written.empty());
+    BOOST_TEST(!follower.missingAfter().has_value());
+    runDelayedTask();
+    BOOST_REQUIRE(store.lists.size() == 2U);
+    store.answer(StoreOutcome::Ok, { { "s/b", "x", 3, false } }, 4, false, 2);
+    BOOST_TEST(listed == 1U);
+    follower.applyRelayed({ 4, 5, Duration(0), { { "s/c", "x", 5, false } }, 2 });
+    BOOST_TEST((written == std::vector<std::string> { "c" }));
+    follower.applyRelayed({ 5, 40, Duration(0), { { "s/d", "x", 40, false } }, 1 });
+    now += seconds(1);
+    BOOST_TEST(!follower.missingAfter().has_value());
+    BOOST_TEST((written == std::vector<std::string> { "c" }));
+}
--- a/tests/unit_store_follower.cpp
+++ b/tests/unit_store_follower.cpp
@@ -1,102 +1,11 @@
-#include "store_follower.h"
+#include "support_store_follower.h"
 #include <boost/test/unit_test.hpp>
 
 using namespace plantainwall;
 
-namespace {
-
-/// A store whose calls are answered by the test.
-struct FakeStore final : MetadataStore {
-    void list(const std::string&, const std::string& afterKey, std::function<void(StoreItems)> handler) override
-    {
-        lists.push_back(afterKey);
-        pending = std::move(handler);
-    }
-    void watch(const std::string&, uint64_t after, Duration, std::function<void(StoreItems)> handler) override
-    {
-        watches.push_back(after);
-        pending = std::move(handler);
-    }
-    void write(const StoreWrite&, std::function<void(StoreResult)>) override { }
-    void createLease(Duration, std::function<void(StoreResult)>) override { }
-    void keepLease(uint64_t, std::function<void(StoreResult)>) override { }
-    void endLease(uint64_t, std::function<void(StoreResult)>) override { }
-
-    void answer(StoreOutcome outcome, std::vector<StoreItem> items = {}, uint64_t asOf = 0, bool more = false)
-    {
-        const std::function<void(StoreItems)> handler = std::move(pending);
-        handler({ outcome, std::move(items), more, asOf });
-    }
-
-    std::vector<std::string> lists;
-    std::vector<uint64_t> watches;
-    std::function<void(StoreItems)> pending;
-};
-
-struct FakeDecoder final : StoreDecoder {
-    bool isConfiguration(std::string_view key) const override { return key == "config"; }
-    bool isServer(std::string_view key) const override { return key.substr(0, 2) == "s/"; }
-    std::shared_ptr<const GatewayConfiguration> configuration(const StoreItem& item) const override
-    {
-        const std::shared_ptr<GatewayConfiguration> result = std::make_shared<GatewayConfiguration>();
-        result->version = std::stoul(item.value);
-        return result;
-    }
-    std::string serverId(std::string_view key) const override { return std::string(key.substr(2)); }
-    ServerEntry server(const StoreItem& item) const override
-    {
-        if (item.value == "broken")
-            throw std::runtime_error("unreadable");
-        ServerEntry entry;
-        entry.id = serverId(item.key);
-        return entry;
-    }
-};
-
-struct Fixture : StoreObserver {
-    Fixture()
-        : follower(
-            store, decoder, *this, [this](Duration, std::function<void()> task) { delayedTask = std::move(task); },
-            [this] { return now; })
-    {
-        follower.start();
-    }
-
-    void configurationRead(std::shared_ptr<const GatewayConfiguration> next) override
-    {
-        versions.push_back(next->version);
-    }
-    void serversListed(const std::vector<ServerEntry>& servers) override { listed = servers.size(); }
-    void serverWritten(const ServerEntry& entry) override { written.push_back(entry.id); }
-    void serverErased(const std::string& id) override { erased.push_back(id); }
-    void ownItemsChanged() override { }
-    void storeReachable(bool value) override { reachable.push_back(value); }
-    void eventsRead(const StoreEvents& events) override { relayed.push_back(events); }
-
-    void runDelayedTask()
-    {
-        const std::function<void()> task = std::move(delayedTask);
-        task();
-    }
-
-    Instant now { std::chrono::seconds(1000) };
-    FakeStore store;
-    FakeDecoder decoder;
-    std::function<void()> delayedTask;
-    std::vector<StoreEvents> relayed;
-    std::vector<uint64_t> versions;
-    std::vector<std::string> written;
-    std::vector<std::string> erased;
-    std::vector<bool> reachable;
-    size_t listed = 0;
-    StoreFollower follower;
-};
-
-} // namespace
-
 // Pages are not one snapshot: the watch starts at the revision of the first page, so that changes between the pages are
 // not missed.
-BOOST_FIXTURE_TEST_CASE(pages_then_watch_from_the_first_page, Fixture)
+BOOST_FIXTURE_TEST_CASE(pages_then_watch_from_the_first_page, FollowerFixture)
 {
     store.answer(StoreOutcome::Ok, { { "config", "7", 3, false } }, 10, true);
     BOOST_TEST(store.lists.back() == "config");
@@ -107,7 +16,7 @@
 }
 
 // An unreadable entry of another writer adds no server and does not affect other entries.
-BOOST_FIXTURE_TEST_CASE(events_are_applied, Fixture)
+BOOST_FIXTURE_TEST_CASE(events_are_applied, FollowerFixture)
 {
     store.answer(StoreOutcome::Ok, {}, 10);
     store.answer(StoreOutcome::Ok,
@@ -123,7 +32,7 @@
 
 // Lost history and any failed call lead to a new listing; an unchanged configuration is not passed to the observer
 // again.
-BOOST_FIXTURE_TEST_CASE(lost_history_is_listed_again, Fixture)
+BOOST_FIXTURE_TEST_CASE(lost_history_is_listed_again, FollowerFixture)
 {
     store.answer(StoreOutcome::Ok, { { "config", "7", 9, false } }, 10);
     store.answer(StoreOutcome::HistoryLost);
@@ -140,7 +49,7 @@
 
 // Contiguous relayed changes are applied without a call. After a gap or a revision without its changes, the missing
 // changes are read from the store.
-BOOST_FIXTURE_TEST_CASE(relayed_changes_are_applied_and_gaps_are_read, Fixture)
+BOOST_FIXTURE_TEST_CASE(relayed_changes_are_applied_and_gaps_are_read, FollowerFixture)
 {
     store.answer(StoreOutcome::Ok, {}, 10);
     follower.setSource(StoreSource::Relay);
@@ -167,7 +76,7 @@
 }
 
 // A host that receives no relayed state, or only outdated state, watches the store itself.
-BOOST_FIXTURE_TEST_CASE(a_host_without_recent_relayed_state_watches_the_store, Fixture)
+BOOST_FIXTURE_TEST_CASE(a_host_without_recent_relayed_state_watches_the_store, FollowerFixture)
 {
     store.answer(StoreOutcome::Ok, {}, 10);
     follower.setSource(StoreSource::Relay);
@@ -184,7 +93,7 @@
 }
 
 // Changes that a watching host has read are relayed with the revision after which they apply.
-BOOST_FIXTURE_TEST_CASE(read_changes_are_relayed, Fixture)
+BOOST_FIXTURE_TEST_CASE(read_changes_are_relayed, FollowerFixture)
 {
     follower.setSource(StoreSource::WatchForOthers);
     store.answer(StoreOutcome::Ok, {}, 10);
@@ -198,7 +107,7 @@
 // A host that watches for others reports the age of its state. A watch that was held for its whole wait confirms that
 // nothing changed until its end; an age counted from the sending of the watch exceeded the validity of relayed state
 // every few seconds.
-BOOST_FIXTURE_TEST_CASE(a_held_watch_confirms_its_whole_wait, Fixture)
+BOOST_FIXTURE_TEST_CASE(a_held_watch_confirms_its_whole_wait, FollowerFixture)
 {
     const StoreFollowerSettings settings;
     follower.setSource(StoreSource::WatchForOthers);
@@ -213,7 +122,7 @@
 
 // Guards against a load peak when all hosts of a fleet start at once: the first listing is as recent as relayed state,
 // so only the watching hosts call the store again immediately.
-BOOST_FIXTURE_TEST_CASE(a_first_listing_needs_no_watch, Fixture)
+BOOST_FIXTURE_TEST_CASE(a_first_listing_needs_no_watch, FollowerFixture)
 {
     const StoreFollowerSettings settings;
     follower.setSource(StoreSource::Relay);
