Read a restored metadata store anew and order configurations by version

Callers were refused or served as an older version demands.

Cause: StoreFollower took a lower revision for an older configuration (item.revision <= m_configurationRevision). Revisions go back with the copy and are given out again. For the same reason a host applied the events of a watch from a revision that the copy had given to other changes, and took relayed state of the earlier history for its own.

A revision is now compared within one era only. Answers and relays of an older era are ignored, and a host does not relay before it has listed. Requests for changes carry the era, kept changes of another era are dropped. Hosts that learn of the era through others spread their listings over 300 ms. Configurations are ordered by version alone; an older one is logged and ignored, and one that cannot be decoded is not remembered, so it hides none.

--- a/src/change_exchange.cpp
+++ b/src/change_exchange.cpp
@@ -63,9 +63,23 @@
 {
 }
 
+void ChangeExchange::setEra(uint64_t era)
+{
+    if (era == m_era)
+        return;
+    m_era = era;
+    m_kept.clear();
+    m_keptBytes = 0;
+    m_packed.clear();
+    m_packedFrom = 0;
+    m_packedTo = 0;
+    m_requestHost.clear();
+    m_parts.clear();
+}
+
 void ChangeExchange::keep(const StoreEvents& events)
 {
-    if (events.from >= events.to)
+    if (events.from >= events.to || events.era != m_era)
         return;
     if (!m_kept.empty() && m_kept.back().to != events.from) {
         m_kept.clear();
@@ -122,7 +136,7 @@
     ++m_tries;
     m_requestedAt = m_clock();
     std::string request = std::string(requestWord) + std::to_string(m_requestNumber) + " " + m_host + " "
-        + std::to_string(m_requestAfter);
+        + std::to_string(m_era) + " " + std::to_string(m_requestAfter);
     if (!m_parts.empty()) {
         request += " " + std::to_string(m_partsTo);
         for (size_t i = 0; i < m_parts.size() && request.size() < m_settings.partBytes; ++i) {
@@ -141,6 +155,7 @@
     if (m_packedFrom == revision && m_packedTo == m_kept.back().to)
         return m_packed;
     StoreEvents all;
+    all.era = m_era;
     all.from = revision;
     all.to = m_kept.back().to;
     for (const StoreEvents& events : m_kept) {
@@ -160,9 +175,12 @@
     std::istringstream text(request);
     uint64_t number = 0;
     std::string host;
+    uint64_t era = 0;
     uint64_t revision = 0;
-    if (!(text >> number >> host >> revision))
+    if (!(text >> number >> host >> era >> revision))
         throw std::runtime_error("request for changes is malformed");
+    if (era != m_era)
+        return;
     const std::string address = addressOf(host);
     const std::string& packed = changesAfter(revision);
     if (address.empty() || packed.empty())
--- a/src/change_exchange.h
+++ b/src/change_exchange.h
@@ -31,7 +31,11 @@
 
     ChangeExchange(std::string host, PeerChannel&, Clock);
 
-    /// Keeps changes that this host has read, for requests of other hosts.
+    /// Sets the newest era of the store; see MetadataStore. Kept changes and the pending request of another are
+    /// dropped.
+    void setEra(uint64_t era);
+
+    /// Keeps changes that this host has read, for requests of other hosts. Changes of another era are not kept.
     void keep(const StoreEvents&);
 
     /// Requests the changes after revision missingAfter, if it is set. Must be called every few milliseconds.
@@ -52,6 +56,7 @@
     PeerChannel& m_channel;
     Clock m_clock;
     Settings m_settings;
+    uint64_t m_era = 0;
     std::deque<StoreEvents> m_kept; ///< Contiguous.
     size_t m_keptBytes = 0;
     std::string m_packed; ///< The last answer, reused for the next host that misses the same changes.
--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -26,13 +26,25 @@
     , m_clock(std::move(clock))
     , m_incarnation(incarnation)
     , m_random(seed)
-    , m_follower(store, decoder, *this, m_after, m_clock)
+    , m_follower(store, decoder, *this, m_after, m_clock, followerSettings())
     , m_positionExchange(settings.host, channel, m_clock, gateway)
     , m_changeExchange(settings.host, channel, m_clock)
 {
     m_settings.coordinatorLease = std::max(m_settings.coordinatorLease, settings.storeMinLease);
 }
 
+StoreFollowerSettings FleetMember::followerSettings()
+{
+    StoreFollowerSettings settings;
+    settings.restoredListDelay = restoredDelay();
+    return settings;
+}
+
+Duration FleetMember::restoredDelay()
+{
+    return Duration(std::uniform_int_distribution<int64_t>(0, m_settings.restoredSpread.count())(m_random));
+}
+
 void FleetMember::start()
 {
     m_follower.start();
@@ -77,6 +89,8 @@
         m_gateway.directory().storeBecameUnreachable();
 }
 
+void FleetMember::eraRead(uint64_t era, bool) { m_changeExchange.setEra(era); }
+
 void FleetMember::ownItemsChanged()
 {
     std::set<std::string> listed;
@@ -165,7 +179,7 @@
     if (now >= m_relayAt) {
         m_relayAt = now + m_settings.relayInterval;
         chooseSource();
-        if (m_source == StoreSource::WatchForOthers && m_follower.reachable())
+        if (m_source == StoreSource::WatchForOthers && m_follower.reachable() && m_follower.listed())
             relay(m_follower.knownState());
     }
     m_positionExchange.tick([this] { return watchingHosts(); });
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -21,6 +21,9 @@
         /// The coordinator stops this long before the earliest end of its lease.
         Duration coordinatorMargin = std::chrono::milliseconds(400);
         Duration baseReportInterval = std::chrono::milliseconds(250);
+        /// After a restore of the store each host waits for a random part of this time before it lists and before it
+        /// registers: short against the time in which a configuration must be in force, long against a round trip.
+        Duration restoredSpread = std::chrono::milliseconds(300);
         /// Number of hosts per region that watch the store and relay its changes: in a large fleet for all hosts, in a
         /// small one for hosts that cannot reach the store.
         size_t relaysPerRegion = 3; ///< A third of the hosts may lose the store at the same time.
@@ -89,6 +92,7 @@
     void serverErased(const std::string& id) override;
     void ownItemsChanged() override;
     void storeReachable(bool) override;
+    void eraRead(uint64_t era, bool restored) override;
     void eventsRead(const StoreEvents&) override;
 
 private:
@@ -105,6 +109,9 @@
         bool probeFailed = false; ///< Silent because it did not answer a probe.
         uint64_t firstReportIncarnation = 0; ///< Incarnation to which the first report was sent.
     };
+    StoreFollowerSettings followerSettings();
+    Duration restoredDelay();
+
     using Primaries = std::map<std::string, std::pair<std::string, uint64_t>>; ///< Server and term by service.
 
     void registerHost();
--- a/src/gateway_ports.h
+++ b/src/gateway_ports.h
@@ -175,6 +175,8 @@
     virtual void createLease(Duration lifetime, std::function<void(StoreResult)>) = 0;
     virtual void keepLease(uint64_t lease, std::function<void(StoreResult)>) = 0;
     virtual void endLease(uint64_t lease, std::function<void(StoreResult)>) = 0;
+    /// Ends all lists and watches in progress; their callbacks get StoreOutcome::Unreachable.
+    virtual void cancelReads() = 0;
 };
 
 /// Decodes the store's items that other programs write.
--- a/src/http_channel.cpp
+++ b/src/http_channel.cpp
@@ -46,6 +46,24 @@
             boost::asio::post(m_loop, [self = shared_from_this()] { self->begin(); });
     }
 
+    void cancel()
+    {
+        ++m_number;
+        m_running = false;
+        m_timer.cancel();
+        if (m_stream)
+            m_stream->close();
+        m_stream.reset();
+        const std::deque<Call> calls = std::move(m_calls);
+        m_calls.clear();
+        boost::asio::post(m_loop, [self = shared_from_this(), calls] {
+            for (const Call& call : calls) {
+                if (!self->m_stopped)
+                    call.handler({});
+            }
+        });
+    }
+
     void stop()
     {
         m_stopped = true;
@@ -62,8 +80,9 @@
 
     void begin()
     {
-        if (m_stopped || m_calls.empty())
+        if (m_stopped || m_running || m_calls.empty())
             return;
+        m_running = true;
         const uint64_t number = ++m_number;
         m_timer.expires_after(m_calls.front().exchange.timeout);
         m_timer.async_wait([self = shared_from_this(), number](const boost::system::error_code& ec) {
@@ -140,6 +159,7 @@
     void finish(HttpOutcome outcome)
     {
         ++m_number;
+        m_running = false;
         m_timer.cancel();
         if (!outcome.answered)
             m_stream.reset();
@@ -162,6 +182,7 @@
     http::request<http::string_body> m_request;
     std::deque<Call> m_calls;
     uint64_t m_number = 0; ///< Number of the running call. Callbacks of earlier calls are ignored.
+    bool m_running = false; ///< The first call has been begun.
     bool m_stopped = false;
 };
 
@@ -177,4 +198,6 @@
     m_connection->call(std::move(exchange), std::move(handler));
 }
 
+void HttpChannel::cancel() { m_connection->cancel(); }
+
 } // namespace plantainwall
--- a/src/http_channel.h
+++ b/src/http_channel.h
@@ -39,6 +39,9 @@
     /// within call().
     void call(HttpExchange, std::function<void(HttpOutcome)>);
 
+    /// Closes the connection. All calls in progress and queued end without an answer.
+    void cancel();
+
 private:
     class Connection;
 
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -35,17 +35,31 @@
     if (m_listing.empty())
         m_listingSentAt = m_clock();
     const std::string afterKey = m_listing.empty() ? std::string() : m_listing.back().key;
-    m_store.list({}, afterKey, [this](StoreItems page) { pageReceived(std::move(page)); });
+    m_store.list({}, afterKey, [this, sequence = m_sequence](StoreItems page) {
+        if (sequence == m_sequence)
+            pageReceived(std::move(page));
+    });
 }
 
 void StoreFollower::pageReceived(StoreItems page)
 {
-    noteEra(page.era, page.asOf, "list");
+    const bool firstPage = m_listing.empty();
+    const bool newerEra = readNewerEra(page.era, page.asOf, "list");
     if (page.outcome != StoreOutcome::Ok) {
         storeCallFailed(page.outcome, "list");
         return;
     }
     storeCallSucceeded();
+    if (isOutdated(page)) {
+        m_listing.clear();
+        m_listingInProgress = false;
+        schedule(m_retryDelay, &StoreFollower::list);
+        return;
+    }
+    if (newerEra && !firstPage) {
+        list();
+        return;
+    }
     // The pages are not one snapshot: changes after the first page are received again through the watch.
     if (m_listing.empty())
         m_listingRevision = page.asOf;
@@ -87,19 +101,21 @@
     const Instant now = m_clock();
     const bool catchUp = m_changesMissingSince && now - *m_changesMissingSince >= m_settings.catchUpDelay;
     if (acceptsRelayedState() && !catchUp) {
-        m_delayedCall(m_settings.relayCheckInterval, [this] { watch(); });
+        schedule(m_settings.relayCheckInterval, &StoreFollower::watch);
         return;
     }
     Duration wait = m_settings.watchWait;
     if (m_source != StoreSource::Watch)
         wait = catchUp ? m_settings.relayCheckInterval : m_settings.relayWatchWait;
-    m_store.watch(
-        {}, m_revision, wait, [this, now, wait](const StoreItems& events) { watchAnswered(events, now, wait); });
+    m_store.watch({}, m_revision, wait, [this, now, wait, sequence = m_sequence](const StoreItems& events) {
+        if (sequence == m_sequence)
+            watchAnswered(events, now, wait);
+    });
 }
 
 void StoreFollower::watchAnswered(const StoreItems& events, Instant sentAt, Duration wait)
 {
-    noteEra(events.era, events.asOf, "watch");
+    const bool newerEra = readNewerEra(events.era, events.asOf, "watch");
     if (events.outcome == StoreOutcome::HistoryLost) {
         storeCallSucceeded();
         list();
@@ -110,6 +126,14 @@
         return;
     }
     storeCallSucceeded();
+    if (isOutdated(events)) {
+        schedule(m_retryDelay, &StoreFollower::list);
+        return;
+    }
+    if (newerEra) {
+        list();
+        return;
+    }
     // A watch that returned no events after its whole wait confirms that nothing changed until its end.
     const bool heldFullWait = events.items.empty() && m_clock() - sentAt >= wait;
     m_stateAsOf = std::max(m_stateAsOf, heldFullWait ? sentAt + wait : sentAt);
@@ -128,9 +152,9 @@
     else if (events.items.empty())
         watch();
     else
-        m_delayedCall(
+        schedule(
             m_clock() - m_startedAt < m_settings.startupPeriod ? m_settings.startupBatchDelay : m_settings.batchDelay,
-            [this] { watch(); });
+            &StoreFollower::watch);
 }
 
 void StoreFollower::advance(const std::vector<StoreItem>& items, uint64_t to)
@@ -156,10 +180,15 @@
         m_differingEra = events.era;
         logEvent(LogEvent::RelayEraDiffers,
             { { "era", m_era }, { "relayed_era", events.era }, { "revision", m_revision },
-                { "relayed_revision", events.to }, { "source", storeSourceName(m_source) } });
+                { "relayed_revision", events.to }, { "source", storeSourceName(m_source) },
+                { "outcome", events.era < m_era ? "ignored" : "listing" } });
     }
+    if (events.era > m_era)
+        noteEra(events.era, "relay");
+    if (events.era < m_era || !m_listed)
+        return;
     m_reportedRevision = std::max(m_reportedRevision, events.to);
-    if (m_listed && !m_listingInProgress && events.from <= m_revision && events.from < events.to)
+    if (!m_listingInProgress && events.from <= m_revision && events.from < events.to)
         advance(events.items, events.to);
     if (m_reportedRevision > m_revision && !m_changesMissingSince)
         m_changesMissingSince = now;
@@ -215,40 +244,66 @@
 
 void StoreFollower::decodeConfiguration(const StoreItem& item)
 {
-    if (item.revision == m_configurationRevision)
+    if (item.revision == m_configurationRevision && m_era == m_configurationEra)
         return;
     try {
         const std::shared_ptr<const GatewayConfiguration> configuration = m_decoder.configuration(item);
-        const bool olderRevision = item.revision < m_configurationRevision;
-        if (olderRevision || configuration->version <= m_configurationVersion)
-            logEvent(LogEvent::ConfigurationNotApplied,
-                { { "reason", olderRevision ? "older revision" : "no newer version" },
-                    { "version", configuration->version }, { "version_in_force", m_configurationVersion },
-                    { "revision", item.revision }, { "revision_in_force", m_configurationRevision },
-                    { "era", m_era } });
-        if (olderRevision)
-            return;
-        m_configurationVersion = std::max(m_configurationVersion, configuration->version);
-        m_observer.configurationRead(configuration);
+        m_configurationEra = m_era;
         m_configurationRevision = item.revision;
+        if (configuration->version > m_configurationVersion) {
+            m_configurationVersion = configuration->version;
+            m_observer.configurationRead(configuration);
+        } else if (configuration->version < m_configurationVersion)
+            logEvent(LogEvent::ConfigurationNotApplied,
+                { { "reason", "older version" }, { "version", configuration->version },
+                    { "version_in_force", m_configurationVersion }, { "revision", item.revision }, { "era", m_era } });
     } catch (const std::exception& error) {
         logEvent(LogEvent::StoreItemRejected,
             { { "key", item.key }, { "revision", item.revision }, { "era", m_era }, { "reason", error.what() } });
     }
 }
 
-void StoreFollower::noteEra(uint64_t era, uint64_t storeRevision, std::string_view call)
+void StoreFollower::schedule(Duration delay, void (StoreFollower::*next)())
 {
-    const bool newerEra = era > m_era && m_listed;
-    const bool olderRevision = storeRevision != 0 && storeRevision < m_revision;
-    if (newerEra || (olderRevision && storeRevision != m_loggedStoreRevision)) {
-        m_loggedStoreRevision = storeRevision;
+    m_delayedCall(delay, [this, next, sequence = m_sequence] {
+        if (sequence == m_sequence)
+            (this->*next)();
+    });
+}
+
+bool StoreFollower::readNewerEra(uint64_t era, uint64_t storeRevision, std::string_view call)
+{
+    if (era <= m_era)
+        return false;
+    const uint64_t previous = m_era;
+    m_era = era;
+    // Until the first listing nothing of an earlier era can be known, unless the start of that listing is.
+    const bool restored = m_listed || previous != 0 || !m_listing.empty();
+    if (restored) {
         logEvent(LogEvent::StoreRestored,
-            { { "call", call }, { "era", era }, { "previous_era", m_era }, { "revision", m_revision },
+            { { "call", call }, { "era", era }, { "previous_era", previous }, { "revision", m_revision },
                 { "store_revision", storeRevision }, { "reported_revision", m_reportedRevision },
                 { "source", storeSourceName(m_source) } });
+        ++m_sequence;
+        m_listing.clear();
+        m_listingInProgress = false;
+        m_listed = false;
+        m_revision = 0;
+        m_reportedRevision = 0;
+        m_changesMissingSince.reset();
+        m_stateAsOf = Instant();
+        m_retryDelay = m_settings.firstRetryDelay;
     }
-    m_era = std::max(m_era, era);
+    m_observer.eraRead(era, restored);
+    return restored;
+}
+
+void StoreFollower::noteEra(uint64_t era, std::string_view call)
+{
+    if (!readNewerEra(era, 0, call))
+        return;
+    m_store.cancelReads();
+    schedule(m_settings.restoredListDelay, &StoreFollower::list);
 }
 
 void StoreFollower::storeCallFailed(StoreOutcome outcome, std::string_view call)
@@ -264,10 +319,8 @@
         m_observer.storeReachable(false);
     }
     const bool catchUp = m_changesMissingSince.has_value();
-    m_delayedCall(acceptsRelayedState() && !catchUp ? m_settings.relayedRetryDelay : m_retryDelay, [this] {
-        // After an outage a watch alone could miss entries that expired while the store history continued without it.
-        list();
-    });
+    // After an outage a watch alone could miss entries that expired while the store history continued without it.
+    schedule(acceptsRelayedState() && !catchUp ? m_settings.relayedRetryDelay : m_retryDelay, &StoreFollower::list);
     m_retryDelay = std::min(m_retryDelay * 2, m_settings.maxRetryDelay);
 }
 
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -21,6 +21,9 @@
     /// Called when the entry hosts' own items have changed; see StoreFollower::ownItems.
     virtual void ownItemsChanged() = 0;
     virtual void storeReachable(bool) = 0;
+    /// Called with the first era of the store and with each newer one. restored: an older copy has replaced the store,
+    /// and a complete listing follows.
+    virtual void eraRead(uint64_t era, bool restored) = 0;
     /// Called when a watch has returned, with its changes, possibly none.
     virtual void eventsRead(const StoreEvents&) = 0;
 };
@@ -52,6 +55,9 @@
     Duration relayCheckInterval = std::chrono::milliseconds(100);
     /// Pause before the next listing after a failed call while relayed state keeps this host up to date.
     Duration relayedRetryDelay = std::chrono::seconds(3);
+    /// Pause before the listing of a new era that another host or another call has revealed. It differs between hosts,
+    /// because all hosts of a fleet then list.
+    Duration restoredListDelay { 0 };
 };
 
 /// How a host receives changes of the store.
@@ -67,7 +73,8 @@
 
 /// Follows the state of the store: reads one listing, then either watches the whole store or applies relayed changes of
 /// other hosts. After a failed call it lists again, with growing pauses between retries; if the store no longer has the
-/// history, it lists again at once.
+/// history, it lists again at once. After the first sign of a newer era nothing is applied before a complete listing of
+/// it. Configurations are ordered by their versions, which do not go back with the revisions.
 class StoreFollower {
 public:
     static constexpr std::string_view ownPrefix = "plantainwall/";
@@ -94,10 +101,13 @@
 
     bool reachable() const { return m_reachable; }
 
-    /// Returns the newest era of the store that an answer carried; 0 if none did.
+    /// Returns the newest era of the store that an answer or another host carried; 0 if none did.
     uint64_t era() const { return m_era; }
 
-    /// Returns whether a complete listing has been read.
+    /// Notes the era in the result of another call of this host.
+    void noteEra(uint64_t era, std::string_view call);
+
+    /// Returns whether a complete listing of the newest era has been read.
     bool listed() const { return m_listed; }
 
 private:
@@ -109,7 +119,9 @@
     void advance(const std::vector<StoreItem>&, uint64_t to);
     void storeCallFailed(StoreOutcome, std::string_view call);
     void storeCallSucceeded();
-    void noteEra(uint64_t era, uint64_t storeRevision, std::string_view call);
+    void schedule(Duration delay, void (StoreFollower::*next)());
+    bool readNewerEra(uint64_t era, uint64_t storeRevision, std::string_view call);
+    bool isOutdated(const StoreItems& items) const { return items.era != 0 && items.era < m_era; }
     void apply(const StoreItem&);
     std::optional<ServerEntry> decodeServer(const StoreItem&) const;
     void decodeConfiguration(const StoreItem&);
@@ -131,11 +143,12 @@
     Instant m_listingSentAt; ///< Time of the request for the first page.
     uint64_t m_listingRevision = 0;
     uint64_t m_revision = 0;
+    uint64_t m_configurationEra = 0; ///< Era and revision of the last configuration that was read.
     uint64_t m_configurationRevision = 0;
-    uint64_t m_configurationVersion = 0;
+    uint64_t m_configurationVersion = 0; ///< In force.
     uint64_t m_era = 0;
+    uint64_t m_sequence = 0; ///< Rises with each new era. Answers to earlier calls and earlier delays are dropped.
     uint64_t m_differingEra = 0; ///< Last era of a relay that was logged as different.
-    uint64_t m_loggedStoreRevision = 0; ///< Last revision of the store that was logged as older than m_revision.
     Duration m_retryDelay;
     bool m_reachable = false;
     bool m_reachabilityReported = false; ///< The observer has been notified at least once.
--- a/tests/support_fleet.cpp
+++ b/tests/support_fleet.cpp
@@ -127,15 +127,38 @@
 
 void FakeHostStore::checkLease(uint64_t lease) { callsWithForeignLease += m_eraOfLease[lease] == m_newestEra ? 0 : 1; }
 
+std::function<void(StoreItems)> FakeHostStore::cancellable(std::function<void(StoreItems)> handler)
+{
+    m_reads.erase(
+        std::remove_if(m_reads.begin(), m_reads.end(), [](const auto& read) { return !*read; }), m_reads.end());
+    const auto read = std::make_shared<std::function<void(StoreItems)>>(filter(std::move(handler)));
+    m_reads.push_back(read);
+    return [read](StoreItems items) {
+        const std::function<void(StoreItems)> handler = std::exchange(*read, nullptr);
+        if (handler)
+            handler(std::move(items));
+    };
+}
+
+void FakeHostStore::cancelReads()
+{
+    for (const std::shared_ptr<std::function<void(StoreItems)>>& read : m_reads) {
+        const std::function<void(StoreItems)> handler = std::exchange(*read, nullptr);
+        if (handler)
+            m_store.afterRoundTrip([handler] { handler({}); });
+    }
+    m_reads.clear();
+}
+
 void FakeHostStore::list(const std::string& prefix, const std::string& after, std::function<void(StoreItems)> handler)
 {
-    m_store.list(prefix, after, filter(std::move(handler)));
+    m_store.list(prefix, after, cancellable(std::move(handler)));
 }
 
 void FakeHostStore::watch(
     const std::string& prefix, uint64_t after, Duration wait, std::function<void(StoreItems)> handler)
 {
-    m_store.watch(prefix, after, wait, filter(std::move(handler)));
+    m_store.watch(prefix, after, wait, cancellable(std::move(handler)));
 }
 
 void FakeHostStore::write(const StoreWrite& write, std::function<void(StoreResult)> handler)
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -33,6 +33,9 @@
     void createLease(Duration, std::function<void(StoreResult)>) override;
     void keepLease(uint64_t, std::function<void(StoreResult)>) override;
     void endLease(uint64_t, std::function<void(StoreResult)>) override;
+    void cancelReads() override { }
+
+    void afterRoundTrip(std::function<void()>);
 
     /// Writes an item as a client outside the fleet does.
     void put(const std::string& key, const std::string& value, uint64_t lease = 0);
@@ -75,7 +78,6 @@
         unsigned lastLease = 0;
     };
 
-    void afterRoundTrip(std::function<void()>);
     void scheduleLeaseEnd(uint64_t lease);
     void removeItemsOf(uint64_t lease);
     void notifyWatches();
@@ -106,6 +108,7 @@
     void createLease(Duration, std::function<void(StoreResult)>) override;
     void keepLease(uint64_t, std::function<void(StoreResult)>) override;
     void endLease(uint64_t, std::function<void(StoreResult)>) override;
+    void cancelReads() override;
 
     /// Returns whether a lease was granted to this host in the present era.
     bool holds(uint64_t lease) const;
@@ -117,11 +120,13 @@
 
 private:
     template <typename Result> std::function<void(Result)> filter(std::function<void(Result)>);
+    std::function<void(StoreItems)> cancellable(std::function<void(StoreItems)>);
     void checkLease(uint64_t lease);
 
     FakeFleetStore& m_store;
     std::map<uint64_t, uint64_t> m_eraOfLease; ///< Era in which this host was last granted the lease.
     uint64_t m_newestEra = 0;
+    std::vector<std::shared_ptr<std::function<void(StoreItems)>>> m_reads; ///< Empty functions have been answered.
 };
 
 /// A configuration's value starts with its version. A server's value is its role, optionally "draining", optionally its
--- a/tests/support_store_follower.h
+++ b/tests/support_store_follower.h
@@ -20,6 +20,7 @@
     void createLease(Duration, std::function<void(StoreResult)>) override { }
     void keepLease(uint64_t, std::function<void(StoreResult)>) override { }
     void endLease(uint64_t, std::function<void(StoreResult)>) override { }
+    void cancelReads() override { }
 
     void answer(
         StoreOutcome outcome, std::vector<StoreItem> items = {}, uint64_t asOf = 0, bool more = false, uint64_t era = 0)
@@ -73,6 +74,7 @@
     void serverErased(const std::string& id) override { erased.push_back(id); }
     void ownItemsChanged() override { }
     void storeReachable(bool value) override { reachable.push_back(value); }
+    void eraRead(uint64_t, bool) override { }
     void eventsRead(const StoreEvents& events) override { relayed.push_back(events); }
 
     void runDelayedTask()
