Keep what is known of a server when a copy of the store has an older entry

What callers saw: after a restore of the metadata store, statements were sent to a server that was draining, because the copy still called it ready.

Cause: ServerDirectory took every entry that it read for newer than the known one. An entry of the same start with a lower sequence number now keeps the server registered and changes nothing else; a server that has started again counts anew and is recognised by its time of start. Entries without a number are taken as before.

Evidence: unit.restored-store, a_draining_server_stays_draining: failed before (check hostsWhereDraining() == fleetSize has failed [0 != 60]), passes now.

--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -31,6 +31,11 @@
 void ServerDirectory::registerServer(const ServerEntry& entry)
 {
     KnownServer& known = m_servers[entry.id];
+    const bool sameStart = entry.startedUnixMs != 0 && known.entry.startedUnixMs == entry.startedUnixMs;
+    if (sameStart && entry.sequence != 0 && entry.sequence < known.entry.sequence) {
+        known.missingSince.reset();
+        return;
+    }
     const bool restarted = known.entry.startedUnixMs != entry.startedUnixMs && !known.entry.id.empty();
     const bool becamePrimary = entry.primary && (!known.entry.primary || restarted);
     known.entry = entry;
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -26,7 +26,8 @@
     /// at once.
     std::vector<std::string> replaceAll(const std::vector<ServerEntry>&, Instant now);
 
-    /// Adds or updates a registered server.
+    /// Adds or updates a registered server. An entry of the same start with a lower sequence number than the known one
+    /// comes from a copy of the store: it keeps the server registered and changes nothing else.
     void registerServer(const ServerEntry&);
 
     /// Records that a registration was removed. A draining server is removed at once, any other after the grace time.
