Drop leases and the coordinator role of a store's earlier era

What callers saw: after a restore of the metadata store a host could renew or end the lease of another host, whose id the copy had given out again; that host then vanished from the fleet and its share of the rates went to others. A coordinator's fencing tokens fell with the revisions, so that its promotion orders were rejected and a service stayed without a primary.

Cause: leases and tokens were kept over the restore, a conflict on registration counted as success although the item can belong to an ended lease, and the settle time before promotions did not start again although the copy's registrations are incomplete.

Every result of a lease or write passes its era to StoreFollower. Answers to calls of earlier attempts are dropped. Registration keys contain the era, and a conflict leads to a new lease. A claim carried out under a lease of another era leaves an item that names this host; the host claims over it. Fencing tokens are era * 2^36 + revision. The settle time and the grace time of missing servers start anew.

--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -89,7 +89,23 @@
         m_gateway.directory().storeBecameUnreachable();
 }
 
-void FleetMember::eraRead(uint64_t era, bool) { m_changeExchange.setEra(era); }
+void FleetMember::eraRead(uint64_t era, bool restored)
+{
+    m_changeExchange.setEra(era);
+    if (!restored)
+        return;
+    // Leases of the earlier era are neither renewed nor ended: their ids may be given out again.
+    m_registrationLease = 0;
+    ++m_registrationAttempt;
+    afterRegistration(restoredDelay(), &FleetMember::registerHost);
+    ++m_coordination;
+    m_claiming = false;
+    m_claimAt = Instant();
+    coordinationEnded();
+    // Registrations of the copy may be incomplete.
+    m_listedAt.reset();
+    m_gateway.directory().storeRestored(m_clock());
+}
 
 void FleetMember::ownItemsChanged()
 {
@@ -123,34 +139,59 @@
     coordinatorItemRead();
 }
 
+bool FleetMember::isOfNewestEra(const StoreResult& result, std::string_view call)
+{
+    m_follower.noteEra(result.era, call);
+    return result.era == 0 || result.era == m_follower.era();
+}
+
+void FleetMember::afterRegistration(Duration delay, void (FleetMember::*next)())
+{
+    m_after(delay, [this, next, attempt = m_registrationAttempt] {
+        if (attempt == m_registrationAttempt)
+            (this->*next)();
+    });
+}
+
 void FleetMember::registerHost()
 {
     if (m_leaving)
         return;
-    m_store.createLease(m_settings.registrationLease, [this](const StoreResult& lease) {
-        if (lease.outcome != StoreOutcome::Ok) {
-            m_after(registrationRetryDelay, [this] { registerHost(); });
+    const uint64_t attempt = ++m_registrationAttempt;
+    m_store.createLease(m_settings.registrationLease, [this, attempt](const StoreResult& lease) {
+        const bool newestEra = isOfNewestEra(lease, "lease");
+        if (attempt != m_registrationAttempt)
             return;
-        }
-        m_registrationLease = lease.number;
-        web::json::value value = web::json::value::object();
-        value["host"] = web::json::value::string(m_gatewaySettings.host);
-        value["address"]
-            = web::json::value::string(m_gatewaySettings.peerAdvertised.empty() ? m_gatewaySettings.peerAddress
-                                                                                : m_gatewaySettings.peerAdvertised);
-        value["region"] = web::json::value::string(m_gatewaySettings.region);
-        value["incarnation"] = web::json::value::number(m_incarnation);
-        StoreWrite write;
-        write.key = hostsPrefix + m_gatewaySettings.host + "/" + std::to_string(m_incarnation) + "/"
-            + std::to_string(lease.number);
-        write.value = value.serialize();
-        write.lease = lease.number;
-        m_store.write(write, [this](const StoreResult& result) {
-            if (result.outcome == StoreOutcome::Ok || result.outcome == StoreOutcome::Conflict)
-                m_after(m_settings.registrationRenewal, [this] { renewRegistration(); });
-            else
-                m_after(registrationRetryDelay, [this] { registerHost(); });
-        });
+        if (lease.outcome == StoreOutcome::Ok && newestEra)
+            registrationLeaseGranted(lease);
+        else
+            afterRegistration(registrationRetryDelay, &FleetMember::registerHost);
+    });
+}
+
+void FleetMember::registrationLeaseGranted(const StoreResult& lease)
+{
+    m_registrationLease = lease.number;
+    web::json::value value = web::json::value::object();
+    value["host"] = web::json::value::string(m_gatewaySettings.host);
+    value["address"] = web::json::value::string(
+        m_gatewaySettings.peerAdvertised.empty() ? m_gatewaySettings.peerAddress : m_gatewaySettings.peerAdvertised);
+    value["region"] = web::json::value::string(m_gatewaySettings.region);
+    value["incarnation"] = web::json::value::number(m_incarnation);
+    StoreWrite write;
+    write.key = hostsPrefix + m_gatewaySettings.host + "/" + std::to_string(m_incarnation) + "/"
+        + std::to_string(lease.era) + "-" + std::to_string(lease.number);
+    write.value = value.serialize();
+    write.lease = lease.number;
+    m_store.write(write, [this, attempt = m_registrationAttempt](const StoreResult& result) {
+        isOfNewestEra(result, "write");
+        if (attempt != m_registrationAttempt)
+            return;
+        // After a conflict the item belongs to an unknown lease, so the host registers with a new one.
+        if (result.outcome == StoreOutcome::Ok)
+            afterRegistration(m_settings.registrationRenewal, &FleetMember::renewRegistration);
+        else
+            afterRegistration(registrationRetryDelay, &FleetMember::registerHost);
     });
 }
 
@@ -158,12 +199,16 @@
 {
     if (m_leaving)
         return;
-    m_store.keepLease(m_registrationLease, [this](const StoreResult& result) {
+    m_store.keepLease(m_registrationLease, [this, attempt = m_registrationAttempt](const StoreResult& result) {
+        isOfNewestEra(result, "lease renewal");
+        if (attempt != m_registrationAttempt)
+            return;
         if (result.outcome == StoreOutcome::NotFound)
             registerHost();
         else
-            m_after(result.outcome == StoreOutcome::Ok ? m_settings.registrationRenewal : registrationRetryDelay,
-                [this] { renewRegistration(); });
+            afterRegistration(
+                result.outcome == StoreOutcome::Ok ? m_settings.registrationRenewal : registrationRetryDelay,
+                &FleetMember::renewRegistration);
     });
 }
 
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -45,8 +45,9 @@
         /// A host whose registration has ended may still admit operations; its fraction of the rates is reserved for
         /// this long.
         Duration quotaReservationTime = std::chrono::seconds(20);
-        /// Registrations may be incomplete for this long after the first listing, or after the store is reachable
-        /// again. A promotion without knowledge of every replica could lose commits that only an unknown one holds.
+        /// Registrations may be incomplete for this long after the first listing of an era, or after the store is
+        /// reachable again. A promotion without knowledge of every replica could lose commits that only an unknown one
+        /// holds.
         Duration settleTime = std::chrono::milliseconds(3000);
         /// A host that resigned as coordinator because it cannot reach the servers makes no claim for this long.
         Duration coordinatorPause = std::chrono::seconds(4);
@@ -114,8 +115,11 @@
 
     using Primaries = std::map<std::string, std::pair<std::string, uint64_t>>; ///< Server and term by service.
 
+    bool isOfNewestEra(const StoreResult&, std::string_view call);
     void registerHost();
+    void registrationLeaseGranted(const StoreResult&);
     void renewRegistration();
+    void afterRegistration(Duration, void (FleetMember::*next)());
     void fleetChanged();
 
     // fleet_member_coordinator.cpp
@@ -127,6 +131,9 @@
     void handOverCoordination();
     bool mayCoordinate() const;
     Duration claimDelay(Duration least);
+    std::string coordinatorValue() const;
+    const StoreItem* coordinatorItem() const;
+    bool claimable() const;
 
     // fleet_member_reports.cpp
     void sendReports();
@@ -168,14 +175,16 @@
     PositionExchange m_positionExchange;
     ChangeExchange m_changeExchange;
     std::map<std::string, Peer> m_peers; ///< Registered hosts other than this one, by name.
-    uint64_t m_registrationLease = 0;
+    uint64_t m_registrationLease = 0; ///< Granted in the newest era; 0: none.
+    uint64_t m_registrationAttempt = 0; ///< Answers to earlier attempts are dropped.
     uint64_t m_coordinatorLease = 0;
+    uint64_t m_coordination = 0; ///< Number of the role or claim; answers to earlier ones are dropped.
     Instant m_coordinatorUntil;
     bool m_claiming = false;
     bool m_resigned = false;
     bool m_leaving = false;
     Instant m_claimAt;
-    std::optional<Instant> m_listedAt;
+    std::optional<Instant> m_listedAt; ///< First listing of the newest era.
     Instant m_storeReachableSince;
     Instant m_noClaimBefore;
     Instant m_reportAt;
--- a/src/fleet_member_coordinator.cpp
+++ b/src/fleet_member_coordinator.cpp
@@ -17,33 +17,55 @@
 
     /// Shortest delay of a claim for a lease whose release was not observed.
     constexpr Duration claimPause = std::chrono::milliseconds(50);
-    constexpr Duration firstClaimPause = std::chrono::milliseconds(700); ///< The first watch returns the other hosts.
+    /// The first watch returns the other hosts; after a restore of the store they register again within this time.
+    constexpr Duration firstClaimPause = std::chrono::milliseconds(700);
+
+    /// Fencing tokens rise with the era, because revisions go back: more revisions than a store gives out in an era.
+    constexpr unsigned revisionBits = 36;
+
+    uint64_t fencingToken(uint64_t era, uint64_t revision) { return (era << revisionBits) + revision; }
 
 } // namespace
 
+std::string FleetMember::coordinatorValue() const
+{
+    return m_gatewaySettings.host + " " + std::to_string(m_incarnation);
+}
+
+const StoreItem* FleetMember::coordinatorItem() const
+{
+    const auto it = m_follower.ownItems().find(coordinatorKey);
+    return it == m_follower.ownItems().end() ? nullptr : &it->second;
+}
+
+// A claim without an answer may be carried out later, and a copy of the store may contain an earlier claim. The item
+// then names this host under a lease that it does not hold and that may never end.
+bool FleetMember::claimable() const
+{
+    if (!m_follower.listed() || !m_follower.reachable() || m_coordinator.isActive() || m_claiming)
+        return false;
+    const StoreItem* const item = coordinatorItem();
+    return item == nullptr || item->value == coordinatorValue();
+}
+
 void FleetMember::coordinatorItemRead()
 {
-    const auto coordinatorItem = m_follower.ownItems().find(coordinatorKey);
-    const bool free = coordinatorItem == m_follower.ownItems().end();
-    if (m_coordinator.isActive() && !free
-        && coordinatorItem->second.value != m_gatewaySettings.host + " " + std::to_string(m_incarnation))
+    const StoreItem* const item = coordinatorItem();
+    if (m_coordinator.isActive() && item != nullptr && item->value != coordinatorValue())
         coordinationEnded();
-    if (free && !m_coordinator.isActive() && m_claimAt == Instant())
+    if (item == nullptr && !m_coordinator.isActive() && m_claimAt == Instant())
         m_claimAt = m_clock() + claimDelay(Duration(0));
 }
 
 void FleetMember::tickCoordinator()
 {
     const Instant now = m_clock();
-    const bool free = m_follower.ownItems().count(coordinatorKey) == 0;
     if (m_claimAt != Instant() && now >= m_claimAt) {
         m_claimAt = Instant();
-        if (free && m_follower.reachable() && !m_coordinator.isActive() && now >= m_noClaimBefore)
+        if (claimable() && now >= m_noClaimBefore)
             claimCoordination();
     }
-    const bool unclaimed
-        = free && m_follower.listed() && m_follower.reachable() && !m_coordinator.isActive() && !m_claiming;
-    if (unclaimed && m_claimAt == Instant())
+    if (claimable() && m_claimAt == Instant())
         m_claimAt = now + claimDelay(claimPause);
     m_coordinator.tick(mayCoordinate());
     if (m_coordinator.isActive() && m_coordinator.serversUnreachable() && !m_peers.empty())
@@ -56,29 +78,37 @@
         return;
     m_claiming = true;
     const Instant sentAt = m_clock();
-    m_store.createLease(m_settings.coordinatorLease, [this, sentAt](const StoreResult& lease) {
-        if (lease.outcome != StoreOutcome::Ok) {
+    const uint64_t claim = ++m_coordination;
+    m_store.createLease(m_settings.coordinatorLease, [this, sentAt, claim](const StoreResult& lease) {
+        const bool newestEra = isOfNewestEra(lease, "lease");
+        if (claim != m_coordination)
+            return;
+        if (lease.outcome != StoreOutcome::Ok || !newestEra) {
             m_claiming = false;
             return;
         }
+        const StoreItem* const item = coordinatorItem();
         StoreWrite write;
         write.key = coordinatorKey;
-        write.value = m_gatewaySettings.host + " " + std::to_string(m_incarnation);
+        write.value = coordinatorValue();
+        write.expectedRevision = item == nullptr ? 0 : item->revision;
         write.lease = lease.number;
-        m_store.write(write, [this, sentAt, number = lease.number](const StoreResult& result) {
-            m_claiming = false;
-            if (result.outcome != StoreOutcome::Ok) {
-                m_store.endLease(number, [](const StoreResult&) {});
+        m_store.write(write, [this, sentAt, claim, lease](const StoreResult& result) {
+            isOfNewestEra(result, "write");
+            if (claim != m_coordination)
                 return;
-            }
-            if (m_resigned) {
-                m_store.endLease(number, [](const StoreResult&) {});
+            m_claiming = false;
+            if (result.outcome != StoreOutcome::Ok || m_resigned) {
+                m_store.endLease(lease.number, [](const StoreResult&) {});
                 return;
             }
-            m_coordinatorLease = number;
+            m_coordinatorLease = lease.number;
             m_coordinatorUntil = sentAt + m_settings.coordinatorLease - m_settings.coordinatorMargin;
-            m_coordinator.setActive(true, result.number);
-            m_after(m_settings.coordinatorRenewal, [this] { renewCoordination(); });
+            m_coordinator.setActive(true, fencingToken(m_follower.era(), result.number));
+            m_after(m_settings.coordinatorRenewal, [this, claim] {
+                if (claim == m_coordination)
+                    renewCoordination();
+            });
         });
     });
 }
@@ -88,8 +118,10 @@
     if (!m_coordinator.isActive() || m_resigned)
         return;
     const Instant sentAt = m_clock();
-    m_store.keepLease(m_coordinatorLease, [this, sentAt](const StoreResult& result) {
-        if (!m_coordinator.isActive())
+    const uint64_t claim = m_coordination;
+    m_store.keepLease(m_coordinatorLease, [this, sentAt, claim](const StoreResult& result) {
+        isOfNewestEra(result, "lease renewal");
+        if (claim != m_coordination || !m_coordinator.isActive())
             return;
         if (result.outcome == StoreOutcome::NotFound) {
             coordinationEnded();
@@ -98,7 +130,10 @@
         if (result.outcome == StoreOutcome::Ok)
             m_coordinatorUntil = sentAt + m_settings.coordinatorLease - m_settings.coordinatorMargin;
         m_after(result.outcome == StoreOutcome::Ok ? m_settings.coordinatorRenewal : m_settings.coordinatorRenewal / 4,
-            [this] { renewCoordination(); });
+            [this, claim] {
+                if (claim == m_coordination)
+                    renewCoordination();
+            });
     });
 }
 
--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -76,6 +76,12 @@
     m_storeReachableSince = now;
 }
 
+void ServerDirectory::storeRestored(Instant now)
+{
+    if (!m_storeUnreachable)
+        m_storeReachableSince = now;
+}
+
 std::vector<std::string> ServerDirectory::expire(Instant now)
 {
     std::vector<std::string> removed;
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -37,6 +37,9 @@
     void storeBecameUnreachable();
     void storeReachableAgain(Instant now);
 
+    /// Records that an older copy has replaced the store. The grace time of missing servers starts anew.
+    void storeRestored(Instant now);
+
     /// Removes servers whose grace time has expired and returns their ids.
     std::vector<std::string> expire(Instant now);
 
