Test the era in store answers, relays and requests for changes

unit.store-client (new): every answer of the store carries its era, also those of failed calls; cancelled reads end at once and free the connection; server entries have a start and a sequence number. unit.change-exchange: changes and parts of another era are neither sent nor used. unit.store-relay: datagrams keep the era.

--- a/tests/unit_change_exchange.cpp
+++ b/tests/unit_change_exchange.cpp
@@ -106,6 +106,49 @@
     BOOST_TEST(deliver().has_value());
 }
 
+// Guards against changes of a store's earlier era, whose revisions a restored store gives out again.
+BOOST_FIXTURE_TEST_CASE(changes_of_another_era_are_not_sent, Fixture)
+{
+    source.setEra(1);
+    requester.setEra(2);
+    StoreEvents events = change(11, 20000);
+    events.era = 1;
+    source.keep(events);
+    tick(10);
+    BOOST_TEST(!deliver().has_value()); // The requesting host knows a newer era.
+    source.setEra(2);
+    now += milliseconds(160);
+    tick(10);
+    BOOST_TEST(!deliver().has_value()); // The kept changes were dropped.
+    source.keep(events);
+    now += milliseconds(160);
+    tick(10);
+    BOOST_TEST(!deliver().has_value()); // A late answer of the earlier era.
+    events.era = 2;
+    source.keep(events);
+    now += milliseconds(160);
+    tick(10);
+    const std::optional<StoreEvents> read = deliver();
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->era == 2U);
+    BOOST_TEST(read->to == 11U);
+}
+
+// Guards against an answer composed of parts from before and after a restore of the store.
+BOOST_FIXTURE_TEST_CASE(parts_of_an_earlier_era_are_dropped, Fixture)
+{
+    source.keep(change(11, 20000));
+    lost = [](size_t n) { return n == 5; };
+    tick(10);
+    BOOST_TEST(!deliver().has_value());
+    lost = nullptr;
+    const std::vector<FakePeerNetwork::Datagram> sent = network.sent;
+    requester.setEra(1);
+    for (const FakePeerNetwork::Datagram& datagram : sent)
+        network.queue.push_back(datagram);
+    BOOST_TEST(!deliver().has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(host_without_the_changes_gets_no_further_requests, Fixture)
 {
     for (int i = 0; i < 50; ++i) {
--- /dev/null
+++ b/tests/unit_store_client.cpp
@@ -0,0 +1,180 @@
+#include "store_client.h"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+
+using namespace plantainwall;
+using namespace plantainwall::platform;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// HTTP server on the loopback interface that sends prepared answers. A request without one is not answered.
+class ScriptedServer {
+public:
+    explicit ScriptedServer(boost::asio::io_context& loop)
+        : m_acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    {
+        accept();
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+
+    /// Adds an answer. headers are complete lines.
+    void prepare(unsigned status, const std::string& headers, const std::string& body)
+    {
+        m_answers.push_back("HTTP/1.1 " + std::to_string(status) + " x\r\n" + headers
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+
+    size_t requests = 0;
+    size_t connections = 0;
+
+private:
+    struct Connection {
+        explicit Connection(tcp::socket accepted)
+            : socket(std::move(accepted))
+        {
+        }
+        tcp::socket socket;
+        boost::beast::flat_buffer buffer;
+        http::request<http::string_body> request;
+        std::string answer;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const boost::system::error_code& ec, tcp::socket socket) {
+            if (ec)
+                return;
+            ++connections;
+            read(std::make_shared<Connection>(std::move(socket)));
+            accept();
+        });
+    }
+
+    void read(const std::shared_ptr<Connection>& it)
+    {
+        it->request = {};
+        http::async_read(it->socket, it->buffer, it->request, [this, it](const boost::system::error_code& ec, size_t) {
+            if (ec)
+                return;
+            ++requests;
+            if (m_answers.empty()) {
+                read(it);
+                return;
+            }
+            it->answer = m_answers.front();
+            m_answers.pop_front();
+            boost::asio::async_write(it->socket, boost::asio::buffer(it->answer),
+                [this, it](const boost::system::error_code&, size_t) { read(it); });
+        });
+    }
+
+    tcp::acceptor m_acceptor;
+    std::deque<std::string> m_answers;
+};
+
+struct Fixture {
+    /// Runs the loop until the condition holds. Returns false after a second.
+    template <typename Condition> bool runUntil(Condition condition)
+    {
+        const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + std::chrono::seconds(1);
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            loop.run_for(std::chrono::milliseconds(1));
+        return condition();
+    }
+
+    StoreItems list()
+    {
+        std::optional<StoreItems> items;
+        client.list({}, {}, [&](StoreItems read) { items = std::move(read); });
+        BOOST_REQUIRE(runUntil([&] { return items.has_value(); }));
+        return *items;
+    }
+
+    boost::asio::io_context loop;
+    ScriptedServer server { loop };
+    StoreClient client { loop, server.address() };
+};
+
+} // namespace
+
+// A failed call is often the first sign of a restored store.
+BOOST_FIXTURE_TEST_CASE(all_answers_carry_the_era, Fixture)
+{
+    server.prepare(200, "Store-Era: 3\r\n", R"({"items":[],"more_pages":false,"as_of":9})");
+    BOOST_TEST(list().era == 3U);
+    server.prepare(200, "store-era: 4\r\n", R"({"items":[],"more_pages":false,"as_of":9})");
+    BOOST_TEST(list().era == 4U);
+    for (const unsigned status : { 403U, 410U, 429U, 503U }) {
+        server.prepare(status, "Store-Era: 5\r\n", "{}");
+        const StoreItems items = list();
+        BOOST_TEST((items.outcome != StoreOutcome::Ok));
+        BOOST_TEST(items.era == 5U);
+    }
+    for (const unsigned status : { 404U, 412U, 429U, 503U }) {
+        server.prepare(status, "Store-Era: 6\r\n", "{}");
+        std::optional<StoreResult> result;
+        const auto handler = [&](const StoreResult& read) { result = read; };
+        if (status == 404)
+            client.keepLease(7, handler);
+        else
+            client.write({ "k", "v", 0, 7 }, handler);
+        BOOST_REQUIRE(runUntil([&] { return result.has_value(); }));
+        BOOST_TEST((result->outcome != StoreOutcome::Ok));
+        BOOST_TEST(result->era == 6U);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(an_answer_without_a_valid_era_has_none, Fixture)
+{
+    for (const char* header : { "", "Store-Era: \r\n", "Store-Era: x\r\n", "Store-Era: 3x\r\n", "Store-Era: -1\r\n" }) {
+        server.prepare(200, header, R"({"items":[],"more_pages":false,"as_of":9})");
+        const StoreItems items = list();
+        BOOST_TEST((items.outcome == StoreOutcome::Ok));
+        BOOST_TEST(items.era == 0U);
+    }
+}
+
+// A watch that waits for changes of an earlier era must not delay the listing of the newer one.
+BOOST_FIXTURE_TEST_CASE(cancelled_reads_end_at_once, Fixture)
+{
+    std::vector<StoreOutcome> outcomes;
+    const auto handler = [&](const StoreItems& items) { outcomes.push_back(items.outcome); };
+    client.watch({}, 7, std::chrono::seconds(30), handler);
+    client.list({}, {}, handler);
+    BOOST_REQUIRE(runUntil([&] { return server.requests == 1; }));
+    client.cancelReads();
+    BOOST_TEST(outcomes.empty());
+    BOOST_REQUIRE(runUntil([&] { return outcomes.size() == 2; }));
+    BOOST_TEST((outcomes == std::vector<StoreOutcome>(2, StoreOutcome::Unreachable)));
+    server.prepare(200, "Store-Era: 3\r\n", R"({"items":[],"more_pages":false,"as_of":9})");
+    BOOST_TEST(list().asOf == 9U);
+    BOOST_TEST(server.connections == 2U);
+    client.cancelReads(); // Nothing is in progress.
+    client.list({}, {}, handler);
+    client.cancelReads(); // Before the call is sent.
+    server.prepare(200, "Store-Era: 3\r\n", R"({"items":[],"more_pages":false,"as_of":10})");
+    BOOST_TEST(list().asOf == 10U);
+    BOOST_TEST(outcomes.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(server_entries_have_a_start_and_a_sequence_number)
+{
+    const DocumentDecoder decoder;
+    const auto entry = [&](const std::string& fields) {
+        return decoder.server({ "servers/i-1",
+            R"({"service":"a","address":"127.0.0.1:1","zone":"z","slots":2,"state":"ready","db_role":"replica")"
+                + fields + "}",
+            5, false });
+    };
+    BOOST_TEST(entry(R"(,"born":1700000000123,"seq_no":41)").sequence == 41U);
+    BOOST_TEST(entry(R"(,"born":1700000000123,"seq_no":41)").startedUnixMs == 1700000000123U);
+    BOOST_TEST(entry("").sequence == 0U);
+    BOOST_TEST(entry(R"(,"seq_no":"x")").sequence == 0U);
+}
--- a/tests/unit_store_relay.cpp
+++ b/tests/unit_store_relay.cpp
@@ -16,7 +16,7 @@
 // Values of arbitrary bytes and removals are preserved, and the datagrams cover the revisions without a gap.
 BOOST_AUTO_TEST_CASE(events_pass_in_small_datagrams)
 {
-    StoreEvents events { 10, 50, std::chrono::milliseconds(7), {} };
+    StoreEvents events { 10, 50, std::chrono::milliseconds(7), {}, 3 };
     for (uint64_t i = 11; i <= 40; ++i)
         events.items.push_back(item(i, 150));
     events.items.push_back({ "gone", "", 41, true });
@@ -30,6 +30,7 @@
         const StoreEvents decoded = decodeStoreEvents(datagram);
         BOOST_TEST(decoded.from == nextFrom);
         BOOST_TEST((decoded.age == events.age));
+        BOOST_TEST(decoded.era == 3U);
         nextFrom = decoded.to;
         items.insert(items.end(), decoded.items.begin(), decoded.items.end());
     }
