--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -107,10 +107,14 @@
     Duration wait = m_settings.watchWait;
     if (m_source != StoreSource::Watch)
         wait = catchUp ? m_settings.relayCheckInterval : m_settings.relayWatchWait;
-    m_store.watch({}, m_revision, wait, [this, now, wait, sequence = m_sequence](const StoreItems& events) {
-        if (sequence == m_sequence)
+    m_store.watch(
+        {}, m_revision, wait, [this, now, wait, after = m_revision, sequence = m_sequence](const StoreItems& events) {
+            if (sequence != m_sequence)
+                return;
+            if (events.era == m_era && events.asOf != 0 && events.asOf < after)
+                logRestored("watch", m_era, events.asOf);
             watchAnswered(events, now, wait);
-    });
+        });
 }
 
 void StoreFollower::watchAnswered(const StoreItems& events, Instant sentAt, Duration wait)
@@ -176,7 +180,7 @@
 void StoreFollower::applyRelayed(const StoreEvents& events)
 {
     const Instant now = m_clock();
-    if (events.era != m_era && events.era != m_differingEra) {
+    if (m_era != 0 && events.era != m_era && events.era != m_differingEra) {
         m_differingEra = events.era;
         logEvent(LogEvent::RelayEraDiffers,
             { { "era", m_era }, { "relayed_era", events.era }, { "revision", m_revision },
@@ -271,6 +275,14 @@
     });
 }
 
+void StoreFollower::logRestored(std::string_view call, uint64_t previousEra, uint64_t storeRevision) const
+{
+    logEvent(LogEvent::StoreRestored,
+        { { "call", call }, { "era", m_era }, { "previous_era", previousEra }, { "revision", m_revision },
+            { "store_revision", storeRevision }, { "reported_revision", m_reportedRevision },
+            { "source", storeSourceName(m_source) } });
+}
+
 bool StoreFollower::readNewerEra(uint64_t era, uint64_t storeRevision, std::string_view call)
 {
     if (era <= m_era)
@@ -280,10 +292,7 @@
     // Until the first listing nothing of an earlier era can be known, unless the start of that listing is.
     const bool restored = m_listed || previous != 0 || !m_listing.empty();
     if (restored) {
-        logEvent(LogEvent::StoreRestored,
-            { { "call", call }, { "era", era }, { "previous_era", previous }, { "revision", m_revision },
-                { "store_revision", storeRevision }, { "reported_revision", m_reportedRevision },
-                { "source", storeSourceName(m_source) } });
+        logRestored(call, previous, storeRevision);
         ++m_sequence;
         m_listing.clear();
         m_listingInProgress = false;
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -120,6 +120,7 @@
     void storeCallFailed(StoreOutcome, std::string_view call);
     void storeCallSucceeded();
     void schedule(Duration delay, void (StoreFollower::*next)());
+    void logRestored(std::string_view call, uint64_t previousEra, uint64_t storeRevision) const;
     bool readNewerEra(uint64_t era, uint64_t storeRevision, std::string_view call);
     bool isOutdated(const StoreItems& items) const { return items.era != 0 && items.era < m_era; }
     void apply(const StoreItem&);
--- a/tests/unit_restored_store.cpp
+++ b/tests/unit_restored_store.cpp
@@ -258,6 +258,31 @@
     }
 }
 
+// Guards against a coordinator that learns of the restore only when its lease has run out: the store rejects its calls.
+BOOST_AUTO_TEST_CASE(a_rejected_coordinator_gives_up_at_once)
+{
+    const CerrCapture capture;
+    for (const size_t fleetSize : { smallFleet, largeFleet }) {
+        RestoredFleet fleet(fleetSize);
+        fleet.store.snapshot();
+        const auto isActive = [](const std::unique_ptr<FakeFleet::Host>& host) { return host->coordinator.isActive(); };
+        for (int i = 0; i < 500 && fleet.activeCoordinators() == 0; ++i)
+            fleet.pass(milliseconds(20));
+        const auto coordinator = std::find_if(fleet.hosts.begin(), fleet.hosts.end(), isActive);
+        BOOST_REQUIRE((coordinator != fleet.hosts.end()));
+        fleet.store.restore();
+        (*coordinator)->store.rejects = true;
+        fleet.pass(milliseconds(700)); // One renewal.
+        BOOST_TEST(!isActive(*coordinator));
+        (*coordinator)->store.rejects = false;
+        fleet.store.put("config", "3");
+        fleet.pass(configurationTime);
+        BOOST_TEST(fleet.hostsWith(3) == fleetSize);
+        BOOST_TEST(fleet.registeredHosts() == fleetSize);
+        BOOST_TEST(fleet.callsWithForeignLease() == 0U);
+    }
+}
+
 // Guards against statements to a draining server whose entry in the copy is older than its notice.
 BOOST_AUTO_TEST_CASE(a_draining_server_stays_draining)
 {
