--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -22,6 +22,9 @@
         /// The coordinator stops this long before the earliest end of its lease.
         Duration coordinatorMargin = std::chrono::milliseconds(400);
         Duration baseReportInterval = std::chrono::milliseconds(250);
+        /// After a restore of the store each host waits for a random part of this time before it lists and before it
+        /// registers: short against the time in which a configuration must be in force, long against a round trip.
+        Duration restoredSpread = std::chrono::milliseconds(300);
         /// Number of hosts per region that watch the store and relay its changes: in a large fleet for all hosts, in a
         /// small one for hosts that cannot reach the store.
         size_t relaysPerRegion = 3; ///< A third of the hosts may lose the store at the same time.
@@ -43,8 +46,9 @@
         /// A host whose registration has ended may still admit operations; its fraction of the rates is reserved for
         /// this long.
         Duration quotaReservationTime = std::chrono::seconds(20);
-        /// Registrations may be incomplete for this long after the first listing, or after the store is reachable
-        /// again. A promotion without knowledge of every replica could lose commits that only an unknown one holds.
+        /// Registrations may be incomplete for this long after the first listing of an era, or after the store is
+        /// reachable again. A promotion without knowledge of every replica could lose commits that only an unknown one
+        /// holds.
         Duration settleTime = std::chrono::milliseconds(3000);
         /// A host that resigned as coordinator because it cannot reach the servers makes no claim for this long.
         Duration coordinatorPause = std::chrono::seconds(4);
@@ -72,6 +76,9 @@
     /// Returns names and addresses of the reachable hosts in the data centre's region; empty in a small fleet.
     std::vector<std::pair<std::string, std::string>> lenders(const std::string& dataCentre) const override;
 
+    /// Returns the newest era of the store that this host has seen; 0 if the store reports none.
+    uint64_t storeEra() const { return m_follower.era(); }
+
     /// Returns the number of hosts that share the connections to the servers of this host's region.
     size_t lendingHosts() const;
 
@@ -87,6 +94,7 @@
     void serverErased(const std::string& id) override;
     void ownItemsChanged() override;
     void storeReachable(bool) override;
+    void eraRead(uint64_t era, bool restored) override;
     void eventsRead(const StoreEvents&) override;
 
 private:
@@ -103,10 +111,16 @@
         bool probeFailed = false; ///< Silent because it did not answer a probe.
         uint64_t firstReportIncarnation = 0; ///< Incarnation to which the first report was sent.
     };
+    StoreFollowerSettings followerSettings();
+    Duration restoredDelay();
+
     using Primaries = std::map<std::string, std::pair<std::string, uint64_t>>; ///< Server and term by service.
 
+    bool isOfNewestEra(const StoreResult&, std::string_view call);
     void registerHost();
+    void registrationLeaseGranted(const StoreResult&);
     void renewRegistration();
+    void afterRegistration(Duration, void (FleetMember::*next)());
     void fleetChanged();
 
     // fleet_member_coordinator.cpp
@@ -118,6 +132,9 @@
     void handOverCoordination();
     bool mayCoordinate() const;
     Duration claimDelay(Duration least);
+    std::string coordinatorValue() const;
+    const StoreItem* coordinatorItem() const;
+    bool claimable() const;
 
     // fleet_member_reports.cpp
     void sendReports();
@@ -164,14 +181,16 @@
     ReplicaRecords m_replicaRecords;
     bool m_replicaItemsChanged = false; ///< The own items or the configured services have changed since the last tick.
     std::map<std::string, Peer> m_peers; ///< Registered hosts other than this one, by name.
-    uint64_t m_registrationLease = 0;
+    uint64_t m_registrationLease = 0; ///< Granted in the newest era; 0: none.
+    uint64_t m_registrationAttempt = 0; ///< Answers to earlier attempts are dropped.
     uint64_t m_coordinatorLease = 0;
+    uint64_t m_coordination = 0; ///< Number of the role or claim; answers to earlier ones are dropped.
     Instant m_coordinatorUntil;
     bool m_claiming = false;
     bool m_resigned = false;
     bool m_leaving = false;
     Instant m_claimAt;
-    std::optional<Instant> m_listedAt;
+    std::optional<Instant> m_listedAt; ///< First listing of the newest era.
     Instant m_storeReachableSince;
     Instant m_noClaimBefore;
     Instant m_reportAt;
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -68,6 +68,12 @@
             "State of one server of a service when a failover promotes a server or gives up." },
         { 53, "failover_blocked", LogLevel::Warn,
             "No server can be promoted yet: the named server's log may hold acknowledged commits that others lack." },
+        { 54, "store_restored", LogLevel::Warn,
+            "The store has a newer era or an older revision than before: it was restored from a copy." },
+        { 55, "relay_era_differs", LogLevel::Info,
+            "Another host relayed changes of the store from a different era than the one known here." },
+        { 56, "configuration_not_applied", LogLevel::Info,
+            "A configuration was read from the store but not put in force; the field reason says why." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -42,7 +42,8 @@
     std::vector<std::string> replaceAll(const std::vector<ServerEntry>&, Instant now);
 
     /// Adds or updates a registered server, which ends its lapsed state. Another start time means that the process with
-    /// the id before has ended; it is kept as lapsed.
+    /// the id before has ended; it is kept as lapsed. An entry of the same start with a lower sequence number than the
+    /// known one comes from a copy of the store: it keeps the server registered and changes nothing else.
     void registerServer(const ServerEntry&);
 
     /// Records that a registration was removed. A draining server lapses at once, any other after the grace time.
@@ -52,6 +53,9 @@
     void storeBecameUnreachable();
     void storeReachableAgain(Instant now);
 
+    /// Records that an older copy has replaced the store. The grace time of missing servers starts anew.
+    void storeRestored(Instant now);
+
     /// Makes servers lapsed whose grace time has expired and returns their ids.
     std::vector<std::string> expire(Instant now);
 
