Keep a server leaving that a restored copy lists as ready

Cause: the copy's entry was compared with the registered one only, not with that of a server whose registration had ended since, so a server that had left became ready again. Change: the entry of a lapsed process with a higher sequence number is registered in its place. Result: left_server_in_a_restored_copy_stays_leaving fails without the change and passes with it.

--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -37,6 +37,14 @@
         known.missingSince.reset();
         return;
     }
+    const auto lapsed = m_lapsed.find({ entry.id, entry.startedUnixMs });
+    if (lapsed != m_lapsed.end() && entry.sequence != 0 && entry.sequence < lapsed->second.entry.sequence) {
+        // Registered again by a copy of the store, in which it may not be leaving yet.
+        ServerEntry newest = lapsed->second.entry;
+        m_lapsed.erase(lapsed);
+        registerServer(newest);
+        return;
+    }
     const bool restarted = known.entry.startedUnixMs != entry.startedUnixMs && !known.entry.id.empty();
     const bool becamePrimary = entry.primary && (!known.entry.primary || restarted);
     if (restarted && known.entry.startedUnixMs != 0)
--- a/tests/unit_server_directory.cpp
+++ b/tests/unit_server_directory.cpp
@@ -106,3 +106,26 @@
     BOOST_TEST(lapsedIds(directory) == (Ids { "b", "c", "d" }));
     BOOST_TEST(lapsedIds(directory, "invoices") == Ids { "a" });
 }
+
+// A copy of the store lists a server as ready that has left since.
+BOOST_AUTO_TEST_CASE(left_server_in_a_restored_copy_stays_leaving)
+{
+    ServerDirectory directory;
+    ServerEntry entry = entryOf("a");
+    entry.startedUnixMs = 1760000000123;
+    entry.sequence = 7;
+    directory.registerServer(entry);
+    entry.draining = true;
+    entry.sequence = 9;
+    directory.registerServer(entry);
+    BOOST_TEST(directory.remove("a", Instant(seconds(100))));
+    entry.draining = false;
+    entry.sequence = 8;
+    directory.registerServer(entry);
+    BOOST_REQUIRE(directory.find("a") != nullptr);
+    BOOST_TEST(directory.find("a")->draining);
+    BOOST_TEST(directory.lapsed().empty());
+    entry.sequence = 10;
+    directory.registerServer(entry);
+    BOOST_TEST(!directory.find("a")->draining);
+}
