Let the tests' servers lose their registration or their log

LineGroup can cut servers from the store, so that the registration ends two seconds later while the server goes on, restart a server empty under its id with another born, and let replicas receive late. It refuses to empty a server when no other running server holds every acknowledged commit. Entries carry born and seq_no as the platform's do.

A promotion is now checked against the id of each acknowledged commit instead of the greatest acknowledged position: strictly stronger, because a log could reach the position with other commits. The ledger keeps events with the wall clock, to read beside the hosts' logs.

--- a/tests/integration_explain.cpp
+++ b/tests/integration_explain.cpp
@@ -29,12 +29,13 @@
                 m_loop, m_place.store, [this](const std::string&, const std::string& id, uint64_t fencingToken) {
                     return m_group->promote(id, fencingToken);
                 });
-            m_group = std::make_unique<LineGroup>(m_loop, m_serverPorts, m_ledger,
-                [this](const std::string& id, size_t index, bool primary, const std::string& state) {
-                    if (state.empty())
-                        m_store->erase("servers/" + id);
+            m_group = std::make_unique<LineGroup>(
+                m_loop, m_serverPorts, m_ledger, [this](const LineGroup::Registration& registration) {
+                    const std::string key = "servers/" + registration.id;
+                    if (registration.removed)
+                        m_store->erase(key);
                     else
-                        m_store->put("servers/" + id, serverDocument(m_serverPorts[index], primary, state));
+                        m_store->put(key, serverDocument(m_serverPorts[registration.index], registration));
                 });
             configure(true);
             writeGatewaySettings(m_settings, m_place);
--- a/tests/integration_soak.cpp
+++ b/tests/integration_soak.cpp
@@ -68,7 +68,7 @@
         void start(Host&);
         void stop(Host&);
         void after(milliseconds, std::function<void()>);
-        void registerServer(const std::string& id, size_t index, bool primary, const std::string& state);
+        void registerServer(const LineGroup::Registration&);
         void configure(bool revoked);
         void setMode(uint16_t route, const std::string& mode) { setMode(route, mode, m_random); }
         void setMode(uint16_t route, const std::string& mode, std::mt19937_64& random);
@@ -147,9 +147,7 @@
                 return m_group->promote(id, fencingToken);
             });
         m_group = std::make_unique<LineGroup>(m_loop, m_serverPorts, m_ledger,
-            [this](const std::string& id, size_t index, bool primary, const std::string& state) {
-                registerServer(id, index, primary, state);
-            });
+            [this](const LineGroup::Registration& registration) { registerServer(registration); });
         configure(false);
         m_proxy = std::make_unique<Process>("fault_proxy", arguments);
         waitUntil([this] { return getJson(loopback(m_controlPort), "/v1/admin/stats").status == 200; }, seconds(10));
@@ -203,13 +201,13 @@
         });
     }
 
-    void Soak::registerServer(const std::string& id, size_t index, bool primary, const std::string& state)
+    void Soak::registerServer(const LineGroup::Registration& registration)
     {
-        if (state.empty()) {
-            m_store->erase("servers/" + id);
-            return;
-        }
-        m_store->put("servers/" + id, serverDocument(m_serverRoutes[index], primary, state));
+        const std::string key = "servers/" + registration.id;
+        if (registration.removed)
+            m_store->erase(key);
+        else
+            m_store->put(key, serverDocument(m_serverRoutes[registration.index], registration));
     }
 
     void Soak::configure(bool revoked)
--- a/tests/support_line_fleet.cpp
+++ b/tests/support_line_fleet.cpp
@@ -55,15 +55,17 @@
     return document.serialize();
 }
 
-std::string serverDocument(uint16_t port, bool primary, const std::string& state)
+std::string serverDocument(uint16_t port, const LineGroup::Registration& registration)
 {
     value entry = value::object();
     entry["service"] = value::string("ledger");
     entry["address"] = value::string(loopback(port));
     entry["zone"] = value::string("dc");
     entry["slots"] = value::number(6);
-    entry["state"] = value::string(state);
-    entry["db_role"] = value::string(primary ? "primary" : "replica");
+    entry["state"] = value::string("ready");
+    entry["db_role"] = value::string(registration.primary ? "primary" : "replica");
+    entry["born"] = value::number(registration.bornUnixMs);
+    entry["seq_no"] = value::number(registration.sequence);
     return entry.serialize();
 }
 
--- a/tests/support_line_fleet.h
+++ b/tests/support_line_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "support_line_group.h"
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -42,6 +43,6 @@
     uint64_t version, const std::vector<LineRouteDraft>&, const std::vector<LineCustomerDraft>&);
 
 /// Returns the entry with which a server of "ledger" registers.
-std::string serverDocument(uint16_t port, bool primary, const std::string& state);
+std::string serverDocument(uint16_t port, const LineGroup::Registration&);
 
 } // namespace plantainwall::test
--- a/tests/support_line_group.cpp
+++ b/tests/support_line_group.cpp
@@ -8,6 +8,13 @@
 
     using boost::asio::ip::tcp;
 
+    uint64_t unixMilliseconds()
+    {
+        using std::chrono::milliseconds;
+        const auto time = std::chrono::system_clock::now().time_since_epoch();
+        return static_cast<uint64_t>(std::chrono::duration_cast<milliseconds>(time).count());
+    }
+
     std::string nextWord(std::string_view& rest)
     {
         const size_t end = rest.find(' ');
@@ -18,6 +25,8 @@
 
 } // namespace
 
+void Ledger::note(const std::string& event) { events += std::to_string(unixMilliseconds()) + " " + event + "\n"; }
+
 /// One connection of an entry host to a server.
 class LineGroup::Connection : public std::enable_shared_from_this<LineGroup::Connection> {
 public:
@@ -332,6 +341,7 @@
     Server& server = m_servers[index];
     server.running = false;
     server.stoppedAtTerm = 0;
+    m_ledger.note("crash " + server.id + " with " + std::to_string(server.log.size()) + " commits");
     server.acceptor.reset();
     const std::list<std::shared_ptr<Connection>> connections = std::move(server.connections);
     server.connections.clear();
@@ -339,12 +349,100 @@
         connection->close();
     if (index == m_primary)
         answerPending(false, SIZE_MAX);
-    after(std::chrono::milliseconds(2000), [this, index] {
-        if (!m_servers[index].running)
-            m_register(m_servers[index].id, index, false, "");
+    removeRegistrationLater(index);
+}
+
+bool LineGroup::wipe(size_t index)
+{
+    size_t elsewhere = 0;
+    const Server* holder = nullptr;
+    for (const Server& other : m_servers) {
+        if (&other == &m_servers[index])
+            continue;
+        elsewhere = std::max(elsewhere, other.log.size());
+        if (other.running && (holder == nullptr || other.log.size() > holder->log.size()))
+            holder = &other;
+    }
+    if (!m_servers[index].running || holder == nullptr || !missing(*holder).empty())
+        return false;
+    crash(index);
+    Server& server = m_servers[index];
+    m_ledger.note("wipe " + server.id);
+    for (size_t i = elsewhere; i < server.log.size(); ++i)
+        forget(*server.log[i]);
+    server.log.clear();
+    server.applied = 0;
+    server.bornUnixMs = 0;
+    if (index == m_primary)
+        m_primary = m_servers.size();
+    return true;
+}
+
+void LineGroup::cutFromStore(size_t index, std::chrono::milliseconds duration)
+{
+    m_servers[index].cutUntil = std::max(m_servers[index].cutUntil, Clock::now() + duration);
+    m_ledger.note("cut from the store " + m_servers[index].id + " for " + std::to_string(duration.count()) + " ms");
+    removeRegistrationLater(index);
+    after(duration, [this, index] { announce(index); });
+}
+
+void LineGroup::endCutsFromStore()
+{
+    for (Server& server : m_servers)
+        server.cutUntil = {};
+    registerAll();
+}
+
+void LineGroup::announce(size_t index)
+{
+    Server& server = m_servers[index];
+    const Clock::time_point now = Clock::now();
+    if (!server.running || now < server.cutUntil)
+        return;
+    server.registeredAt = now;
+    m_register({ server.id, index, index == m_primary, false, server.bornUnixMs, ++server.sequence });
+}
+
+void LineGroup::removeRegistrationLater(size_t index)
+{
+    after(m_settings.registration, [this, index] {
+        if (Clock::now() - m_servers[index].registeredAt >= m_settings.registration) {
+            m_ledger.note("registration removed " + m_servers[index].id);
+            m_register({ m_servers[index].id, index, false, true, 0, 0 });
+        }
     });
 }
 
+void LineGroup::forget(const Commit& commit)
+{
+    m_ledger.committed.erase(commit.id);
+    m_ledger.effects.erase(commit.id);
+}
+
+std::vector<std::string> LineGroup::missing(const Server& server) const
+{
+    std::set<std::string> held;
+    for (const std::shared_ptr<const Commit>& commit : server.log)
+        held.insert(commit->id);
+    std::vector<std::string> result;
+    std::set_difference(m_ledger.acknowledged.begin(), m_ledger.acknowledged.end(), held.begin(), held.end(),
+        std::back_inserter(result));
+    return result;
+}
+
+void LineGroup::checkLog(size_t index, const std::string& occasion)
+{
+    const std::vector<std::string> lost = missing(m_servers[index]);
+    if (lost.empty())
+        return;
+    m_ledger.violation("LOST",
+        occasion + ": " + m_servers[index].id + " with " + std::to_string(m_servers[index].log.size())
+            + " commits lacks " + std::to_string(lost.size()) + " acknowledged commits, among them " + lost.front());
+    // Each lost commit is reported once.
+    for (const std::string& id : lost)
+        m_ledger.acknowledged.erase(id);
+}
+
 void LineGroup::restart(size_t index)
 {
     Server& server = m_servers[index];
@@ -354,16 +452,19 @@
     server.acceptor
         = std::make_unique<tcp::acceptor>(m_loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), server.port));
     accept(index);
-    m_register(server.id, index, index == m_primary, "ready");
+    if (server.bornUnixMs == 0) {
+        server.bornUnixMs = unixMilliseconds();
+        server.sequence = 0;
+    }
+    m_ledger.note("start " + server.id + " with " + std::to_string(server.log.size()) + " commits");
+    announce(index);
     replicate();
 }
 
 void LineGroup::registerAll()
 {
-    for (size_t i = 0; i < m_servers.size(); ++i) {
-        if (m_servers[i].running)
-            m_register(m_servers[i].id, i, i == m_primary, "ready");
-    }
+    for (size_t i = 0; i < m_servers.size(); ++i)
+        announce(i);
 }
 
 std::string LineGroup::position(const Server& server) const
@@ -379,7 +480,7 @@
     primary.log.push_back(std::make_shared<const Commit>(std::move(commit)));
     primary.applied = primary.log.size();
     m_ledger.committed[primary.log.back()->id] = primary.log.size();
-    m_pending.push_back({ primary.log.size(), std::move(done) });
+    m_pending.push_back({ primary.log.size(), primary.log.back()->id, std::move(done) });
     replicate();
 }
 
@@ -388,7 +489,7 @@
     for (size_t i = 0; i < m_servers.size(); ++i) {
         if (i == m_primary || !m_replicating.insert(i).second)
             continue;
-        after(m_settings.replication, [this, i] {
+        after(std::max(m_settings.replication, m_servers[i].receiveDelay), [this, i] {
             m_replicating.erase(i);
             received(i);
         });
@@ -421,17 +522,20 @@
             due.splice(due.end(), m_pending, it);
         it = next;
     }
-    if (confirmed && !due.empty())
-        m_ledger.acknowledged = std::max<uint64_t>(m_ledger.acknowledged, due.back().number);
-    for (const Pending& pending : due)
+    for (const Pending& pending : due) {
+        if (confirmed)
+            m_ledger.acknowledged.insert(pending.id);
         pending.done(confirmed);
+    }
 }
 
 unsigned LineGroup::promote(const std::string& id, uint64_t fencingToken)
 {
     const auto it
         = std::find_if(m_servers.begin(), m_servers.end(), [&](const Server& server) { return server.id == id; });
-    if (it == m_servers.end() || !it->running || fencingToken < m_fence)
+    const bool refused = it == m_servers.end() || !it->running || fencingToken < m_fence;
+    m_ledger.note("promote " + id + " with token " + std::to_string(fencingToken) + (refused ? " refused" : ""));
+    if (refused)
         return 409;
     m_fence = fencingToken;
     const auto index = static_cast<size_t>(it - m_servers.begin());
@@ -446,17 +550,14 @@
         return;
     answerPending(false, SIZE_MAX);
     const size_t kept = m_servers[index].log.size();
-    if (kept < m_ledger.acknowledged)
-        m_ledger.violation("LOST",
-            "promoted at " + std::to_string(kept) + " of " + std::to_string(m_ledger.acknowledged) + " acknowledged");
+    checkLog(index, "promotion");
     m_primary = index;
     ++m_term;
     ++m_promotions;
+    m_ledger.note("primary " + m_servers[index].id + " with " + std::to_string(kept) + " commits");
     for (Server& server : m_servers) {
-        for (size_t i = kept; i < server.log.size(); ++i) {
-            m_ledger.committed.erase(server.log[i]->id);
-            m_ledger.effects.erase(server.log[i]->id);
-        }
+        for (size_t i = kept; i < server.log.size(); ++i)
+            forget(*server.log[i]);
         server.log.resize(std::min(server.log.size(), kept));
         server.applied = std::min(server.applied, kept);
         server.stoppedAtTerm = 0;
--- a/tests/support_line_group.h
+++ b/tests/support_line_group.h
@@ -32,14 +32,22 @@
     }
 
     /// Notes a broken promise.
-    void violation(const std::string& rule, const std::string& detail) { violations.push_back(rule + ": " + detail); }
+    void violation(const std::string& rule, const std::string& detail)
+    {
+        violations.push_back(rule + ": " + detail);
+        note("violation " + violations.back());
+    }
+
+    /// Notes an event with the wall clock, to compare with the logs of the entry hosts.
+    void note(const std::string& event);
 
     std::vector<std::string> violations;
+    std::string events; ///< One a line.
     std::map<std::string, std::string> signatures; ///< Of answers, by request id.
     std::map<std::string, uint64_t>
         committed; ///< Position of each write that took effect, by id of its commit or write.
     std::map<std::string, unsigned> effects; ///< How often each write took effect and was not rolled back.
-    uint64_t acknowledged = 0; ///< Greatest position whose commit was answered to an entry host.
+    std::set<std::string> acknowledged; ///< Ids of the commits and writes that were confirmed to an entry host.
 
 private:
     std::map<std::string, Asked> m_asked;
@@ -56,9 +64,19 @@
         std::chrono::milliseconds replication { 4 };
         std::chrono::milliseconds apply { 15 };
         std::chrono::milliseconds promotion { 400 };
+        /// Time after which the store removes the registration of a server that does not write it any more.
+        std::chrono::milliseconds registration { 2000 };
     };
-    /// Told when a server's registration changes; state is "ready", or empty if it is gone.
-    using Register = std::function<void(const std::string& id, size_t index, bool primary, const std::string& state)>;
+    /// What a server writes about itself, or the store's removal of it.
+    struct Registration {
+        std::string id;
+        size_t index = 0;
+        bool primary = false;
+        bool removed = false;
+        uint64_t bornUnixMs = 0; ///< Start of the server; another value if it has lost its log.
+        uint64_t sequence = 0; ///< Counts the writes since that start.
+    };
+    using Register = std::function<void(const Registration&)>;
 
     LineGroup(boost::asio::io_context&, const std::vector<uint16_t>& ports, Ledger&, Register);
     ~LineGroup();
@@ -69,6 +87,15 @@
     /// Ends a server's process; its log stays.
     void crash(size_t index);
     void restart(size_t index);
+
+    /// Ends a server's process and destroys its log; restart() starts it empty, as a replica.
+    /// @return Whether it was done. Refused if no other running server holds every acknowledged commit.
+    bool wipe(size_t index);
+
+    /// Keeps a server from writing its registration for this time. It goes on serving, receiving and confirming.
+    void cutFromStore(size_t index, std::chrono::milliseconds duration);
+    void endCutsFromStore();
+
     bool running(size_t index) const { return m_servers[index].running; }
     size_t size() const { return m_servers.size(); }
     size_t primary() const { return m_primary; }
@@ -76,12 +103,20 @@
     /// Makes replicas apply this much later.
     void setApplyDelay(std::chrono::milliseconds delay) { m_settings.apply = delay; }
 
+    /// Makes a replica receive this much later.
+    void setReceiveDelay(size_t index, std::chrono::milliseconds delay) { m_servers[index].receiveDelay = delay; }
+
     /// Registers every running server, as they do from time to time.
     void registerAll();
 
     uint64_t promotions() const { return m_promotions; }
+    const std::string& id(size_t index) const { return m_servers[index].id; }
+
+    /// Checks that a server's log holds every acknowledged commit.
+    void checkLog(size_t index, const std::string& occasion);
 
 private:
+    using Clock = std::chrono::steady_clock;
     struct Commit {
         std::string id;
         std::vector<std::pair<std::string, std::string>> writes;
@@ -96,13 +131,23 @@
         uint64_t stoppedAtTerm = 0;
         std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
         std::list<std::shared_ptr<Connection>> connections;
+        std::chrono::milliseconds receiveDelay { 0 };
+        uint64_t bornUnixMs = 0; ///< 0: determined by the next start.
+        uint64_t sequence = 0;
+        Clock::time_point cutUntil; ///< Until then the server does not reach the store.
+        Clock::time_point registeredAt;
     };
     struct Pending {
         size_t number;
+        std::string id;
         std::function<void(bool confirmed)> done;
     };
 
     void accept(size_t index);
+    void announce(size_t index);
+    void removeRegistrationLater(size_t index);
+    void forget(const Commit&);
+    std::vector<std::string> missing(const Server&) const;
     void after(std::chrono::milliseconds, std::function<void()>);
     void commit(Commit, std::function<void(bool confirmed)>);
     void replicate();
