Let the tests' store come back from an older copy

KvStore sends Store-Era in all answers. It can be away, refusing or silent, and return with a copy: items, revisions, leases and lease ids are those of the copy, and the era rises by one. A watch from a revision that it does not have gets 410. Transactions apply deletes, and none of their puts if a lease is unknown.

Orders of promotions carry their holder: one fencing token used by two holders is a violation (ONE). A token below the greatest accepted one stays refused.

--- a/tests/integration_explain.cpp
+++ b/tests/integration_explain.cpp
@@ -25,10 +25,9 @@
         {
             for (int i = 0; i < 3; ++i)
                 m_serverPorts.push_back(reserveport());
-            m_store = std::make_unique<KvStore>(
-                m_loop, m_place.store, [this](const std::string&, const std::string& id, uint64_t fencingToken) {
-                    return m_group->promote(id, fencingToken);
-                });
+            m_store = std::make_unique<KvStore>(m_loop, m_place.store, [this](const KvStore::Order& order) {
+                return m_group->promote(order.id, order.holder, order.fencingToken);
+            });
             m_group = std::make_unique<LineGroup>(
                 m_loop, m_serverPorts, m_ledger, [this](const LineGroup::Registration& registration) {
                     const std::string key = "servers/" + registration.id;
--- a/tests/integration_soak.cpp
+++ b/tests/integration_soak.cpp
@@ -164,10 +164,9 @@
             m_serverRoutes.push_back(reserveport());
             route(m_serverRoutes[i], m_serverPorts[i]);
         }
-        m_store = std::make_unique<KvStore>(
-            m_loop, m_storePort, [this](const std::string&, const std::string& id, uint64_t fencingToken) {
-                return m_group->promote(id, fencingToken);
-            });
+        m_store = std::make_unique<KvStore>(m_loop, m_storePort, [this](const KvStore::Order& order) {
+            return m_group->promote(order.id, order.holder, order.fencingToken);
+        });
         m_group = std::make_unique<LineGroup>(m_loop, m_serverPorts, m_ledger,
             [this](const LineGroup::Registration& registration) { registerServer(registration); });
         configure(false);
--- a/tests/support_kv_store.cpp
+++ b/tests/support_kv_store.cpp
@@ -1,4 +1,5 @@
 #include "support_kv_store.h"
+#include <algorithm>
 #include <cpprest/asyncrt_utils.h>
 #include <cpprest/base_uri.h>
 
@@ -10,6 +11,8 @@
     using boost::asio::ip::tcp;
     using web::json::value;
 
+    constexpr size_t maxCopies = 6;
+
     std::string toBase64(const std::string& text)
     {
         return utility::conversions::to_base64(std::vector<unsigned char>(text.begin(), text.end()));
@@ -60,6 +63,8 @@
             });
     }
 
+    void close() { m_stream.close(); }
+
 private:
     void handle()
     {
@@ -72,6 +77,7 @@
                 request.query[name] = web::uri::decode(encoded);
             request.body = m_request.body().empty() ? value::object() : value::parse(m_request.body());
             const auto fence = m_request.find("Plantainwall-Fencing-Token");
+            request.holder = std::string(m_request["Plantainwall-Lease-Holder"]);
             request.fencingToken = fence == m_request.end() ? 0 : std::stoull(std::string(fence->value()));
             m_store.handle(request, [self = shared_from_this()](const Answer& answer) { self->respond(answer); });
         } catch (const std::exception&) {
@@ -85,6 +91,7 @@
         m_response.version(11);
         m_response.result(answer.status);
         m_response.set(http::field::content_type, "application/json");
+        m_response.set("Store-Era", std::to_string(m_store.m_era));
         m_response.body() = answer.body.serialize();
         m_response.prepare_payload();
         http::async_write(
@@ -103,22 +110,78 @@
 
 KvStore::KvStore(boost::asio::io_context& loop, uint16_t port, Promote promote)
     : m_loop(loop)
-    , m_acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), port))
+    , m_port(port)
     , m_promote(std::move(promote))
 {
+    listen();
+}
+
+void KvStore::listen()
+{
+    m_acceptor.emplace(m_loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), m_port));
     accept();
 }
 
 void KvStore::accept()
 {
-    m_acceptor.async_accept([this](const boost::system::error_code& ec, tcp::socket socket) {
+    m_acceptor->async_accept([this](const boost::system::error_code& ec, tcp::socket socket) {
         if (ec)
             return;
-        std::make_shared<Connection>(*this, std::move(socket))->read();
+        const auto connection = std::make_shared<Connection>(*this, std::move(socket));
+        m_connections.remove_if([](const std::weak_ptr<Connection>& it) { return it.expired(); });
+        m_connections.push_back(connection);
+        connection->read();
         accept();
     });
 }
 
+void KvStore::takeCopy()
+{
+    if (m_absence)
+        return;
+    m_copies.push_back({ m_items, m_history, m_leases, m_revision, m_nextLease });
+    if (m_copies.size() > maxCopies)
+        m_copies.pop_front();
+}
+
+void KvStore::goAway(Absence absence)
+{
+    m_absence = absence;
+    for (const Watch& watch : m_watches) {
+        watch.timer->cancel();
+        m_unanswered.push_back(watch.respond);
+    }
+    m_watches.clear();
+    if (absence == Absence::Silent)
+        return;
+    m_acceptor.reset();
+    for (const std::weak_ptr<Connection>& it : m_connections) {
+        if (const std::shared_ptr<Connection> connection = it.lock())
+            connection->close();
+    }
+    m_unanswered.clear();
+}
+
+void KvStore::restore(size_t age)
+{
+    const Copy copy = m_copies.at(m_copies.size() - 1 - std::min(age, m_copies.size() - 1));
+    m_copies = { copy };
+    for (const auto& [id, lease] : m_leases)
+        lease.timer->cancel();
+    m_items = copy.items;
+    m_history = copy.history;
+    m_leases = copy.leases;
+    m_revision = copy.revision;
+    m_nextLease = copy.nextLease;
+    ++m_era;
+    m_absence.reset();
+    m_unanswered.clear();
+    for (const auto& [id, lease] : m_leases)
+        arm(id);
+    if (!m_acceptor)
+        listen();
+}
+
 value KvStore::encode(const std::string& key, const Item& item)
 {
     value result = value::object();
@@ -132,6 +195,8 @@
 
 void KvStore::put(const std::string& key, const std::string& text, uint64_t lease)
 {
+    if (m_absence)
+        return;
     Item& item = m_items[key];
     item.value = text;
     item.revision = ++m_revision;
@@ -143,7 +208,7 @@
 
 void KvStore::erase(const std::string& key)
 {
-    if (m_items.erase(key) == 0)
+    if (m_absence || m_items.erase(key) == 0)
         return;
     m_history.push_back({ key, ++m_revision, std::nullopt });
     changed();
@@ -207,6 +272,10 @@
     Watch entry;
     entry.after = number(request.query, "after");
     entry.prefix = text(request.query, "prefix");
+    if (entry.after > m_revision) {
+        respond({ 410, value::object() });
+        return;
+    }
     const Answer now = eventsAfter(entry.after, entry.prefix);
     if (now.body.at("events").size() > 0) {
         respond(now);
@@ -216,9 +285,10 @@
     entry.timer = std::make_shared<boost::asio::steady_timer>(
         m_loop, std::chrono::milliseconds(number(request.query, "wait_ms")));
     m_watches.push_back(entry);
-    const auto it = std::prev(m_watches.end());
-    entry.timer->async_wait([this, it, timer = entry.timer](const boost::system::error_code& ec) {
-        if (ec)
+    entry.timer->async_wait([this, timer = entry.timer](const boost::system::error_code& ec) {
+        const auto it = std::find_if(
+            m_watches.begin(), m_watches.end(), [&](const Watch& watch) { return watch.timer == timer; });
+        if (ec || it == m_watches.end())
             return;
         const Watch ended = *it;
         m_watches.erase(it);
@@ -249,8 +319,11 @@
             answer.status = 404;
             return answer;
         }
-        put(entry.at("key").as_string(), fromBase64(entry.at("value").as_string()), lease);
     }
+    for (const value& entry : body.at("puts").as_array())
+        put(entry.at("key").as_string(), fromBase64(entry.at("value").as_string()), number(entry, "lease_id"));
+    for (const value& key : body.at("deletes").as_array())
+        erase(key.as_string());
     answer.body["revision"] = value::number(m_revision);
     return answer;
 }
@@ -259,8 +332,8 @@
 {
     Lease& entry = m_leases.at(lease);
     entry.timer = std::make_shared<boost::asio::steady_timer>(m_loop, entry.lifetime);
-    entry.timer->async_wait([this, lease](const boost::system::error_code& ec) {
-        if (!ec)
+    entry.timer->async_wait([this, lease, era = m_era](const boost::system::error_code& ec) {
+        if (!ec && era == m_era)
             endLease(lease);
     });
 }
@@ -290,6 +363,10 @@
 
 void KvStore::handle(const Request& request, Respond respond)
 {
+    if (m_absence) {
+        m_unanswered.push_back(std::move(respond));
+        return;
+    }
     const auto under = [&](const char* prefix) { return request.path.rfind(prefix, 0) == 0; };
     if (request.path == "/kv-range")
         range(request, respond);
@@ -309,8 +386,8 @@
         endLease(lastSegment(request.path));
         respond({});
     } else if (request.path == "/promote")
-        respond({ m_promote(
-                      request.body.at("service").as_string(), request.body.at("id").as_string(), request.fencingToken),
+        respond({ m_promote({ request.body.at("service").as_string(), request.body.at("id").as_string(), request.holder,
+                      request.fencingToken }),
             value::object() });
     else
         respond({ 404, value::object() });
--- a/tests/support_kv_store.h
+++ b/tests/support_kv_store.h
@@ -20,14 +20,32 @@
 class KvStore {
 public:
     /// Orders a promotion. Returns the HTTP status.
-    using Promote = std::function<unsigned(const std::string& service, const std::string& id, uint64_t fencingToken)>;
+    struct Order {
+        std::string service;
+        std::string id; ///< Of the server that takes over.
+        std::string holder; ///< Host that orders.
+        uint64_t fencingToken = 0;
+    };
+    using Promote = std::function<unsigned(const Order&)>;
 
     KvStore(boost::asio::io_context&, uint16_t port, Promote);
 
-    /// Writes or removes an item as another party does.
+    /// Writes or removes an item as another party does. Does nothing while the store is away.
     void put(const std::string& key, const std::string& value, uint64_t lease = 0);
     void erase(const std::string& key);
 
+    /// How the store behaves while it is away.
+    enum class Absence : uint8_t { Refusing, Silent };
+
+    /// Copies all items, revisions and leases, for restore(). Keeps the latest copies.
+    void takeCopy();
+    void goAway(Absence);
+    /// Comes back with a copy, as the next era: what was written or granted since is unknown, and revisions and lease
+    /// ids are given out again.
+    /// @param age How many later copies there are at most.
+    void restore(size_t age);
+    bool away() const { return m_absence.has_value(); }
+
 private:
     struct Item {
         std::string value;
@@ -60,10 +78,19 @@
         std::string path;
         std::map<std::string, std::string> query;
         web::json::value body;
+        std::string holder;
         uint64_t fencingToken = 0;
     };
+    struct Copy {
+        std::map<std::string, Item> items;
+        std::deque<Event> history;
+        std::map<uint64_t, Lease> leases;
+        uint64_t revision = 0;
+        uint64_t nextLease = 0;
+    };
     class Connection;
 
+    void listen();
     void accept();
     void handle(const Request&, Respond);
     void range(const Request&, const Respond&) const;
@@ -77,7 +104,9 @@
     static web::json::value encode(const std::string& key, const Item&);
 
     boost::asio::io_context& m_loop;
-    boost::asio::ip::tcp::acceptor m_acceptor;
+    uint16_t m_port;
+    std::optional<boost::asio::ip::tcp::acceptor> m_acceptor;
+    std::list<std::weak_ptr<Connection>> m_connections;
     Promote m_promote;
     std::map<std::string, Item> m_items;
     std::deque<Event> m_history;
@@ -85,6 +114,10 @@
     std::list<Watch> m_watches;
     uint64_t m_revision = 1;
     uint64_t m_nextLease = 1;
+    uint64_t m_era = 1;
+    std::optional<Absence> m_absence;
+    std::vector<Respond> m_unanswered; ///< Calls that arrived in silence; keeps their connections open.
+    std::deque<Copy> m_copies; ///< Oldest first.
 };
 
 } // namespace plantainwall::test
--- a/tests/support_line_fleet.cpp
+++ b/tests/support_line_fleet.cpp
@@ -48,7 +48,12 @@
         customer["name"] = value::string(draft.name);
         customer["rate_per_s"] = value::number(draft.rate);
         customer["burst"] = value::number(draft.rate);
-        customer["api_keys"] = draft.keyValid ? value::array({ value::string("key-" + draft.name) }) : value::array();
+        std::vector<value> keys;
+        if (draft.keyValid)
+            keys.push_back(value::string("key-" + draft.name));
+        for (const std::string& key : draft.furtherKeys)
+            keys.push_back(value::string(key));
+        customer["api_keys"] = value::array(keys);
         list.push_back(customer);
     }
     document["tenants"] = value::array(list);
--- a/tests/support_line_fleet.h
+++ b/tests/support_line_fleet.h
@@ -31,11 +31,12 @@
     std::chrono::milliseconds timeout { 2000 };
 };
 
-/// A customer of the configuration; its key is "key-" and its name.
+/// A customer of the configuration; its first key is "key-" and its name.
 struct LineCustomerDraft {
     std::string name;
     unsigned rate = 1000; ///< Operations a second; also the burst.
     bool keyValid = true;
+    std::vector<std::string> furtherKeys {};
 };
 
 /// Returns the configuration's document for the service "ledger".
--- a/tests/support_line_group.cpp
+++ b/tests/support_line_group.cpp
@@ -529,12 +529,17 @@
     }
 }
 
-unsigned LineGroup::promote(const std::string& id, uint64_t fencingToken)
+unsigned LineGroup::promote(const std::string& id, const std::string& holder, uint64_t fencingToken)
 {
+    const std::string& first = m_holders.emplace(fencingToken, holder).first->second;
+    if (first != holder)
+        m_ledger.violation(
+            "ONE", holder + " orders with token " + std::to_string(fencingToken) + ", which " + first + " has used");
     const auto it
         = std::find_if(m_servers.begin(), m_servers.end(), [&](const Server& server) { return server.id == id; });
     const bool refused = it == m_servers.end() || !it->running || fencingToken < m_fence;
-    m_ledger.note("promote " + id + " with token " + std::to_string(fencingToken) + (refused ? " refused" : ""));
+    m_ledger.note("promote " + id + " by " + holder + " with token " + std::to_string(fencingToken)
+        + (refused ? " refused" : ""));
     if (refused)
         return 409;
     m_fence = fencingToken;
--- a/tests/support_line_group.h
+++ b/tests/support_line_group.h
@@ -81,8 +81,9 @@
     LineGroup(boost::asio::io_context&, const std::vector<uint16_t>& ports, Ledger&, Register);
     ~LineGroup();
 
-    /// Returns the HTTP status of an order to promote.
-    unsigned promote(const std::string& id, uint64_t fencingToken);
+    /// Takes an order to promote. Tokens of accepted orders never fall; one token belongs to one holder.
+    /// @return The HTTP status.
+    unsigned promote(const std::string& id, const std::string& holder, uint64_t fencingToken);
 
     /// Ends a server's process; its log stays.
     void crash(size_t index);
@@ -164,6 +165,7 @@
     size_t m_primary = 0;
     uint64_t m_term = 1;
     uint64_t m_fence = 0;
+    std::map<uint64_t, std::string> m_holders; ///< Who ordered, by fencing token.
     uint64_t m_promotions = 0;
     uint64_t m_signatures = 0;
     std::list<Pending> m_pending;
