Add a soak fault that restores the store from a copy

The store goes away for up to 2.5 s and returns with a copy that is up to 6 s old; the operator and the servers write theirs again within 1.8 s, and the configuration changes before and after. One restore follows the last fault of a run, so that the time limits of the configuration apply to it; the recovery is counted from its end. It draws from a generator of its own and runs only where SOAK_FAULTS names it until the gateway withstands it.

Each version of the configuration now has a key of its own, kept by later versions. Once a second a session with such a key is opened at each host: a version that was in force must stay in force until the process ends, and an undisturbed host must apply the newest version within 4 s. This check is always on.

--- a/tests/integration_soak.cpp
+++ b/tests/integration_soak.cpp
@@ -29,10 +29,16 @@
     constexpr seconds recoveryTime(12);
     /// Time within which undisturbed hosts must apply a new configuration.
     constexpr seconds configurationTimeout(4);
+    /// Time that the restore of the store after the last fault takes at most.
+    constexpr seconds restoreTime(3);
+    /// Time after the store's return from a copy within which the operator and the servers write theirs again.
+    constexpr milliseconds rewriteTime(1800);
     /// Time after a fault until hosts count as undisturbed again.
     constexpr seconds settleTime(5);
+    constexpr size_t maxProbeLine = 65536;
+
     /// Faults that SOAK_FAULTS has to name.
-    const std::set<std::string> faultsOnDemand { "cut_registration", "wipe", "late_receive" };
+    const std::set<std::string> faultsOnDemand { "cut_registration", "wipe", "late_receive", "restore" };
 
     /// Time at the end of a run in which at least nine of ten operations must be served.
     constexpr seconds finalPhase(4);
@@ -74,6 +80,9 @@
             bool paused = false;
             std::optional<Clock::time_point> terminated;
             std::string output;
+            unsigned starts = 0;
+            uint64_t inForce = 0; ///< Newest version of the configuration that the process was seen to apply.
+            uint64_t reportedMissing = 0; ///< Newest version that was reported as not applied in time.
         };
         using Fault = void (Soak::*)();
 
@@ -82,7 +91,19 @@
         void stop(Host&);
         void after(milliseconds, std::function<void()>);
         void registerServer(const LineGroup::Registration&);
-        void configure(bool revoked);
+        void configure(bool revoked) { configure(revoked, m_random); }
+        void configure(bool revoked, std::mt19937_64& random);
+        void writeConfiguration();
+        bool configurationDue(Clock::time_point started) const;
+        void probe(Host&, uint64_t version);
+        struct Probe {
+            uint64_t version;
+            Clock::time_point started;
+            uint64_t inForce; ///< Of the host, at the start.
+            unsigned starts;
+        };
+        void checkProbe(Host&, const Probe&, std::string_view answer);
+        void watchConfiguration();
         void setMode(uint16_t route, const std::string& mode) { setMode(route, mode, m_random); }
         void setMode(uint16_t route, const std::string& mode, std::mt19937_64& random);
         void injectNext();
@@ -107,6 +128,9 @@
         void cutRegistrations();
         void wipeServer();
         void delayReceiving();
+        void restoreStore();
+        void returnStore();
+        void restoreAgainLater();
         bool allServersRunning() const;
         size_t serverToStop(std::mt19937_64& random) const;
         void changeConfiguration();
@@ -119,7 +143,9 @@
         /// Used for faults between hosts. Separate, because these faults were added later and must not change the
         /// schedule that a seed gives for the others.
         std::mt19937_64 m_peerRandom;
-        std::mt19937_64 m_serverRandom; ///< Used for faults of servers; separate for the same reason.
+        // Separate for the same reason: faults of servers, restores of the store.
+        std::mt19937_64 m_serverRandom;
+        std::mt19937_64 m_restoreRandom;
         boost::asio::io_context m_loop;
         Ledger m_ledger;
         Acknowledgements m_acknowledgements;
@@ -134,8 +160,11 @@
         std::unique_ptr<LineClient::Fleet> m_fleet;
         std::vector<std::unique_ptr<LineClient>> m_clients;
         uint64_t m_version = 0;
+        std::vector<std::string> m_versionKeys; ///< "version-" and each version so far; the keys tell what is in force.
+        std::string m_configuration;
         bool m_revoked = false;
-        Clock::time_point m_configuredAt;
+        Clock::time_point m_configuredAt; ///< When the newest version was stored; max while the store lacks it.
+        Clock::time_point m_storeReturnedAt;
         Clock::time_point m_disturbedUntil;
         std::map<std::string, unsigned> m_counts;
         bool m_faultsOver = false;
@@ -148,6 +177,7 @@
         , m_clientRandom(seed)
         , m_peerRandom(seed)
         , m_serverRandom(seed)
+        , m_restoreRandom(seed)
     {
         std::vector<std::string> arguments { "--control", loopback(m_controlPort) };
         const auto route = [&](uint16_t from, uint16_t to) {
@@ -202,6 +232,8 @@
             "plantainwall", std::vector<std::string> { "gateway", "--config", host.settings });
         host.wanted = true;
         host.terminated.reset();
+        ++host.starts;
+        host.inForce = 0;
     }
 
     void Soak::stop(Host& host)
@@ -231,23 +263,96 @@
             m_store->put(key, serverDocument(m_serverRoutes[registration.index], registration));
     }
 
-    void Soak::configure(bool revoked)
+    // Each version has a key of its own, and those of the versions before.
+    void Soak::configure(bool revoked, std::mt19937_64& random)
     {
-        m_version += 1 + m_random() % 3;
+        m_version += 1 + random() % 3;
+        m_versionKeys.push_back("version-" + std::to_string(m_version));
         constexpr const char* kinds[] = { "primary", "bounded_staleness", "read_your_writes" };
         constexpr milliseconds staleness[]
             = { milliseconds(0), LineClient::boundedStaleness, LineClient::ownStaleness };
         std::vector<LineRouteDraft> routes;
         for (size_t i = 0; i < static_cast<size_t>(LineRoute::Count); ++i)
             routes.push_back({ lineRouteName(static_cast<LineRoute>(i)), kinds[i], staleness[i],
-                milliseconds(1000 + 500 * (m_random() % 3)) });
+                milliseconds(1000 + 500 * (random() % 3)) });
         std::vector<LineCustomerDraft> customers;
         customers.reserve(3);
         for (int i = 0; i < 3; ++i)
             customers.push_back({ "customer" + std::to_string(i), 1000, !(revoked && i == 2) });
+        customers.front().furtherKeys = m_versionKeys;
         m_revoked = revoked;
+        m_configuration = configurationDocument(m_version, routes, customers);
+        writeConfiguration();
+    }
+
+    void Soak::writeConfiguration()
+    {
+        if (m_store->away()) {
+            m_configuredAt = Clock::time_point::max();
+            return;
+        }
         m_configuredAt = Clock::now();
-        m_store->put("op/config", configurationDocument(m_version, routes, customers));
+        m_store->put("op/config", m_configuration);
+        m_ledger.note("configuration " + std::to_string(m_version) + (m_revoked ? " without a key" : ""));
+    }
+
+    bool Soak::configurationDue(Clock::time_point started) const
+    {
+        return m_configuredAt != Clock::time_point::max() && started > m_configuredAt + configurationTimeout
+            && started > m_storeReturnedAt + settleTime;
+    }
+
+    void Soak::probe(Host& host, uint64_t version)
+    {
+        const auto socket = std::make_shared<LineSocket>(boost::asio::ip::tcp::socket(m_loop), maxProbeLine);
+        LineSocket* const raw = socket.get();
+        LineSocket::Handlers handlers;
+        handlers.connected = [raw, version] {
+            raw->send(std::string("STARTUP ") + lineRouteName(LineRoute::Primary) + " version-"
+                + std::to_string(version) + "\r\n");
+        };
+        const Probe details { version, Clock::now(), host.inForce, host.starts };
+        handlers.line = [this, raw, &host, details](std::string_view line) {
+            if (details.starts == host.starts)
+                checkProbe(host, details, line);
+            raw->close();
+            return true;
+        };
+        handlers.closed = [](bool) {};
+        socket->connect({ boost::asio::ip::address_v4::loopback(), host.callers }, std::move(handlers));
+        after(seconds(2), [socket] { socket->close(); });
+    }
+
+    void Soak::checkProbe(Host& host, const Probe& details, std::string_view answer)
+    {
+        const std::string name = "host" + std::to_string(&host - m_hosts.data());
+        if (answer.substr(0, 5) == "READY") {
+            host.inForce = std::max(host.inForce, details.version);
+            return;
+        }
+        if (answer.substr(0, 12) != "ERROR NOAUTH")
+            return;
+        if (details.version <= details.inForce) {
+            m_ledger.violation("CONFIG", name + " went back behind version " + std::to_string(details.version));
+            host.inForce = 0;
+        } else if (details.version == m_version && configurationDue(details.started)
+            && details.started > m_disturbedUntil && host.reportedMissing < details.version) {
+            m_ledger.violation("CONFIG", name + " does not apply version " + std::to_string(details.version));
+            host.reportedMissing = details.version;
+        }
+    }
+
+    void Soak::watchConfiguration()
+    {
+        for (Host& host : m_hosts) {
+            if (!host.process || host.paused || host.terminated)
+                continue;
+            probe(host, m_version);
+            if (host.inForce != 0 && host.inForce != m_version)
+                probe(host, host.inForce);
+        }
+        m_store->takeCopy();
+        after(seconds(1), [this] { watchConfiguration(); });
     }
 
     void Soak::setMode(uint16_t route, const std::string& mode, std::mt19937_64& random)
@@ -411,6 +516,43 @@
         }
     }
 
+    void Soak::restoreStore()
+    {
+        if (m_store->away() || Clock::now() < m_storeReturnedAt + 2 * rewriteTime)
+            return;
+        note("restore");
+        if (m_restoreRandom() % 2 == 0)
+            configure(!m_faultsOver && m_restoreRandom() % 2 == 0, m_restoreRandom);
+        m_configuredAt = Clock::time_point::max();
+        m_store->goAway(m_restoreRandom() % 2 == 0 ? KvStore::Absence::Refusing : KvStore::Absence::Silent);
+        after(milliseconds(300 + m_restoreRandom() % 2200), [this] { returnStore(); });
+    }
+
+    void Soak::returnStore()
+    {
+        const auto within = [this](milliseconds limit) {
+            return milliseconds(m_restoreRandom() % static_cast<uint64_t>(limit.count()));
+        };
+        const size_t age = m_restoreRandom() % 6;
+        m_store->restore(age);
+        m_storeReturnedAt = Clock::now();
+        m_ledger.note("store returns with a copy that is " + std::to_string(age) + " s older");
+        for (size_t i = 0; i < serverCount; ++i)
+            m_group->cutFromStore(i, within(rewriteTime));
+        after(within(rewriteTime), [this] { writeConfiguration(); });
+        // Most of these have a revision that was given out before.
+        after(within(2 * rewriteTime),
+            [this] { configure(!m_faultsOver && m_restoreRandom() % 2 == 0, m_restoreRandom); });
+    }
+
+    void Soak::restoreAgainLater()
+    {
+        if (m_faultsOver || !faultEnabled("restore"))
+            return;
+        restoreStore();
+        after(milliseconds(2000 + m_restoreRandom() % 6000), [this] { restoreAgainLater(); });
+    }
+
     void Soak::changeConfiguration() { configure(m_random() % 2 == 0); }
 
     void Soak::reloadHost()
@@ -493,6 +635,9 @@
         }
         m_group->endCutsFromStore();
         configure(false);
+        // Once without other faults, so that the time limits of the configuration apply.
+        if (faultEnabled("restore"))
+            restoreStore();
     }
 
     void Soak::watchProcesses()
@@ -569,19 +714,21 @@
         after(seconds(2), [this] { injectNext(); });
         after(seconds(3), [this] { disturbPeers(); });
         after(seconds(3), [this] { injectServerFault(); });
+        after(milliseconds(4000 + m_restoreRandom() % 4000), [this] { restoreAgainLater(); });
+        after(seconds(1), [this] { watchConfiguration(); });
         after(milliseconds(500), [this] { watchProcesses(); });
         after(m_faultDuration, [this] { heal(); });
-        after(m_faultDuration + recoveryTime + finalPhase, [this] { m_loop.stop(); });
+        const seconds lastFault = m_faultDuration + (faultEnabled("restore") ? restoreTime : seconds(0));
+        after(lastFault + recoveryTime + finalPhase, [this] { m_loop.stop(); });
         // A revoked key must not be served where no fault delays the configuration.
         std::function<void()> checkKeys = [this, &checkKeys] {
             const Clock::time_point now = Clock::now();
-            const bool checkNow = m_revoked && now - m_configuredAt > configurationTimeout + seconds(1)
-                && m_disturbedUntil < m_configuredAt;
+            const bool checkNow = m_revoked && configurationDue(now - seconds(1)) && m_disturbedUntil < m_configuredAt;
             for (const std::unique_ptr<LineClient>& client : m_clients) {
                 if (!checkNow || client->customer() != "customer2" || client->outcomes().empty())
                     continue;
                 const LineClient::Outcome& last = client->outcomes().back();
-                if (last.served && last.started > m_configuredAt + configurationTimeout)
+                if (last.served && configurationDue(last.started))
                     m_ledger.violation("CONFIG", "a revoked key was served");
             }
             after(milliseconds(250), checkKeys);
