--- a/tests/integration_soak.cpp
+++ b/tests/integration_soak.cpp
@@ -598,14 +598,16 @@
             const char* name;
             Fault fault;
         };
-        constexpr Choice choices[] = { { "cut_registration", &Soak::cutRegistrations }, { "wipe", &Soak::wipeServer },
-            { "late_receive", &Soak::delayReceiving } };
+        // Twice: a promotion has to fall into the time without a registration.
+        constexpr Choice choices[]
+            = { { "cut_registration", &Soak::cutRegistrations }, { "cut_registration", &Soak::cutRegistrations },
+                  { "wipe", &Soak::wipeServer }, { "late_receive", &Soak::delayReceiving } };
         const Choice& choice = choices[m_serverRandom() % (sizeof(choices) / sizeof(choices[0]))];
         if (faultEnabled(choice.name)) {
             note(choice.name);
             (this->*choice.fault)();
         }
-        after(milliseconds(500 + m_serverRandom() % 2000), [this] { injectServerFault(); });
+        after(milliseconds(300 + m_serverRandom() % 1200), [this] { injectServerFault(); });
     }
 
     void Soak::note(const std::string& fault)
