Leave a server registered in most cuts of the soak

Cuts that follow each other soon left no server registered, and hosts without a candidate promote nothing. Some cuts now outlast the registration and the time that the hosts wait for its return.

--- a/tests/support_line_group.h
+++ b/tests/support_line_group.h
@@ -96,6 +96,7 @@
     /// Keeps a server from writing its registration for this time. It goes on serving, receiving and confirming.
     void cutFromStore(size_t index, std::chrono::milliseconds duration);
     void endCutsFromStore();
+    bool reachesStore(size_t index) const;
 
     bool running(size_t index) const { return m_servers[index].running; }
     size_t size() const { return m_servers.size(); }
