--- a/tests/integration_soak.cpp
+++ b/tests/integration_soak.cpp
@@ -30,7 +30,7 @@
     /// Time within which undisturbed hosts must apply a new configuration.
     constexpr seconds configurationTimeout(4);
     /// Time that the restore of the store after the last fault takes at most.
-    constexpr seconds restoreTime(3);
+    constexpr seconds restoreTime(4);
     /// Time after the store's return from a copy within which the operator and the servers write theirs again.
     constexpr milliseconds rewriteTime(1800);
     /// Time after a fault until hosts count as undisturbed again.
@@ -165,6 +165,7 @@
         bool m_revoked = false;
         Clock::time_point m_configuredAt; ///< When the newest version was stored; max while the store lacks it.
         Clock::time_point m_storeReturnedAt;
+        bool m_restoring = false; ///< From the start of a restore until all have written theirs again.
         Clock::time_point m_disturbedUntil;
         std::map<std::string, unsigned> m_counts;
         bool m_faultsOver = false;
@@ -523,16 +524,19 @@
         }
     }
 
+    // The configuration changes before, late enough for the copy to lack it and early enough for the hosts to apply it.
     void Soak::restoreStore()
     {
-        if (m_store->away() || Clock::now() < m_storeReturnedAt + 2 * rewriteTime)
+        if (m_restoring)
             return;
+        m_restoring = true;
         note("restore");
-        if (m_restoreRandom() % 2 == 0)
-            configure(!m_faultsOver && m_restoreRandom() % 2 == 0, m_restoreRandom);
-        m_configuredAt = Clock::time_point::max();
-        m_store->goAway(m_restoreRandom() % 2 == 0 ? KvStore::Absence::Refusing : KvStore::Absence::Silent);
-        after(milliseconds(300 + m_restoreRandom() % 2200), [this] { returnStore(); });
+        configure(!m_faultsOver && m_restoreRandom() % 2 == 0, m_restoreRandom);
+        after(milliseconds(m_restoreRandom() % 1200), [this] {
+            m_configuredAt = Clock::time_point::max();
+            m_store->goAway(m_restoreRandom() % 2 == 0 ? KvStore::Absence::Refusing : KvStore::Absence::Silent);
+            after(milliseconds(300 + m_restoreRandom() % 2200), [this] { returnStore(); });
+        });
     }
 
     void Soak::returnStore()
@@ -547,6 +551,7 @@
         for (size_t i = 0; i < serverCount; ++i)
             m_group->cutFromStore(i, within(rewriteTime));
         after(within(rewriteTime), [this] { writeConfiguration(); });
+        after(2 * rewriteTime, [this] { m_restoring = false; });
         // Most of these have a revision that was given out before.
         after(within(2 * rewriteTime),
             [this] { configure(!m_faultsOver && m_restoreRandom() % 2 == 0, m_restoreRandom); });
