--- a/tests/integration_soak.cpp
+++ b/tests/integration_soak.cpp
@@ -38,7 +38,7 @@
     constexpr size_t maxProbeLine = 65536;
 
     /// Faults that SOAK_FAULTS has to name.
-    const std::set<std::string> faultsOnDemand { "cut_registration", "wipe", "late_receive", "restore" };
+    const std::set<std::string> faultsOnDemand { "restore" };
 
     /// Time at the end of a run in which at least nine of ten operations must be served.
     constexpr seconds finalPhase(4);
