--- a/src/log_event.h
+++ b/src/log_event.h
@@ -63,6 +63,8 @@
     PeerSilent,
     LinesDropped,
     StoreSourceChanged,
+    FailoverServer,
+    FailoverBlocked,
     Count
 };
 
--- /dev/null
+++ b/tests/unit_promotion_coordinator.cpp
@@ -0,0 +1,243 @@
+#include "support_random_faults.h"
+#include <boost/test/unit_test.hpp>
+
+// Changes of the primary under faults, in virtual time: no acknowledged commit is lost, and the service recovers.
+//
+// To run more seeds by hand: COORDINATOR_SEEDS=5000 COORDINATOR_FIRST=1 build/unit_promotion_coordinator
+// --run_test=random_faults_lose_no_commit. COORDINATOR_LATE_ORDERS=1 adds orders of promotions that arrive late.
+// COORDINATOR_LOG=info writes the log of the coordinators.
+
+using namespace plantainwall;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Time after the crash of the primary of a healthy service within which commits must be acknowledged again.
+constexpr Duration crashRecoveryTime = seconds(4);
+/// Time within which a replica must be promoted although another one has been gone for long.
+constexpr Duration goneReplicaRecoveryTime = seconds(8);
+/// Receive delay of a replica that lags behind, so that the other replica alone confirms the newest commits.
+constexpr Duration lag = milliseconds(600);
+/// From the loss of the store until the hosts have dropped the server: three heartbeats, the grace time, a margin.
+constexpr Duration lapseTime = milliseconds(4200);
+
+/// A service whose replica r1 lags behind, with the log level of the coordinators.
+struct LaggingReplica {
+    explicit LaggingReplica(size_t hosts = 1)
+        : service(hosts)
+    {
+        setLogLevel(std::getenv("COORDINATOR_LOG") != nullptr ? std::getenv("COORDINATOR_LOG") : "error");
+        service.setReceiveDelay("r1", lag);
+        service.pass(warmUp);
+        BOOST_REQUIRE(service.leader() == "p");
+        BOOST_REQUIRE(acknowledges(service));
+    }
+
+    /// Waits with the primary down, then ends all faults and checks that nothing was lost and that the service
+    /// recovers.
+    void check(Duration down = seconds(10))
+    {
+        service.pass(down);
+        endFaults(service);
+        service.pass(recoveryTime);
+        for (const std::string& loss : service.losses())
+            BOOST_ERROR(loss);
+        BOOST_TEST(service.destroyed() == 0U);
+        BOOST_TEST(acknowledges(service), "no commit is acknowledged after the last fault");
+        if (!service.losses().empty() || !acknowledges(service))
+            BOOST_TEST_MESSAGE(service.trace());
+    }
+
+    ReplicatedService service;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(crash_of_the_primary_of_a_healthy_service)
+{
+    LaggingReplica it;
+    it.service.setReceiveDelay("r1", ReplicatedServiceTiming().receiveDelay);
+    it.service.pass(seconds(2));
+    it.service.crash("p");
+    const Instant crashed = it.service.now;
+    const bool recovered = it.service.passUntil(
+        seconds(30), [&] { return it.service.term() > 1 && it.service.lastAcknowledgement() > crashed; });
+    const int64_t ms = (it.service.now - crashed) / milliseconds(1);
+    BOOST_TEST_MESSAGE("commits are acknowledged again after " << ms << " ms");
+    BOOST_TEST(recovered);
+    BOOST_TEST((it.service.now - crashed <= crashRecoveryTime), "it took " << ms << " ms");
+    it.check(seconds(2));
+}
+
+BOOST_AUTO_TEST_CASE(leaving_primary_is_replaced_without_loss)
+{
+    LaggingReplica it;
+    it.service.leave("p", seconds(4), milliseconds(200));
+    it.check();
+    BOOST_TEST(it.service.promotions() >= 1U);
+}
+
+// Case a.
+BOOST_AUTO_TEST_CASE(live_replica_whose_registration_lapsed)
+{
+    LaggingReplica it;
+    it.service.setStoreCut("r2", true);
+    it.service.pass(lapseTime + seconds(3));
+    it.service.crash("p");
+    it.check();
+}
+
+// Case b.
+BOOST_AUTO_TEST_CASE(live_primary_and_replica_whose_registrations_lapsed)
+{
+    LaggingReplica it;
+    it.service.setStoreCut("r2", true);
+    it.service.pass(seconds(1));
+    it.service.setStoreCut("p", true);
+    it.service.pass(lapseTime);
+    it.check();
+}
+
+// Case c.
+BOOST_AUTO_TEST_CASE(confirming_replica_restarted_empty)
+{
+    LaggingReplica it;
+    it.service.setReceiveDelay("r1", 2 * lag);
+    it.service.pass(seconds(2));
+    it.service.setReplicationCut("r2", true);
+    it.service.restartEmpty("r2");
+    it.service.pass(milliseconds(800)); // The coordinator polls r2 again, and r1 has not received what r2 confirmed.
+    it.service.crash("p");
+    it.check(seconds(6));
+}
+
+// Case d.
+BOOST_AUTO_TEST_CASE(new_coordinator_after_a_registration_lapsed)
+{
+    LaggingReplica it(2);
+    it.service.setStoreCut("r2", true);
+    it.service.pass(lapseTime);
+    it.service.activate(1);
+    it.service.pass(seconds(2));
+    it.service.crash("p");
+    it.check();
+}
+
+// Case e.
+BOOST_AUTO_TEST_CASE(silent_replica_that_crashed_later)
+{
+    LaggingReplica it;
+    it.service.setHostCut("r2", 0, true);
+    it.service.pass(seconds(5));
+    it.service.crash("r2");
+    it.service.setHostCut("r2", 0, false);
+    it.service.pass(milliseconds(10)); // Less than the interval of polls.
+    it.service.crash("p");
+    it.check();
+}
+
+// Case f.
+BOOST_AUTO_TEST_CASE(gone_replica_does_not_block_a_change)
+{
+    LaggingReplica it;
+    it.service.setReceiveDelay("r1", ReplicatedServiceTiming().receiveDelay);
+    it.service.setDark("r2", true);
+    it.service.pass(lapseTime + seconds(10));
+    it.service.crash("p");
+    const Instant crashed = it.service.now;
+    const bool promoted = it.service.passUntil(seconds(30), [&] { return it.service.leader() == "r1"; });
+    const int64_t ms = (it.service.now - crashed) / milliseconds(1);
+    BOOST_TEST_MESSAGE("r1 leads after " << ms << " ms");
+    BOOST_TEST(promoted);
+    BOOST_TEST((it.service.now - crashed <= goneReplicaRecoveryTime), "it took " << ms << " ms");
+    it.check(seconds(2));
+}
+
+// Case g.
+BOOST_AUTO_TEST_CASE(leaving_replica_still_confirms_without_registration)
+{
+    LaggingReplica it;
+    it.service.leave("r2", seconds(2), milliseconds(1500));
+    it.service.pass(seconds(2) + milliseconds(1200));
+    it.service.crash("p");
+    it.check();
+}
+
+BOOST_AUTO_TEST_CASE(replica_left_with_the_only_confirmation)
+{
+    LaggingReplica it;
+    it.service.leave("r2", seconds(2), milliseconds(0));
+    it.service.pass(seconds(2) + milliseconds(100));
+    it.service.crash("p");
+    it.check();
+}
+
+// Another server answers at the address of the replica that has left.
+BOOST_AUTO_TEST_CASE(replaced_replica_does_not_block_a_change)
+{
+    LaggingReplica it;
+    it.service.setReceiveDelay("r1", ReplicatedServiceTiming().receiveDelay);
+    it.service.leave("r2", seconds(2), milliseconds(300));
+    it.service.pass(seconds(3));
+    it.service.replace("r2", "r3", false);
+    it.service.pass(seconds(10));
+    it.service.crash("p");
+    const Instant crashed = it.service.now;
+    const bool promoted = it.service.passUntil(seconds(30), [&] { return it.service.term() > 1; });
+    BOOST_TEST(promoted);
+    BOOST_TEST((it.service.now - crashed <= goneReplicaRecoveryTime),
+        "it took " << (it.service.now - crashed) / milliseconds(1) << " ms");
+    it.check(seconds(2));
+}
+
+// The order is repeated until it is answered, also when the server leads already.
+BOOST_AUTO_TEST_CASE(answers_to_a_promotion_are_lost)
+{
+    LaggingReplica it;
+    it.service.setPromotionAnswersLost(true);
+    it.service.crash("p");
+    it.service.pass(seconds(3));
+    it.check(seconds(0));
+    BOOST_TEST(it.service.promotions() == 1U);
+    it.service.crash(it.service.leader());
+    const Instant crashed = it.service.now;
+    const bool recovered = it.service.passUntil(
+        seconds(30), [&] { return it.service.promotions() > 1 && it.service.lastAcknowledgement() > crashed; });
+    BOOST_TEST(recovered);
+    BOOST_TEST((it.service.now - crashed <= crashRecoveryTime),
+        "it took " << (it.service.now - crashed) / milliseconds(1) << " ms");
+    it.check(seconds(2));
+}
+
+BOOST_AUTO_TEST_CASE(promoted_server_crashes_before_it_leads)
+{
+    LaggingReplica it;
+    it.service.crash("p");
+    BOOST_REQUIRE(it.service.passUntil(seconds(5), [&] { return it.service.orders() > 0; }));
+    it.service.crash("r2");
+    it.check(seconds(2));
+}
+
+BOOST_AUTO_TEST_CASE(rolling_replacement_of_all_servers)
+{
+    LaggingReplica it;
+    for (const char* id : { "r1", "r2", "p" }) {
+        it.service.leave(id, seconds(3), milliseconds(300));
+        it.service.pass(seconds(4));
+        it.service.replace(id, std::string("new ") + id, true);
+        it.service.pass(seconds(5));
+        BOOST_TEST(acknowledges(it.service), "no commit is acknowledged after the replacement of " << id);
+    }
+    it.service.crash(it.service.leader());
+    const Instant crashed = it.service.now;
+    const unsigned promotions = it.service.promotions();
+    const bool recovered = it.service.passUntil(seconds(30),
+        [&] { return it.service.promotions() > promotions && it.service.lastAcknowledgement() > crashed; });
+    BOOST_TEST(recovered);
+    BOOST_TEST((it.service.now - crashed <= crashRecoveryTime),
+        "it took " << (it.service.now - crashed) / milliseconds(1) << " ms");
+    it.check(seconds(2));
+}
+
+BOOST_AUTO_TEST_CASE(random_faults_lose_no_commit) { checkRandomFaults(&RandomFaults::loss); }
