--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -58,16 +58,26 @@
     /// Returns the lapsed servers of a service. The pointers are valid until the next change of this directory.
     std::vector<const LapsedServer*> lapsed(const std::string& service) const;
 
+    /// Returns all lapsed servers. The pointers are valid until the next change of this directory.
+    std::vector<const LapsedServer*> lapsed() const;
+
+    /// Returns the servers of each service that may hold acknowledged commits, in order of id and start: those that are
+    /// registered or in their grace time, and lapsed ones that are not settled. The pointers are valid until the next
+    /// change of this directory.
+    std::map<std::string, std::vector<const ServerEntry*>> replicas() const;
+
     /// Adds a lapsed server that is known from another source than its registration. Ignored if its process, or an
     /// earlier one with the id, is registered, in its grace time or lapsed.
-    /// @param settled Whether it was down and not needed according to that source.
-    void addLapsed(const ServerEntry&, bool settled, Instant now);
+    void addLapsed(const ServerEntry&, Instant now);
 
     /// Records which lapsed servers of a service (id and start, Unix milliseconds) are down and not needed. Servers
     /// that have been for forgetAfter, and processes that have ended, are dropped. Returns what was dropped.
     std::vector<std::pair<std::string, uint64_t>> settleLapsed(
         const std::string& service, const std::vector<std::pair<std::string, uint64_t>>& settled, Instant now);
 
+    /// Records that a lapsed server is down and not needed, as another host has found. Ignored if it is not lapsed.
+    void noteSettled(const std::string& id, uint64_t startedUnixMs, Instant now);
+
     /// Drops a lapsed server, for example because its process has ended. Ignored if it is not lapsed.
     /// @param startedUnixMs Start of the process, as in its entry.
     void forgetLapsed(const std::string& id, uint64_t startedUnixMs);
@@ -90,8 +100,8 @@
     /// changed.
     bool notePrimary(const std::string& service, const std::string& id, uint64_t term);
 
-    /// Records a primary that another entry host reported. Ignored unless its term is newer than the known one, or the
-    /// same while no primary is known. Returns whether the confirmed primary or its term changed.
+    /// Records a primary that another entry host reported, registered or lapsed. Ignored unless its term is newer than
+    /// the known one, or the same while no primary is known. Returns whether the confirmed primary or its term changed.
     bool noteReportedPrimary(const std::string& service, const std::string& id, uint64_t term, Instant now);
 
     /// Returns the id and term of the confirmed primary, or an empty id.
