--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -93,7 +93,7 @@
         logEvent(LogEvent::ServerRegistered,
             { { "service", entry.service }, { "server", entry.id }, { "address", entry.address },
                 { "data_centre", entry.dataCentre }, { "primary", entry.primary }, { "draining", entry.draining },
-                { "started", entry.startedUnixMs } });
+                { "started", entry.startedUnixMs }, { "sequence", entry.sequence } });
     }
     server.service = entry.service;
     server.slots = std::max(1U, entry.slots);
--- a/src/http_channel.cpp
+++ b/src/http_channel.cpp
@@ -1,5 +1,6 @@
 #include "http_channel.h"
 #include "endpoint.h"
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
@@ -19,6 +20,15 @@
 
 } // namespace
 
+std::string_view HttpOutcome::header(std::string_view name) const
+{
+    for (const auto& [key, value] : headers) {
+        if (boost::algorithm::iequals(key, name))
+            return value;
+    }
+    return {};
+}
+
 class HttpChannel::Connection : public std::enable_shared_from_this<Connection> {
 public:
     Connection(boost::asio::io_context& loop, const std::string& address)
@@ -36,6 +46,24 @@
             boost::asio::post(m_loop, [self = shared_from_this()] { self->begin(); });
     }
 
+    void cancel()
+    {
+        ++m_number;
+        m_running = false;
+        m_timer.cancel();
+        if (m_stream)
+            m_stream->close();
+        m_stream.reset();
+        const std::deque<Call> calls = std::move(m_calls);
+        m_calls.clear();
+        boost::asio::post(m_loop, [self = shared_from_this(), calls] {
+            for (const Call& call : calls) {
+                if (!self->m_stopped)
+                    call.handler({});
+            }
+        });
+    }
+
     void stop()
     {
         m_stopped = true;
@@ -52,8 +80,9 @@
 
     void begin()
     {
-        if (m_stopped || m_calls.empty())
+        if (m_stopped || m_running || m_calls.empty())
             return;
+        m_running = true;
         const uint64_t number = ++m_number;
         m_timer.expires_after(m_calls.front().exchange.timeout);
         m_timer.async_wait([self = shared_from_this(), number](const boost::system::error_code& ec) {
@@ -117,6 +146,8 @@
                 if (!ec) {
                     outcome.answered = true;
                     outcome.status = parser->get().result_int();
+                    for (const http::fields::value_type& it : parser->get())
+                        outcome.headers.emplace_back(it.name_string(), it.value());
                     outcome.body = std::move(parser->get().body());
                     if (!parser->keep_alive())
                         self->m_stream.reset();
@@ -128,6 +159,7 @@
     void finish(HttpOutcome outcome)
     {
         ++m_number;
+        m_running = false;
         m_timer.cancel();
         if (!outcome.answered)
             m_stream.reset();
@@ -150,6 +182,7 @@
     http::request<http::string_body> m_request;
     std::deque<Call> m_calls;
     uint64_t m_number = 0; ///< Number of the running call. Callbacks of earlier calls are ignored.
+    bool m_running = false; ///< The first call has been begun.
     bool m_stopped = false;
 };
 
@@ -165,4 +198,6 @@
     m_connection->call(std::move(exchange), std::move(handler));
 }
 
+void HttpChannel::cancel() { m_connection->cancel(); }
+
 } // namespace plantainwall
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -65,6 +65,9 @@
     StoreSourceChanged,
     FailoverServer,
     FailoverBlocked,
+    StoreRestored,
+    RelayEraDiffers,
+    ConfigurationNotApplied,
     Count
 };
 
--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -32,6 +32,19 @@
 void ServerDirectory::registerServer(const ServerEntry& entry)
 {
     KnownServer& known = m_servers[entry.id];
+    const bool sameStart = entry.startedUnixMs != 0 && known.entry.startedUnixMs == entry.startedUnixMs;
+    if (sameStart && entry.sequence != 0 && entry.sequence < known.entry.sequence) {
+        known.missingSince.reset();
+        return;
+    }
+    const auto lapsed = m_lapsed.find({ entry.id, entry.startedUnixMs });
+    if (lapsed != m_lapsed.end() && entry.sequence != 0 && entry.sequence < lapsed->second.entry.sequence) {
+        // Registered again by a copy of the store, in which it may not be leaving yet.
+        ServerEntry newest = lapsed->second.entry;
+        m_lapsed.erase(lapsed);
+        registerServer(newest);
+        return;
+    }
     const bool restarted = known.entry.startedUnixMs != entry.startedUnixMs && !known.entry.id.empty();
     const bool becamePrimary = entry.primary && (!known.entry.primary || restarted);
     if (restarted && known.entry.startedUnixMs != 0)
@@ -78,6 +91,12 @@
     m_storeReachableSince = now;
 }
 
+void ServerDirectory::storeRestored(Instant now)
+{
+    if (!m_storeUnreachable)
+        m_storeReachableSince = now;
+}
+
 std::vector<std::string> ServerDirectory::expire(Instant now)
 {
     m_expiredAt = now;
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -35,16 +35,31 @@
     if (m_listing.empty())
         m_listingSentAt = m_clock();
     const std::string afterKey = m_listing.empty() ? std::string() : m_listing.back().key;
-    m_store.list({}, afterKey, [this](StoreItems page) { pageReceived(std::move(page)); });
+    m_store.list({}, afterKey, [this, sequence = m_sequence](StoreItems page) {
+        if (sequence == m_sequence)
+            pageReceived(std::move(page));
+    });
 }
 
 void StoreFollower::pageReceived(StoreItems page)
 {
+    const bool firstPage = m_listing.empty();
+    const bool newerEra = readNewerEra(page.era, page.asOf, "list");
     if (page.outcome != StoreOutcome::Ok) {
         storeCallFailed(page.outcome, "list");
         return;
     }
     storeCallSucceeded();
+    if (isOutdated(page)) {
+        m_listing.clear();
+        m_listingInProgress = false;
+        schedule(m_retryDelay, &StoreFollower::list);
+        return;
+    }
+    if (newerEra && !firstPage) {
+        list();
+        return;
+    }
     // The pages are not one snapshot: changes after the first page are received again through the watch.
     if (m_listing.empty())
         m_listingRevision = page.asOf;
@@ -86,18 +101,25 @@
     const Instant now = m_clock();
     const bool catchUp = m_changesMissingSince && now - *m_changesMissingSince >= m_settings.catchUpDelay;
     if (acceptsRelayedState() && !catchUp) {
-        m_delayedCall(m_settings.relayCheckInterval, [this] { watch(); });
+        schedule(m_settings.relayCheckInterval, &StoreFollower::watch);
         return;
     }
     Duration wait = m_settings.watchWait;
     if (m_source != StoreSource::Watch)
         wait = catchUp ? m_settings.relayCheckInterval : m_settings.relayWatchWait;
     m_store.watch(
-        {}, m_revision, wait, [this, now, wait](const StoreItems& events) { watchAnswered(events, now, wait); });
+        {}, m_revision, wait, [this, now, wait, after = m_revision, sequence = m_sequence](const StoreItems& events) {
+            if (sequence != m_sequence)
+                return;
+            if (events.era == m_era && events.asOf != 0 && events.asOf < after)
+                logRestored("watch", m_era, events.asOf);
+            watchAnswered(events, now, wait);
+        });
 }
 
 void StoreFollower::watchAnswered(const StoreItems& events, Instant sentAt, Duration wait)
 {
+    const bool newerEra = readNewerEra(events.era, events.asOf, "watch");
     if (events.outcome == StoreOutcome::HistoryLost) {
         storeCallSucceeded();
         list();
@@ -108,6 +130,14 @@
         return;
     }
     storeCallSucceeded();
+    if (isOutdated(events)) {
+        schedule(m_retryDelay, &StoreFollower::list);
+        return;
+    }
+    if (newerEra) {
+        list();
+        return;
+    }
     // A watch that returned no events after its whole wait confirms that nothing changed until its end.
     const bool heldFullWait = events.items.empty() && m_clock() - sentAt >= wait;
     m_stateAsOf = std::max(m_stateAsOf, heldFullWait ? sentAt + wait : sentAt);
@@ -115,6 +145,7 @@
     changes.from = m_revision;
     changes.to = std::max(m_revision, events.asOf);
     changes.items = events.items;
+    changes.era = m_era;
     advance(events.items, changes.to);
     changes.age = std::chrono::duration_cast<Duration>(m_clock() - m_stateAsOf);
     m_observer.eventsRead(changes);
@@ -125,9 +156,9 @@
     else if (events.items.empty())
         watch();
     else
-        m_delayedCall(
+        schedule(
             m_clock() - m_startedAt < m_settings.startupPeriod ? m_settings.startupBatchDelay : m_settings.batchDelay,
-            [this] { watch(); });
+            &StoreFollower::watch);
 }
 
 void StoreFollower::advance(const std::vector<StoreItem>& items, uint64_t to)
@@ -149,8 +180,19 @@
 void StoreFollower::applyRelayed(const StoreEvents& events)
 {
     const Instant now = m_clock();
+    if (m_era != 0 && events.era != m_era && events.era != m_differingEra) {
+        m_differingEra = events.era;
+        logEvent(LogEvent::RelayEraDiffers,
+            { { "era", m_era }, { "relayed_era", events.era }, { "revision", m_revision },
+                { "relayed_revision", events.to }, { "source", storeSourceName(m_source) },
+                { "outcome", events.era < m_era ? "ignored" : "listing" } });
+    }
+    if (events.era > m_era)
+        noteEra(events.era, "relay");
+    if (events.era < m_era || !m_listed)
+        return;
     m_reportedRevision = std::max(m_reportedRevision, events.to);
-    if (m_listed && !m_listingInProgress && events.from <= m_revision && events.from < events.to)
+    if (!m_listingInProgress && events.from <= m_revision && events.from < events.to)
         advance(events.items, events.to);
     if (m_reportedRevision > m_revision && !m_changesMissingSince)
         m_changesMissingSince = now;
@@ -167,7 +209,7 @@
 
 StoreEvents StoreFollower::knownState() const
 {
-    return { m_revision, m_revision, std::chrono::duration_cast<Duration>(m_clock() - m_stateAsOf), {} };
+    return { m_revision, m_revision, std::chrono::duration_cast<Duration>(m_clock() - m_stateAsOf), {}, m_era };
 }
 
 void StoreFollower::apply(const StoreItem& item)
@@ -199,40 +241,95 @@
         return m_decoder.server(item);
     } catch (const std::exception& error) {
         logEvent(LogEvent::StoreItemRejected,
-            { { "key", item.key }, { "revision", item.revision }, { "reason", error.what() } });
+            { { "key", item.key }, { "revision", item.revision }, { "era", m_era }, { "reason", error.what() } });
         return std::nullopt;
     }
 }
 
 void StoreFollower::decodeConfiguration(const StoreItem& item)
 {
-    if (item.revision <= m_configurationRevision)
+    if (item.revision == m_configurationRevision && m_era == m_configurationEra)
         return;
     try {
-        m_observer.configurationRead(m_decoder.configuration(item));
+        const std::shared_ptr<const GatewayConfiguration> configuration = m_decoder.configuration(item);
+        m_configurationEra = m_era;
         m_configurationRevision = item.revision;
+        if (configuration->version > m_configurationVersion) {
+            m_configurationVersion = configuration->version;
+            m_observer.configurationRead(configuration);
+        } else if (configuration->version < m_configurationVersion)
+            logEvent(LogEvent::ConfigurationNotApplied,
+                { { "reason", "older version" }, { "version", configuration->version },
+                    { "version_in_force", m_configurationVersion }, { "revision", item.revision }, { "era", m_era } });
     } catch (const std::exception& error) {
         logEvent(LogEvent::StoreItemRejected,
-            { { "key", item.key }, { "revision", item.revision }, { "reason", error.what() } });
+            { { "key", item.key }, { "revision", item.revision }, { "era", m_era }, { "reason", error.what() } });
     }
 }
 
+void StoreFollower::schedule(Duration delay, void (StoreFollower::*next)())
+{
+    m_delayedCall(delay, [this, next, sequence = m_sequence] {
+        if (sequence == m_sequence)
+            (this->*next)();
+    });
+}
+
+void StoreFollower::logRestored(std::string_view call, uint64_t previousEra, uint64_t storeRevision) const
+{
+    logEvent(LogEvent::StoreRestored,
+        { { "call", call }, { "era", m_era }, { "previous_era", previousEra }, { "revision", m_revision },
+            { "store_revision", storeRevision }, { "reported_revision", m_reportedRevision },
+            { "source", storeSourceName(m_source) } });
+}
+
+bool StoreFollower::readNewerEra(uint64_t era, uint64_t storeRevision, std::string_view call)
+{
+    if (era <= m_era)
+        return false;
+    const uint64_t previous = m_era;
+    m_era = era;
+    // Until the first listing nothing of an earlier era can be known, unless the start of that listing is.
+    const bool restored = m_listed || previous != 0 || !m_listing.empty();
+    if (restored) {
+        logRestored(call, previous, storeRevision);
+        ++m_sequence;
+        m_listing.clear();
+        m_listingInProgress = false;
+        m_listed = false;
+        m_revision = 0;
+        m_reportedRevision = 0;
+        m_changesMissingSince.reset();
+        m_stateAsOf = Instant();
+        m_retryDelay = m_settings.firstRetryDelay;
+    }
+    m_observer.eraRead(era, restored);
+    return restored;
+}
+
+void StoreFollower::noteEra(uint64_t era, std::string_view call)
+{
+    if (!readNewerEra(era, 0, call))
+        return;
+    m_store.cancelReads();
+    schedule(m_settings.restoredListDelay, &StoreFollower::list);
+}
+
 void StoreFollower::storeCallFailed(StoreOutcome outcome, std::string_view call)
 {
     m_listing.clear();
     m_listingInProgress = false;
     if (m_reachable || !m_reachabilityReported) {
         logEvent(LogEvent::StoreUnreachable,
-            { { "call", call }, { "outcome", storeOutcomeName(outcome) }, { "revision", m_revision } });
+            { { "call", call }, { "outcome", storeOutcomeName(outcome) }, { "era", m_era },
+                { "revision", m_revision } });
         m_reachabilityReported = true;
         m_reachable = false;
         m_observer.storeReachable(false);
     }
     const bool catchUp = m_changesMissingSince.has_value();
-    m_delayedCall(acceptsRelayedState() && !catchUp ? m_settings.relayedRetryDelay : m_retryDelay, [this] {
-        // After an outage a watch alone could miss entries that expired while the store history continued without it.
-        list();
-    });
+    // After an outage a watch alone could miss entries that expired while the store history continued without it.
+    schedule(acceptsRelayedState() && !catchUp ? m_settings.relayedRetryDelay : m_retryDelay, &StoreFollower::list);
     m_retryDelay = std::min(m_retryDelay * 2, m_settings.maxRetryDelay);
 }
 
@@ -243,7 +340,7 @@
         return;
     m_reachable = true;
     m_reachabilityReported = true;
-    logEvent(LogEvent::StoreReachable, { { "revision", m_revision } });
+    logEvent(LogEvent::StoreReachable, { { "era", m_era }, { "revision", m_revision } });
     m_observer.storeReachable(true);
 }
 
