--- a/tests/integration_soak.cpp
+++ b/tests/integration_soak.cpp
@@ -11,6 +11,7 @@
 // of the test check the requests that they receive.
 //
 // To run more seeds by hand: SOAK_SEEDS=50 SOAK_FIRST=1 SOAK_SECONDS=30 build/integration_soak
+// SOAK_FAULTS=wipe,crash runs only the faults with these names.
 
 namespace plantainwall::test {
 
@@ -28,8 +29,14 @@
     constexpr seconds recoveryTime(12);
     /// Time within which undisturbed hosts must apply a new configuration.
     constexpr seconds configurationTimeout(4);
+    /// Time that the restore of the store after the last fault takes at most.
+    constexpr seconds restoreTime(4);
+    /// Time after the store's return from a copy within which the operator and the servers write theirs again.
+    constexpr milliseconds rewriteTime(1800);
     /// Time after a fault until hosts count as undisturbed again.
     constexpr seconds settleTime(5);
+    constexpr size_t maxProbeLine = 65536;
+
     /// Time at the end of a run in which at least nine of ten operations must be served.
     constexpr seconds finalPhase(4);
 
@@ -39,6 +46,13 @@
         return text == nullptr ? fallback : static_cast<unsigned>(std::stoul(text));
     }
 
+    /// Returns whether SOAK_FAULTS (names with commas between them) allows a fault.
+    bool faultEnabled(const std::string& name)
+    {
+        const char* const names = std::getenv("SOAK_FAULTS");
+        return names == nullptr || ("," + std::string(names) + ",").find("," + name + ",") != std::string::npos;
+    }
+
     class Soak {
     public:
         Soak(uint64_t seed, seconds faultDuration);
@@ -61,6 +75,9 @@
             bool paused = false;
             std::optional<Clock::time_point> terminated;
             std::string output;
+            unsigned starts = 0;
+            uint64_t inForce = 0; ///< Newest version of the configuration that the process was seen to apply.
+            uint64_t reportedMissing = 0; ///< Newest version that was reported as not applied in time.
         };
         using Fault = void (Soak::*)();
 
@@ -68,11 +85,25 @@
         void start(Host&);
         void stop(Host&);
         void after(milliseconds, std::function<void()>);
-        void registerServer(const std::string& id, size_t index, bool primary, const std::string& state);
-        void configure(bool revoked);
+        void registerServer(const LineGroup::Registration&);
+        void configure(bool revoked) { configure(revoked, m_random); }
+        void configure(bool revoked, std::mt19937_64& random);
+        void writeConfiguration();
+        bool configurationDue(Clock::time_point started) const;
+        void probe(Host&, uint64_t version);
+        struct Probe {
+            uint64_t version;
+            Clock::time_point started;
+            uint64_t inForce; ///< Of the host, at the start.
+            unsigned starts;
+        };
+        void checkProbe(Host&, const Probe&, std::string_view answer);
+        void watchConfiguration();
         void setMode(uint16_t route, const std::string& mode) { setMode(route, mode, m_random); }
         void setMode(uint16_t route, const std::string& mode, std::mt19937_64& random);
         void injectNext();
+        void injectServerFault();
+        void note(const std::string& fault);
         void heal();
         void watchProcesses();
         void checkOutcomes();
@@ -89,6 +120,14 @@
         void healPeers(Host&);
         void crashServer();
         void delayReplicas();
+        void cutRegistrations();
+        void wipeServer();
+        void delayReceiving();
+        void restoreStore();
+        void returnStore();
+        void restoreAgainLater();
+        bool allServersRunning() const;
+        size_t serverToStop(std::mt19937_64& random) const;
         void changeConfiguration();
         void reloadHost();
 
@@ -99,6 +138,9 @@
         /// Used for faults between hosts. Separate, because these faults were added later and must not change the
         /// schedule that a seed gives for the others.
         std::mt19937_64 m_peerRandom;
+        // Separate for the same reason: faults of servers, restores of the store.
+        std::mt19937_64 m_serverRandom;
+        std::mt19937_64 m_restoreRandom;
         boost::asio::io_context m_loop;
         Ledger m_ledger;
         Acknowledgements m_acknowledgements;
@@ -113,8 +155,12 @@
         std::unique_ptr<LineClient::Fleet> m_fleet;
         std::vector<std::unique_ptr<LineClient>> m_clients;
         uint64_t m_version = 0;
+        std::vector<std::string> m_versionKeys; ///< "version-" and each version so far; the keys tell what is in force.
+        std::string m_configuration;
         bool m_revoked = false;
-        Clock::time_point m_configuredAt;
+        Clock::time_point m_configuredAt; ///< When the newest version was stored; max while the store lacks it.
+        Clock::time_point m_storeReturnedAt;
+        bool m_restoring = false; ///< From the start of a restore until all have written theirs again.
         Clock::time_point m_disturbedUntil;
         std::map<std::string, unsigned> m_counts;
         bool m_faultsOver = false;
@@ -126,6 +172,8 @@
         , m_random(seed)
         , m_clientRandom(seed)
         , m_peerRandom(seed)
+        , m_serverRandom(seed)
+        , m_restoreRandom(seed)
     {
         std::vector<std::string> arguments { "--control", loopback(m_controlPort) };
         const auto route = [&](uint16_t from, uint16_t to) {
@@ -142,14 +190,11 @@
             m_serverRoutes.push_back(reserveport());
             route(m_serverRoutes[i], m_serverPorts[i]);
         }
-        m_store = std::make_unique<KvStore>(
-            m_loop, m_storePort, [this](const std::string&, const std::string& id, uint64_t fencingToken) {
-                return m_group->promote(id, fencingToken);
-            });
+        m_store = std::make_unique<KvStore>(m_loop, m_storePort, [this](const KvStore::Order& order) {
+            return m_group->promote(order.id, order.holder, order.fencingToken);
+        });
         m_group = std::make_unique<LineGroup>(m_loop, m_serverPorts, m_ledger,
-            [this](const std::string& id, size_t index, bool primary, const std::string& state) {
-                registerServer(id, index, primary, state);
-            });
+            [this](const LineGroup::Registration& registration) { registerServer(registration); });
         configure(false);
         m_proxy = std::make_unique<Process>("fault_proxy", arguments);
         waitUntil([this] { return getJson(loopback(m_controlPort), "/v1/admin/stats").status == 200; }, seconds(10));
@@ -183,6 +228,8 @@
             "plantainwall", std::vector<std::string> { "gateway", "--config", host.settings });
         host.wanted = true;
         host.terminated.reset();
+        ++host.starts;
+        host.inForce = 0;
     }
 
     void Soak::stop(Host& host)
@@ -203,32 +250,105 @@
         });
     }
 
-    void Soak::registerServer(const std::string& id, size_t index, bool primary, const std::string& state)
+    void Soak::registerServer(const LineGroup::Registration& registration)
     {
-        if (state.empty()) {
-            m_store->erase("servers/" + id);
-            return;
-        }
-        m_store->put("servers/" + id, serverDocument(m_serverRoutes[index], primary, state));
+        const std::string key = "servers/" + registration.id;
+        if (registration.removed)
+            m_store->erase(key);
+        else
+            m_store->put(key, serverDocument(m_serverRoutes[registration.index], registration));
     }
 
-    void Soak::configure(bool revoked)
+    // Each version has a key of its own, and those of the versions before.
+    void Soak::configure(bool revoked, std::mt19937_64& random)
     {
-        m_version += 1 + m_random() % 3;
+        m_version += 1 + random() % 3;
+        m_versionKeys.push_back("version-" + std::to_string(m_version));
         constexpr const char* kinds[] = { "primary", "bounded_staleness", "read_your_writes" };
         constexpr milliseconds staleness[]
             = { milliseconds(0), LineClient::boundedStaleness, LineClient::ownStaleness };
         std::vector<LineRouteDraft> routes;
         for (size_t i = 0; i < static_cast<size_t>(LineRoute::Count); ++i)
             routes.push_back({ lineRouteName(static_cast<LineRoute>(i)), kinds[i], staleness[i],
-                milliseconds(1000 + 500 * (m_random() % 3)) });
+                milliseconds(1000 + 500 * (random() % 3)) });
         std::vector<LineCustomerDraft> customers;
         customers.reserve(3);
         for (int i = 0; i < 3; ++i)
             customers.push_back({ "customer" + std::to_string(i), 1000, !(revoked && i == 2) });
+        customers.front().furtherKeys = m_versionKeys;
         m_revoked = revoked;
+        m_configuration = configurationDocument(m_version, routes, customers);
+        writeConfiguration();
+    }
+
+    void Soak::writeConfiguration()
+    {
+        if (m_store->away()) {
+            m_configuredAt = Clock::time_point::max();
+            return;
+        }
         m_configuredAt = Clock::now();
-        m_store->put("op/config", configurationDocument(m_version, routes, customers));
+        m_store->put("op/config", m_configuration);
+        m_ledger.note("configuration " + std::to_string(m_version) + (m_revoked ? " without a key" : ""));
+    }
+
+    bool Soak::configurationDue(Clock::time_point started) const
+    {
+        return m_configuredAt != Clock::time_point::max() && started > m_configuredAt + configurationTimeout
+            && started > m_storeReturnedAt + settleTime;
+    }
+
+    void Soak::probe(Host& host, uint64_t version)
+    {
+        const auto socket = std::make_shared<LineSocket>(boost::asio::ip::tcp::socket(m_loop), maxProbeLine);
+        LineSocket* const raw = socket.get();
+        LineSocket::Handlers handlers;
+        handlers.connected = [raw, version] {
+            raw->send(std::string("STARTUP ") + lineRouteName(LineRoute::Primary) + " version-"
+                + std::to_string(version) + "\r\n");
+        };
+        const Probe details { version, Clock::now(), host.inForce, host.starts };
+        handlers.line = [this, raw, &host, details](std::string_view line) {
+            if (details.starts == host.starts)
+                checkProbe(host, details, line);
+            raw->close();
+            return true;
+        };
+        handlers.closed = [](bool) {};
+        socket->connect({ boost::asio::ip::address_v4::loopback(), host.callers }, std::move(handlers));
+        after(seconds(2), [socket] { socket->close(); });
+    }
+
+    void Soak::checkProbe(Host& host, const Probe& details, std::string_view answer)
+    {
+        const std::string name = "host" + std::to_string(&host - m_hosts.data());
+        if (answer.substr(0, 5) == "READY") {
+            host.inForce = std::max(host.inForce, details.version);
+            return;
+        }
+        if (answer.substr(0, 12) != "ERROR NOAUTH")
+            return;
+        if (details.version <= details.inForce) {
+            m_ledger.violation("CONFIG", name + " went back behind version " + std::to_string(details.version));
+            host.inForce = 0;
+        } else if (details.version == m_version && configurationDue(details.started)
+            && details.started > m_disturbedUntil && host.reportedMissing < details.version) {
+            m_ledger.violation("CONFIG", name + " does not apply version " + std::to_string(details.version));
+            host.reportedMissing = details.version;
+        }
+    }
+
+    void Soak::watchConfiguration()
+    {
+        for (Host& host : m_hosts) {
+            if (!host.process || host.paused || host.terminated)
+                continue;
+            probe(host, m_version);
+            if (host.inForce != 0 && host.inForce != m_version)
+                probe(host, host.inForce);
+        }
+        m_store->takeCopy();
+        after(seconds(1), [this] { watchConfiguration(); });
     }
 
     void Soak::setMode(uint16_t route, const std::string& mode, std::mt19937_64& random)
@@ -309,11 +429,11 @@
     // Disturbs one direction only: messages to the host are lost or delayed, while its own messages arrive.
     void Soak::disturbPeers()
     {
-        if (m_faultsOver)
+        if (m_faultsOver || !faultEnabled("peers"))
             return;
         Host& host = m_hosts[m_peerRandom() % m_hosts.size()];
         const std::string mode = randomMode(m_peerRandom);
-        ++m_counts["peers"];
+        note("peers");
         setMode(host.peerRoute, mode, m_peerRandom);
         host.datagrams->setLost(mode == "cut" || mode == "freeze");
         host.datagrams->setDelay(milliseconds(mode == "delay" ? 20 + m_peerRandom() % 300 : 0));
@@ -329,14 +449,27 @@
         host.datagrams->setDelay(milliseconds(0));
     }
 
-    void Soak::crashServer()
+    bool Soak::allServersRunning() const
     {
         for (size_t i = 0; i < serverCount; ++i) {
             if (!m_group->running(i))
-                return;
+                return false;
         }
-        const bool primary = m_group->primary() < serverCount && m_random() % 2 == 0;
-        const size_t index = primary ? m_group->primary() : m_random() % serverCount;
+        return true;
+    }
+
+    // Chooses the primary every second time.
+    size_t Soak::serverToStop(std::mt19937_64& random) const
+    {
+        const bool primary = m_group->primary() < serverCount && random() % 2 == 0;
+        return primary ? m_group->primary() : random() % serverCount;
+    }
+
+    void Soak::crashServer()
+    {
+        if (!allServersRunning())
+            return;
+        const size_t index = serverToStop(m_random);
         m_group->crash(index);
         after(milliseconds(1000 + m_random() % 4000), [this, index] { m_group->restart(index); });
     }
@@ -347,6 +480,86 @@
         after(milliseconds(3000), [this] { m_group->setApplyDelay(milliseconds(15)); });
     }
 
+    // Leaves a server registered three times out of four: without any, the hosts have nothing to promote.
+    void Soak::cutRegistrations()
+    {
+        const bool all = m_serverRandom() % 4 == 0;
+        const size_t selected = 1 + m_serverRandom() % ((1U << serverCount) - 1);
+        const size_t first = m_serverRandom() % serverCount;
+        for (size_t n = 0; n < serverCount; ++n) {
+            const size_t i = (first + n) % serverCount;
+            size_t others = 0;
+            for (size_t other = 0; other < serverCount; ++other)
+                others += other != i && m_group->reachesStore(other) ? 1 : 0;
+            // Some of these last longer than a registration and the time that the hosts wait for its return.
+            const milliseconds duration(2500 + m_serverRandom() % 9000);
+            if ((selected >> i & 1U) != 0 && (all || others > 0))
+                m_group->cutFromStore(i, duration);
+        }
+    }
+
+    void Soak::wipeServer()
+    {
+        if (!allServersRunning())
+            return;
+        const size_t index = serverToStop(m_serverRandom);
+        if (m_group->wipe(index))
+            after(milliseconds(1000 + m_serverRandom() % 3000), [this, index] { m_group->restart(index); });
+    }
+
+    void Soak::delayReceiving()
+    {
+        const size_t selected = 1 + m_serverRandom() % ((1U << serverCount) - 1);
+        for (size_t i = 0; i < serverCount; ++i) {
+            if ((selected >> i & 1U) == 0)
+                continue;
+            m_group->setReceiveDelay(i, milliseconds(200 + m_serverRandom() % 2500));
+            after(milliseconds(1000 + m_serverRandom() % 4000),
+                [this, i] { m_group->setReceiveDelay(i, milliseconds(0)); });
+        }
+    }
+
+    // The configuration changes before, late enough for the copy to lack it and early enough for the hosts to apply it.
+    void Soak::restoreStore()
+    {
+        if (m_restoring)
+            return;
+        m_restoring = true;
+        note("restore");
+        configure(!m_faultsOver && m_restoreRandom() % 2 == 0, m_restoreRandom);
+        after(milliseconds(m_restoreRandom() % 1200), [this] {
+            m_configuredAt = Clock::time_point::max();
+            m_store->goAway(m_restoreRandom() % 2 == 0 ? KvStore::Absence::Refusing : KvStore::Absence::Silent);
+            after(milliseconds(300 + m_restoreRandom() % 2200), [this] { returnStore(); });
+        });
+    }
+
+    void Soak::returnStore()
+    {
+        const auto within = [this](milliseconds limit) {
+            return milliseconds(m_restoreRandom() % static_cast<uint64_t>(limit.count()));
+        };
+        const size_t age = m_restoreRandom() % 6;
+        m_store->restore(age);
+        m_storeReturnedAt = Clock::now();
+        m_ledger.note("store returns with a copy that is " + std::to_string(age) + " s older");
+        for (size_t i = 0; i < serverCount; ++i)
+            m_group->cutFromStore(i, within(rewriteTime));
+        after(within(rewriteTime), [this] { writeConfiguration(); });
+        after(2 * rewriteTime, [this] { m_restoring = false; });
+        // Most of these have a revision that was given out before.
+        after(within(2 * rewriteTime),
+            [this] { configure(!m_faultsOver && m_restoreRandom() % 2 == 0, m_restoreRandom); });
+    }
+
+    void Soak::restoreAgainLater()
+    {
+        if (m_faultsOver || !faultEnabled("restore"))
+            return;
+        restoreStore();
+        after(milliseconds(2000 + m_restoreRandom() % 6000), [this] { restoreAgainLater(); });
+    }
+
     void Soak::changeConfiguration() { configure(m_random() % 2 == 0); }
 
     void Soak::reloadHost()
@@ -375,16 +588,45 @@
             { "lag", &Soak::delayReplicas, false }, { "configuration", &Soak::changeConfiguration, false },
             { "reload", &Soak::reloadHost, false } };
         const Choice& choice = choices[m_random() % (sizeof(choices) / sizeof(choices[0]))];
-        ++m_counts[choice.name];
-        (this->*choice.fault)();
-        if (choice.disturbsConfiguration)
-            m_disturbedUntil = Clock::now() + shutdownGrace + settleTime;
+        if (faultEnabled(choice.name)) {
+            note(choice.name);
+            (this->*choice.fault)();
+            if (choice.disturbsConfiguration)
+                m_disturbedUntil = Clock::now() + shutdownGrace + settleTime;
+        }
         after(milliseconds(200 + m_random() % 1500), [this] { injectNext(); });
     }
 
+    void Soak::injectServerFault()
+    {
+        if (m_faultsOver)
+            return;
+        struct Choice {
+            const char* name;
+            Fault fault;
+        };
+        // Twice: a promotion has to fall into the time without a registration.
+        constexpr Choice choices[]
+            = { { "cut_registration", &Soak::cutRegistrations }, { "cut_registration", &Soak::cutRegistrations },
+                  { "wipe", &Soak::wipeServer }, { "late_receive", &Soak::delayReceiving } };
+        const Choice& choice = choices[m_serverRandom() % (sizeof(choices) / sizeof(choices[0]))];
+        if (faultEnabled(choice.name)) {
+            note(choice.name);
+            (this->*choice.fault)();
+        }
+        after(milliseconds(300 + m_serverRandom() % 1200), [this] { injectServerFault(); });
+    }
+
+    void Soak::note(const std::string& fault)
+    {
+        ++m_counts[fault];
+        m_ledger.note("fault " + fault);
+    }
+
     void Soak::heal()
     {
         m_faultsOver = true;
+        m_ledger.note("heal");
         for (Host& host : m_hosts) {
             writeSettings(host);
             setMode(host.store, "pass");
@@ -396,9 +638,15 @@
         for (const uint16_t route : m_serverRoutes)
             setMode(route, "pass");
         m_group->setApplyDelay(milliseconds(15));
-        for (size_t i = 0; i < serverCount; ++i)
+        for (size_t i = 0; i < serverCount; ++i) {
+            m_group->setReceiveDelay(i, milliseconds(0));
             m_group->restart(i);
+        }
+        m_group->endCutsFromStore();
         configure(false);
+        // Once without other faults, so that the time limits of the configuration apply.
+        if (faultEnabled("restore"))
+            restoreStore();
     }
 
     void Soak::watchProcesses()
@@ -443,6 +691,8 @@
     void Soak::checkOutcomes()
     {
         const Clock::time_point end = Clock::now();
+        if (m_group->primary() < serverCount)
+            m_group->checkLog(m_group->primary(), "end of the run");
         unsigned finalCount = 0;
         unsigned finalServed = 0;
         for (const std::unique_ptr<LineClient>& client : m_clients) {
@@ -472,19 +722,22 @@
         // The first faults may occur while the hosts are still starting.
         after(seconds(2), [this] { injectNext(); });
         after(seconds(3), [this] { disturbPeers(); });
+        after(seconds(3), [this] { injectServerFault(); });
+        after(milliseconds(4000 + m_restoreRandom() % 4000), [this] { restoreAgainLater(); });
+        after(seconds(1), [this] { watchConfiguration(); });
         after(milliseconds(500), [this] { watchProcesses(); });
         after(m_faultDuration, [this] { heal(); });
-        after(m_faultDuration + recoveryTime + finalPhase, [this] { m_loop.stop(); });
+        const seconds lastFault = m_faultDuration + (faultEnabled("restore") ? restoreTime : seconds(0));
+        after(lastFault + recoveryTime + finalPhase, [this] { m_loop.stop(); });
         // A revoked key must not be served where no fault delays the configuration.
         std::function<void()> checkKeys = [this, &checkKeys] {
             const Clock::time_point now = Clock::now();
-            const bool checkNow = m_revoked && now - m_configuredAt > configurationTimeout + seconds(1)
-                && m_disturbedUntil < m_configuredAt;
+            const bool checkNow = m_revoked && configurationDue(now - seconds(1)) && m_disturbedUntil < m_configuredAt;
             for (const std::unique_ptr<LineClient>& client : m_clients) {
                 if (!checkNow || client->customer() != "customer2" || client->outcomes().empty())
                     continue;
                 const LineClient::Outcome& last = client->outcomes().back();
-                if (last.served && last.started > m_configuredAt + configurationTimeout)
+                if (last.served && configurationDue(last.started))
                     m_ledger.violation("CONFIG", "a revoked key was served");
             }
             after(milliseconds(250), checkKeys);
@@ -506,6 +759,7 @@
 
     void Soak::saveLogs() const
     {
+        std::ofstream("/tmp/plantainwall-soak-seed" + std::to_string(m_seed) + "-events.log") << m_ledger.events;
         for (size_t i = 0; i < m_hosts.size(); ++i)
             std::ofstream("/tmp/plantainwall-soak-seed" + std::to_string(m_seed) + "-host" + std::to_string(i) + ".log")
                 << m_hosts[i].output << (m_hosts[i].process ? m_hosts[i].process->output() : std::string());
--- a/tests/support_line_fleet.cpp
+++ b/tests/support_line_fleet.cpp
@@ -48,22 +48,29 @@
         customer["name"] = value::string(draft.name);
         customer["rate_per_s"] = value::number(draft.rate);
         customer["burst"] = value::number(draft.rate);
-        customer["api_keys"] = draft.keyValid ? value::array({ value::string("key-" + draft.name) }) : value::array();
+        std::vector<value> keys;
+        if (draft.keyValid)
+            keys.push_back(value::string("key-" + draft.name));
+        for (const std::string& key : draft.furtherKeys)
+            keys.push_back(value::string(key));
+        customer["api_keys"] = value::array(keys);
         list.push_back(customer);
     }
     document["tenants"] = value::array(list);
     return document.serialize();
 }
 
-std::string serverDocument(uint16_t port, bool primary, const std::string& state)
+std::string serverDocument(uint16_t port, const LineGroup::Registration& registration)
 {
     value entry = value::object();
     entry["service"] = value::string("ledger");
     entry["address"] = value::string(loopback(port));
     entry["zone"] = value::string("dc");
     entry["slots"] = value::number(6);
-    entry["state"] = value::string(state);
-    entry["db_role"] = value::string(primary ? "primary" : "replica");
+    entry["state"] = value::string("ready");
+    entry["db_role"] = value::string(registration.primary ? "primary" : "replica");
+    entry["born"] = value::number(registration.bornUnixMs);
+    entry["seq_no"] = value::number(registration.sequence);
     return entry.serialize();
 }
 
--- a/tests/support_line_fleet.h
+++ b/tests/support_line_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "support_line_group.h"
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -30,11 +31,12 @@
     std::chrono::milliseconds timeout { 2000 };
 };
 
-/// A customer of the configuration; its key is "key-" and its name.
+/// A customer of the configuration; its first key is "key-" and its name.
 struct LineCustomerDraft {
     std::string name;
     unsigned rate = 1000; ///< Operations a second; also the burst.
     bool keyValid = true;
+    std::vector<std::string> furtherKeys {};
 };
 
 /// Returns the configuration's document for the service "ledger".
@@ -42,6 +44,6 @@
     uint64_t version, const std::vector<LineRouteDraft>&, const std::vector<LineCustomerDraft>&);
 
 /// Returns the entry with which a server of "ledger" registers.
-std::string serverDocument(uint16_t port, bool primary, const std::string& state);
+std::string serverDocument(uint16_t port, const LineGroup::Registration&);
 
 } // namespace plantainwall::test
