Test proofs of kept logs by partly received ones and coordinators that change often

Five cases that fail at: a restarted or replacing server has received a part of the log from the primary, which counts as proof that the earlier log was kept; and coordinators that change every 2.5 s never find a silent server gone, because they count its silence anew.

--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -240,4 +240,85 @@
     it.check(seconds(2));
 }
 
+// A restarted replica that has received a part of its log again has not kept the rest.
+BOOST_AUTO_TEST_CASE(restarted_replica_received_a_part_of_its_log_again)
+{
+    for (int pollOffset = 0; pollOffset < 400; pollOffset += 40) {
+        LaggingReplica it;
+        it.service.setReceiveDelay("r1", seconds(5));
+        it.service.pass(seconds(6) + milliseconds(pollOffset));
+        it.service.setReceiveDelay("r2", milliseconds(500));
+        it.service.restartEmpty("r2");
+        it.service.pass(milliseconds(360));
+        it.service.crash("p");
+        it.check();
+    }
+}
+
+// The same, with a coordinator that does not know the log before the restart.
+BOOST_AUTO_TEST_CASE(restarted_replica_received_a_part_of_its_log_again_under_a_new_coordinator)
+{
+    LaggingReplica it(2);
+    it.service.setReceiveDelay("r1", seconds(5));
+    it.service.pass(seconds(6));
+    it.service.setReceiveDelay("r2", seconds(2));
+    it.service.restartEmpty("r2");
+    it.service.pass(milliseconds(100));
+    it.service.activate(1);
+    it.service.pass(milliseconds(300));
+    it.service.crash("p");
+    it.check();
+}
+
+// The same, with a primary that is down before the new coordinator asks it.
+BOOST_AUTO_TEST_CASE(restarted_replica_received_a_part_of_its_log_before_a_new_coordinator)
+{
+    LaggingReplica it(2);
+    it.service.setReceiveDelay("r1", seconds(5));
+    it.service.pass(seconds(6));
+    it.service.setReceiveDelay("r2", seconds(2));
+    it.service.restartEmpty("r2");
+    it.service.pass(milliseconds(300));
+    it.service.crash("p");
+    it.service.activate(1);
+    it.check();
+}
+
+// A server without the log of the one that it replaced has received a part of it from the primary.
+BOOST_AUTO_TEST_CASE(replacement_received_a_part_of_the_log)
+{
+    for (int pollOffset = 0; pollOffset < 400; pollOffset += 40) {
+        LaggingReplica it;
+        it.service.setReceiveDelay("r1", seconds(5));
+        it.service.pass(seconds(6) + milliseconds(pollOffset));
+        it.service.leave("r2", seconds(2), milliseconds(0));
+        it.service.pass(seconds(2) + milliseconds(10));
+        it.service.replace("r2", "r3", false);
+        it.service.setReceiveDelay("r3", milliseconds(500));
+        it.service.pass(milliseconds(360));
+        it.service.crash("p");
+        it.check();
+    }
+}
+
+// Coordinators that change often still find out that a replica is gone.
+BOOST_AUTO_TEST_CASE(gone_replica_does_not_block_a_change_after_many_coordinators)
+{
+    LaggingReplica it(3);
+    it.service.setReceiveDelay("r1", ReplicatedServiceTiming().receiveDelay);
+    it.service.setDark("r2", true);
+    for (size_t n = 1; n <= 24; ++n) {
+        it.service.pass(milliseconds(2500));
+        it.service.activate(n % 3);
+    }
+    it.service.pass(seconds(1));
+    it.service.crash("p");
+    const Instant crashed = it.service.now;
+    const bool promoted = it.service.passUntil(seconds(30), [&] { return it.service.leader() == "r1"; });
+    BOOST_TEST(promoted);
+    BOOST_TEST((it.service.now - crashed <= goneReplicaRecoveryTime),
+        "it took " << (it.service.now - crashed) / milliseconds(1) << " ms");
+    it.check(seconds(2));
+}
+
 BOOST_AUTO_TEST_CASE(random_faults_lose_no_commit) { checkRandomFaults(&RandomFaults::loss); }
