Use a reported primary in place of a guessed one

Callers saw writes refused for longer than necessary after a change of the primary: a host that had not spoken to the new primary yet went on guessing.

Cause: a primary that another host reports at the known term is ignored if one is known, and the check counted a guess (any server that has not denied it) as known. A new coordinator therefore also did not learn which server an earlier one had demoted.

The check now asks for a known primary. unit.server-directory (reported_primary_replaces_a_guess) failed before: 3 failed checks.

--- a/src/fleet_member_reports.cpp
+++ b/src/fleet_member_reports.cpp
@@ -194,7 +194,7 @@
             for (const auto& [service, entry] : value.at("p").as_object()) {
                 const std::string id = entry.at(0).as_string();
                 const auto term = static_cast<uint64_t>(entry.at(1).as_number().to_int64());
-                if (!m_gateway.directory().noteReportedPrimary(service, id, term, m_clock()))
+                if (!m_gateway.directory().noteReportedPrimary(service, id, term))
                     continue;
                 // The source reports it to all hosts; this host need not repeat it.
                 m_reportedPrimaries[service] = { id, term };
--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -256,9 +256,9 @@
     return {};
 }
 
-bool ServerDirectory::noteReportedPrimary(const std::string& service, const std::string& id, uint64_t term, Instant now)
+bool ServerDirectory::noteReportedPrimary(const std::string& service, const std::string& id, uint64_t term)
 {
-    const std::string known = primary(service, now);
+    const std::string known = knownPrimary(service);
     const bool lapsed
         = std::any_of(m_lapsed.begin(), m_lapsed.end(), [&](const auto& server) { return server.first.first == id; });
     if (term < this->term(service) || (term == this->term(service) && !known.empty())
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -106,7 +106,7 @@
 
     /// Records a primary that another entry host reported, registered or lapsed. Ignored unless its term is newer than
     /// the known one, or the same while no primary is known. Returns whether the confirmed primary or its term changed.
-    bool noteReportedPrimary(const std::string& service, const std::string& id, uint64_t term, Instant now);
+    bool noteReportedPrimary(const std::string& service, const std::string& id, uint64_t term);
 
     /// Returns the id and term of the confirmed primary, or an empty id.
     std::pair<std::string, uint64_t> provenPrimary(const std::string& service) const;
--- a/tests/unit_server_directory.cpp
+++ b/tests/unit_server_directory.cpp
@@ -129,3 +129,19 @@
     directory.registerServer(entry);
     BOOST_TEST(!directory.find("a")->draining);
 }
+
+// Without a known primary, a guess prevented that the primary reported by another host was used.
+BOOST_AUTO_TEST_CASE(reported_primary_replaces_a_guess)
+{
+    ServerDirectory directory;
+    const Instant now { seconds(100) };
+    directory.registerServer(entryOf("a"));
+    directory.registerServer(entryOf("b"));
+    directory.noteTerm("orders", 2);
+    BOOST_REQUIRE(directory.primary("orders", now) == "a");
+    BOOST_TEST(!directory.noteReportedPrimary("orders", "b", 1));
+    BOOST_TEST(directory.noteReportedPrimary("orders", "b", 2));
+    BOOST_TEST(directory.primary("orders", now) == "b");
+    BOOST_TEST(!directory.noteReportedPrimary("orders", "a", 2));
+    BOOST_TEST(directory.primary("orders", now) == "b");
+}
