Don't take a log that a primary may have sent again for a kept one

Callers saw acknowledged commits lost: a replica restarted empty, or a new server took the address of one that had left, received a part of the log from the primary again, and then stood for the whole log that was gone.

Cause: the first position that the new process reported counted as proof that it had kept the log. While a primary runs, a log grows again from nothing, so its position proves nothing.

A position is proof now only if no primary has answered since the loss.

--- a/src/replica_logs.cpp
+++ b/src/replica_logs.cpp
@@ -32,7 +32,7 @@
 {
     for (LostCopy& lost : m_lostCopies) {
         const bool kept = lost.term != 0 && status.term >= lost.term && !(status.received < lost.received);
-        if (lost.id == id && kept && !lost.coverage.coveredAt)
+        if (lost.id == id && kept && m_leaderSeenAt < lost.coverage.since && !lost.coverage.coveredAt)
             lost.coverage.coveredAt = now;
     }
 }
@@ -47,13 +47,13 @@
             const bool kept
                 = status.term >= copy.term && !(status.received < copy.received) && !(status.received == LogPosition());
             if (copy.replaced && copy.down && id != member.id && copy.address == member.address && kept
-                && !copy.down->coveredAt)
+                && m_leaderSeenAt < copy.down->since && !copy.down->coveredAt)
                 copy.down->coveredAt = now;
         }
         // Without a known last position, a log that is not empty was kept, or was received from a primary since.
         for (LostCopy& lost : m_lostCopies) {
             if (lost.id == member.id && lost.term == 0 && lost.startedUnixMs != 0 && !(status.received == LogPosition())
-                && !lost.coverage.coveredAt)
+                && m_leaderSeenAt < lost.coverage.since && !lost.coverage.coveredAt)
                 lost.coverage.coveredAt = now;
         }
     }
@@ -107,13 +107,16 @@
 void ReplicaLogs::update(
     Instant now, const std::string& primary, const std::vector<FailoverMember>& members, uint64_t term)
 {
+    for (const FailoverMember& member : members) {
+        if (leads(member, primary, term) && member.status && !member.silentSince)
+            m_leaderSeenAt = now;
+    }
     for (const FailoverMember& member : members) {
         if (member.ended)
             noteLost(now, member.id, member.startedUnixMs, member.registeredPrimary, Copy());
         else
             updateCopy(now, member, leads(member, primary, term));
     }
-    checkSuccessors(now, members);
     const FailoverMember* leader = nullptr;
     std::vector<const FailoverMember*> answering;
     for (const FailoverMember& member : members) {
@@ -124,6 +127,7 @@
         else if (member.status->primary)
             leader = &member;
     }
+    checkSuccessors(now, members);
     const auto updateCoverage = [&](Coverage& coverage) {
         if (!coverage.primaryPosition && leader != nullptr && leader->requestedAt > coverage.since) {
             coverage.primaryPosition = leader->status->received;
--- a/src/replica_logs.h
+++ b/src/replica_logs.h
@@ -98,6 +98,9 @@
     ReplicaLogsSettings m_settings;
     std::map<std::string, Copy> m_copies; ///< By server id.
     std::vector<LostCopy> m_lostCopies;
+    /// When a primary last answered. While one runs, a server that lost its log receives parts of it again, so its
+    /// position then proves nothing.
+    Instant m_leaderSeenAt;
 };
 
 } // namespace plantainwall
