Count a server as refusing only after its latest connection attempt

Callers saw acknowledged commits lost after a replica had restarted.

Cause: the mark that a server refused a connection stayed set while later attempts got no answer. The replica counted as not running although it ran again, reached the primary and the store, and confirmed commits.

--- a/src/failover_member.h
+++ b/src/failover_member.h
@@ -22,8 +22,8 @@
     std::optional<ServerStatus> status; ///< Last status received.
     Instant requestedAt; ///< When the last status was requested.
     Instant answeredAt; ///< When the last status was received.
-    /// The last connection was refused because the process does not run; a server at its connection limit does not
-    /// count.
+    /// The latest connection attempt was refused because the process does not run; a server at its connection limit
+    /// does not count.
     bool refused = false;
     bool replaced = false; ///< Another server answers at its address.
     std::optional<Instant> silentSince; ///< Time of the first unanswered request since the last answer.
--- a/src/promotion_coordinator.cpp
+++ b/src/promotion_coordinator.cpp
@@ -211,6 +211,7 @@
         = !member->open ? member->openedAt : (member->requestTimes.empty() ? now : member->requestTimes.front());
     if (now - waitingSince > m_settings.answerTimeout) {
         member->report.failedAt = waitingSince;
+        member->report.refused = false;
         if (!member->report.silentSince)
             member->report.silentSince = waitingSince;
     }
--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -321,4 +321,19 @@
     it.check(seconds(2));
 }
 
+// A registered replica that refused a connection once runs again, but the coordinator does not reach it.
+BOOST_AUTO_TEST_CASE(replica_that_runs_again_after_a_refusal)
+{
+    LaggingReplica it;
+    it.service.crash("r2");
+    it.service.pass(seconds(1));
+    BOOST_REQUIRE(it.service.isRegistered("r2"));
+    it.service.setHostCut("r2", 0, true);
+    it.service.restart("r2");
+    it.service.pass(seconds(6));
+    BOOST_REQUIRE(it.service.isRegistered("r2"));
+    it.service.crash("p");
+    it.check();
+}
+
 BOOST_AUTO_TEST_CASE(random_faults_lose_no_commit) { checkRandomFaults(&RandomFaults::loss); }
