Take only a refused connection as a sign that a server does not run

Callers could lose acknowledged commits: a replica that ran counted as down.

Cause: every failure to open a connection was reported as a refusal, also a lack of descriptors of the own host, a network that is unreachable, and an error with which a running server answered. The promotion coordinator takes a refusal as proof that the process has ended.

Only ECONNREFUSED is a refusal now; other failures have the reason not_opened, after which the server counts as silent. The loss by this path was found by reading.

--- a/src/gateway_backend.cpp
+++ b/src/gateway_backend.cpp
@@ -11,7 +11,7 @@
         "one entry for each BackendError");
 
     constexpr std::string_view closeReasonNames[]
-        = { "refused", "misrouted", "connection_limit", "lost", "protocol_error", "lender_lost" };
+        = { "refused", "misrouted", "connection_limit", "lost", "protocol_error", "lender_lost", "not_opened" };
     static_assert(
         sizeof(closeReasonNames) / sizeof(closeReasonNames[0]) == static_cast<size_t>(BackendCloseReason::Count),
         "one entry for each BackendCloseReason");
--- a/src/gateway_ports.h
+++ b/src/gateway_ports.h
@@ -74,12 +74,13 @@
 };
 
 enum class BackendCloseReason : uint8_t {
-    Refused,
+    Refused, ///< No process listens at the address.
     Misrouted,
     ConnectionLimit,
     Lost,
     ProtocolError,
     LenderLost, ///< The entry host that lent the connection is unreachable or shuts down; the server may be healthy.
+    NotOpened, ///< Not opened for any other reason; the server may run.
     Count
 };
 
--- a/src/line_socket.cpp
+++ b/src/line_socket.cpp
@@ -61,7 +61,7 @@
         if (self->m_closing)
             return;
         if (ec) {
-            self->fail(false);
+            self->failToConnect(ec);
             return;
         }
         self->configure();
@@ -205,6 +205,17 @@
     m_socket.close(ec);
 }
 
+void LineSocket::failToConnect(const boost::system::error_code& ec)
+{
+    const std::function<void(const boost::system::error_code&)> connectFailed = std::move(m_handlers.connectFailed);
+    if (!connectFailed) {
+        fail(false);
+        return;
+    }
+    close();
+    connectFailed(ec);
+}
+
 void LineSocket::fail(bool tooLong)
 {
     if (m_closing && !m_open)
--- a/src/line_socket.h
+++ b/src/line_socket.h
@@ -18,6 +18,8 @@
         /// of this class.
         std::function<void(bool tooLong)> closed;
         std::function<void()> connected;
+        /// Called in place of closed, if set, when connect() has failed.
+        std::function<void(const boost::system::error_code&)> connectFailed;
     };
 
     LineSocket(boost::asio::ip::tcp::socket socket, size_t maxLine);
@@ -40,6 +42,7 @@
     void deliver();
     void awaitOutput();
     void writeAvailable();
+    void failToConnect(const boost::system::error_code&);
     void fail(bool tooLong);
 
     boost::asio::ip::tcp::socket m_socket;
--- a/src/link_borrower.cpp
+++ b/src/link_borrower.cpp
@@ -177,7 +177,8 @@
     const Instant until = m_clock() + m_settings.avoidanceTime;
     if (reason == BackendCloseReason::LenderLost)
         m_avoided.avoid(lender.host, until);
-    const bool connectFailed = reason == BackendCloseReason::Refused || reason == BackendCloseReason::Lost;
+    const bool connectFailed = reason == BackendCloseReason::Refused || reason == BackendCloseReason::Lost
+        || reason == BackendCloseReason::NotOpened;
     if (link.open || !connectFailed)
         return reason;
     std::map<std::string, Instant>& failedLenders = m_lendersWithoutServer[link.server];
--- a/tests/unit_line_codec.cpp
+++ b/tests/unit_line_codec.cpp
@@ -112,3 +112,14 @@
     BOOST_TEST(encodeCommand(command) == "QUERY - PAUSE 4\r\n");
     BOOST_TEST(encodeStartup("huvo11a", "tenant", "i-7") == "STARTUP huvo11a tenant i-7\r\n");
 }
+
+// A server that answers runs: it is busy, not down.
+BOOST_AUTO_TEST_CASE(error_of_a_running_server_at_startup_is_no_refusal)
+{
+    for (const char* const line : { "ERROR BUSY", "ERROR FAILED", "ERROR TIMEOUT", "ERROR SOMETHING" }) {
+        bool accepted = true;
+        const std::optional<BackendCloseReason> reason = decodeStartupAnswer(line, accepted);
+        BOOST_REQUIRE(reason.has_value());
+        BOOST_TEST((*reason != BackendCloseReason::Refused), line);
+    }
+}
