End an attempt whose demoted primary does not lead to a promotion

Callers got no write through: no service's primary was replaced although another host could have done it.

Cause: an attempt in which the primary had been ordered to demote itself never ended. If the primary then ended too, or its log did not suffice, and one replica could not be reached by this coordinator, the attempt went on for ever and the coordinator role was not handed over.

Only an ordered promotion, which may still take effect, keeps an attempt now.

--- a/src/failover_plan.cpp
+++ b/src/failover_plan.cpp
@@ -205,7 +205,7 @@
         m_target = target->id;
         m_phase = Phase::Promoting;
         m_failedAttempts = 0;
-        m_ordered = true;
+        m_promotionOrdered = true;
         m_waitingForAnswer = true;
         step.action = FailoverAction::Promote;
         step.servers = { m_target };
@@ -218,12 +218,12 @@
         m_repeatAt = now + m_settings.stopRepeatInterval;
         m_demoted = leader->id;
         m_demotedAt.reset();
-        m_ordered = true;
         step.action = FailoverAction::Demote;
         step.servers = { leader->id };
         return step;
     }
-    if (m_allStoppingSince && now - stageStart > m_settings.collectTimeout && !m_ordered) {
+    const Instant lastProgress = m_demotedAt ? std::max(stageStart, *m_demotedAt) : stageStart;
+    if (m_allStoppingSince && now - lastProgress > m_settings.collectTimeout && !m_promotionOrdered) {
         m_phase = Phase::Watching;
         // Another host can reach a server that does not answer this one, but cannot replace a lost log.
         if (std::any_of(missing.begin(), missing.end(), [](const auto& log) { return !log.lost; }))
@@ -276,7 +276,7 @@
         m_reportMissingAt = now + m_settings.reportMissingInterval;
         m_repeatAt = now;
         m_term = term + 1;
-        m_ordered = false;
+        m_promotionOrdered = false;
         return collect(now, primary, members, term);
     }
     case Phase::Collecting:
--- a/src/failover_plan.h
+++ b/src/failover_plan.h
@@ -120,7 +120,7 @@
     std::string m_target;
     std::string m_demoted; ///< Primary of the newest term that was ordered to demote itself.
     std::optional<Instant> m_demotedAt; ///< When it reported that it is a replica.
-    bool m_ordered = false; ///< A promotion or demotion was ordered in this attempt.
+    bool m_promotionOrdered = false; ///< In this attempt; the order may still take effect.
     bool m_waitingForAnswer = false;
     unsigned m_failedAttempts = 0;
     ReplicaLogs m_logs;
--- a/tests/unit_failover_plan.cpp
+++ b/tests/unit_failover_plan.cpp
@@ -306,3 +306,32 @@
     BOOST_REQUIRE((stop.action == FailoverAction::StopReceiving));
     BOOST_TEST((stop.reason == FailoverReason::Unconfirmed));
 }
+
+// A coordinator that has ordered a demotion hands over too if it does not reach a replica.
+BOOST_AUTO_TEST_CASE(unreachable_replica_after_a_demotion_fails_the_attempt)
+{
+    Fleet fleet;
+    fleet.step("p");
+    fleet.get("p").draining = true;
+    fleet.silence("r2");
+    bool demoted = false;
+    for (int i = 0; i < 1200; ++i) {
+        const FailoverPlan::Step step = fleet.step("p");
+        BOOST_REQUIRE((step.action != FailoverAction::Promote));
+        if (step.action == FailoverAction::StopReceiving)
+            fleet.stop("r1", step.term);
+        if (step.action == FailoverAction::ResumeReceiving)
+            fleet.stop("r1", 0);
+        if (step.action == FailoverAction::Demote) {
+            demoted = true;
+            fleet.silence("p");
+            fleet.get("p").refused = true;
+        }
+        fleet.now += std::chrono::milliseconds(50);
+        fleet.answer("r1");
+        if (!demoted)
+            fleet.answer("p");
+    }
+    BOOST_REQUIRE(demoted);
+    BOOST_TEST(fleet.plan.failedAttempts() > 0U);
+}
