Promote a demoted primary again although an earlier process of it lost its log

Callers saw a service without a primary for good: its primary was demoted and answered, but was not promoted again.

Cause: a demoted primary stands in for servers that do not answer, unless it has lost its log. Any earlier process under its id counted as a lost log, also one that ended before the promotion, and one whose log the primary has kept. Without a primary nothing could ever prove that such a log is not needed.

A promotion is decided on every needed log, so a process that reports that it leads the newest term holds all that was acknowledged. It now stands in whatever earlier processes lost, unless it is known to have lost commits of that term.

--- a/src/failover_plan.cpp
+++ b/src/failover_plan.cpp
@@ -116,9 +116,9 @@
 }
 
 const FailoverMember* FailoverPlan::chooseTarget(Instant now, const Stopped& stopped,
-    const std::vector<FailoverMember>& members, gsl::span<const ReplicaLogs::Missing> missing) const
+    const std::vector<FailoverMember>& members, uint64_t term, gsl::span<const ReplicaLogs::Missing> missing) const
 {
-    const bool demotedStandsIn = stopped.demoted && !m_logs.hasLostLog(m_demoted);
+    const bool demotedStandsIn = stopped.demoted && (m_logs.hasLed(m_demoted, term) || !m_logs.hasLostLog(m_demoted));
     if (!missing.empty() && !demotedStandsIn)
         return nullptr;
     const LogPosition& needed = missing.empty() ? stopped.longestButDemoted : stopped.longest;
@@ -200,7 +200,7 @@
         ? std::nullopt
         : std::optional<Instant>(m_demotedAt ? std::max(m_startedAt, *m_demotedAt) : m_startedAt);
     std::vector<ReplicaLogs::Missing> missing = m_logs.missing(stopped.ids, stopped.longestButDemoted, unansweredSince);
-    const FailoverMember* const target = chooseTarget(now, stopped, members, missing);
+    const FailoverMember* const target = chooseTarget(now, stopped, members, term, missing);
     if (target != nullptr && leader == nullptr) {
         m_target = target->id;
         m_phase = Phase::Promoting;
--- a/src/failover_plan.h
+++ b/src/failover_plan.h
@@ -100,8 +100,8 @@
     };
 
     /// Chooses the server to promote, given the logs that are needed besides those of the stopped servers.
-    const FailoverMember* chooseTarget(
-        Instant, const Stopped&, const std::vector<FailoverMember>&, gsl::span<const ReplicaLogs::Missing>) const;
+    const FailoverMember* chooseTarget(Instant, const Stopped&, const std::vector<FailoverMember>&, uint64_t term,
+        gsl::span<const ReplicaLogs::Missing>) const;
     Stopped stoppedReplicas(const std::string& primary, const std::vector<FailoverMember>&, uint64_t term) const;
     /// Records when the primary became a replica, by an order of this coordinator or of an earlier one.
     void noteDemoted(const FailoverMember* leader, const std::vector<FailoverMember>&, uint64_t term);
--- a/src/replica_logs.cpp
+++ b/src/replica_logs.cpp
@@ -72,7 +72,9 @@
     if (copy.startedUnixMs != member.startedUnixMs && member.startedUnixMs != 0) {
         if (copy.startedUnixMs != 0) {
             noteLost(now, member.id, copy.startedUnixMs, wasLeading, copy);
+            const uint64_t lostInTerm = copy.lostInTerm;
             copy = Copy();
+            copy.lostInTerm = lostInTerm;
             copy.validFrom = now;
             copy.restarted = true;
         }
@@ -86,14 +88,23 @@
     copy.unlistedSince.reset();
     if (isCurrent(member) && !member.silentSince) {
         const ServerStatus& status = *member.status;
-        if (copy.restarted)
+        if (copy.restarted) {
             checkLogKept(now, member.id, status);
+            for (const LostCopy& lost : m_lostCopies) {
+                if (lost.id == member.id && status.received < lost.received)
+                    copy.lostInTerm = std::max(copy.lostInTerm, lost.term);
+            }
+        }
         copy.restarted = false;
         // A log gets shorter within a term only if the server lost it. A new primary may shorten it, in a new term.
         if (status.term < copy.term || (status.term == copy.term && status.received < copy.received)) {
             noteLost(now, member.id, 0, wasLeading, Copy());
             copy.validFrom = member.requestedAt;
+            copy.ledTerm = 0;
+            copy.lostInTerm = std::max(copy.lostInTerm, copy.term);
         }
+        if (status.primary && status.term > copy.lostInTerm)
+            copy.ledTerm = status.term;
         copy.term = status.term;
         copy.received = status.received;
     }
@@ -187,6 +198,12 @@
         [&](const LostCopy& lost) { return lost.id == id && !lost.coverage.coveredAt; });
 }
 
+bool ReplicaLogs::hasLed(const std::string& id, uint64_t term) const
+{
+    const auto it = m_copies.find(id);
+    return it != m_copies.end() && it->second.ledTerm != 0 && it->second.ledTerm >= term;
+}
+
 std::vector<ReplicaLogs::Missing> ReplicaLogs::missing(
     gsl::span<const std::string> stopped, const LogPosition& longest, std::optional<Instant> unansweredSince) const
 {
--- a/src/replica_logs.h
+++ b/src/replica_logs.h
@@ -43,6 +43,10 @@
     /// Returns whether the server restarted without its log since this was last proven to be harmless.
     bool hasLostLog(const std::string& id) const;
 
+    /// Returns whether the server's present process has reported that it leads a term that is not older than the given
+    /// one. Its log then holds every commit that was acknowledged before the end of that term.
+    bool hasLed(const std::string& id, uint64_t term) const;
+
     /// Returns the logs that are needed, given the servers that have stopped receiving.
     /// @param longest Longest log among the stopped servers but the demoted primary.
     /// @param unansweredSince A server that is down is not needed only if it left a request unanswered that was made
@@ -70,6 +74,8 @@
         uint64_t term = 0; ///< Last term that it reported.
         LogPosition received; ///< Last position that it reported.
         Instant validFrom; ///< Answers to earlier requests are from an earlier process.
+        uint64_t ledTerm = 0; ///< Newest term of which the process reported that it is primary; 0 if none.
+        uint64_t lostInTerm = 0; ///< Newest term in which a process under the id had more than a later one.
         bool restarted = false; ///< The process has not answered yet; its first status shows whether it kept the log.
         bool leading = false; ///< Log of the primary: the replicas hold all that it acknowledged.
         bool registered = true;
--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -24,8 +24,8 @@
 
 /// A service whose replica r1 lags behind, with the log level of the coordinators.
 struct LaggingReplica {
-    explicit LaggingReplica(size_t hosts = 1)
-        : service(hosts)
+    explicit LaggingReplica(size_t hosts = 1, const ReplicatedServiceTiming& timing = {})
+        : service(hosts, timing)
     {
         setLogLevel(std::getenv("COORDINATOR_LOG") != nullptr ? std::getenv("COORDINATOR_LOG") : "error");
         service.setReceiveDelay("r1", lag);
@@ -321,4 +321,39 @@
     it.check(seconds(2));
 }
 
+// What an earlier process of the primary held is no reason to wait: the present one leads with all of it.
+BOOST_AUTO_TEST_CASE(restarted_primary_is_demoted_for_good)
+{
+    for (const size_t coordinator : { 0U, 1U }) {
+        ReplicatedServiceTiming timing;
+        timing.restartChangesStart = true;
+        LaggingReplica it(2, timing);
+        it.service.crash("p");
+        it.service.pass(milliseconds(200));
+        it.service.restart("p");
+        it.service.pass(seconds(2));
+        it.service.setDark("r2", true);
+        it.service.activate(coordinator);
+        it.service.pass(milliseconds(500));
+        it.service.setStoreCut("p", true);
+        it.check();
+    }
+}
+
+// The same for a primary that lost its log as a replica, before it was promoted with a complete one.
+BOOST_AUTO_TEST_CASE(primary_that_restarted_empty_before_its_promotion_is_demoted_for_good)
+{
+    for (const size_t coordinator : { 0U, 1U }) {
+        LaggingReplica it(2);
+        it.service.restartEmpty("r2");
+        it.service.pass(seconds(3));
+        it.service.crash("p");
+        BOOST_REQUIRE(it.service.passUntil(seconds(10), [&] { return it.service.leader() == "r2"; }));
+        it.service.activate(coordinator);
+        it.service.pass(milliseconds(300));
+        it.service.setDark("r1", true);
+        it.check();
+    }
+}
+
 BOOST_AUTO_TEST_CASE(random_faults_lose_no_commit) { checkRandomFaults(&RandomFaults::loss); }
