Let simulated hosts share the record of the servers

A simulated host that became coordinator did not know which lapsed servers the coordinator before had settled. The hosts now read and write the record with ReplicaRecords, through a simulated item of the store.

--- a/tests/support_replicated_service.cpp
+++ b/tests/support_replicated_service.cpp
@@ -1,4 +1,5 @@
 #include "support_replicated_service.h"
+#include "replica_record.h"
 #include <algorithm>
 #include <sstream>
 
@@ -156,6 +157,9 @@
     FakeQuota quota;
     Metrics metrics;
     Gateway gateway;
+    ReplicaRecords records;
+    std::map<std::string, StoreItem> items; ///< Items of the store that the host has read.
+    bool itemsChanged = false;
     std::unique_ptr<PromotionCoordinator> coordinator;
 };
 
@@ -226,6 +230,7 @@
             host->gateway.tick();
             if (host->coordinator)
                 host->coordinator->tick(true);
+            stepRecords(*host);
         }
     }
 }
@@ -475,6 +480,40 @@
         });
 }
 
+void ReplicatedService::stepRecords(Host& host)
+{
+    ServerDirectory& directory = host.gateway.directory();
+    const GatewayConfiguration& configuration = *host.gateway.configuration();
+    const bool active = host.coordinator != nullptr;
+    if (host.itemsChanged) {
+        host.itemsChanged = false;
+        host.records.itemsRead(host.items, configuration, active, directory, now);
+    }
+    host.records.forgetUnlisted(configuration, active, directory, now);
+    if (!active)
+        return;
+    for (const StoreWrite& write : host.records.due(host.items, configuration, directory, now))
+        timers.add(now + m_timing.registrationDelay, [this, it = &host, write] {
+            it->records.written(write.key, writeItem(write) ? StoreOutcome::Ok : StoreOutcome::Conflict, now);
+        });
+}
+
+bool ReplicatedService::writeItem(const StoreWrite& write)
+{
+    StoreItem& item = m_items[write.key];
+    if (item.revision != write.expectedRevision)
+        return false;
+    item.key = write.key;
+    item.value = write.value;
+    item.revision = ++m_revision;
+    for (const std::unique_ptr<Host>& host : m_hosts)
+        timers.add(now + m_timing.registrationDelay, [it = host.get(), item] {
+            it->items[item.key] = item;
+            it->itemsChanged = true;
+        });
+    return true;
+}
+
 // Replication.
 
 void ReplicatedService::stepServers()
--- a/tests/support_replicated_service.h
+++ b/tests/support_replicated_service.h
@@ -118,6 +118,10 @@
     void stepRegistration(Server&);
     void publish(Server&);
     void withdraw(Server&);
+    /// Lets a host read and write the record of the servers in the store.
+    void stepRecords(Host&);
+    /// Writes an item of the store. Returns whether it had the expected revision.
+    bool writeItem(const StoreWrite&);
     void end(Server&, bool leaves);
     void start(Server&);
     void confirm(const std::string& replica, uint64_t term, size_t size);
@@ -139,6 +143,8 @@
     std::vector<std::string> m_serverIds; ///< In the order in which they were added.
     std::vector<std::unique_ptr<Host>> m_hosts;
     std::vector<std::weak_ptr<Connection>> m_connections;
+    std::map<std::string, StoreItem> m_items; ///< Of the store.
+    uint64_t m_revision = 0;
     size_t m_active = 0;
     uint64_t m_token = 100; ///< Of the newest coordinator.
     uint64_t m_seenToken = 0; ///< Greatest token that the promotion service has seen.
