Don't take a log of unknown former length for a kept one

Callers saw acknowledged commits lost: a replica restarted empty, or a server without the log took the address of one that had left, received a part of the log again, and the primary ended before a new coordinator asked it. The server was promoted with what it had received.

Cause: a coordinator that has no position from before the loss took any log that is not empty for the kept one. That no primary has answered this coordinator since does not show that none sent a part of the log.

Such a log is now kept only if a position from before proves it.

--- a/src/replica_logs.cpp
+++ b/src/replica_logs.cpp
@@ -44,18 +44,12 @@
             continue;
         const ServerStatus& status = *member.status;
         for (auto& [id, copy] : m_copies) {
-            const bool kept
-                = status.term >= copy.term && !(status.received < copy.received) && !(status.received == LogPosition());
+            const bool kept = copy.term != 0 && status.term >= copy.term && !(status.received < copy.received)
+                && !(status.received == LogPosition());
             if (copy.replaced && copy.down && id != member.id && copy.address == member.address && kept
                 && m_leaderSeenAt < copy.down->since && !copy.down->coveredAt)
                 copy.down->coveredAt = now;
         }
-        // Without a known last position, a log that is not empty was kept, or was received from a primary since.
-        for (LostCopy& lost : m_lostCopies) {
-            if (lost.id == member.id && lost.term == 0 && lost.startedUnixMs != 0 && !(status.received == LogPosition())
-                && m_leaderSeenAt < lost.coverage.since && !lost.coverage.coveredAt)
-                lost.coverage.coveredAt = now;
-        }
     }
 }
 
--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -301,6 +301,22 @@
     }
 }
 
+// The same, with a coordinator that does not know the log of the server that was replaced.
+BOOST_AUTO_TEST_CASE(replacement_received_a_part_of_the_log_before_a_new_coordinator)
+{
+    LaggingReplica it(2);
+    it.service.setReceiveDelay("r1", seconds(5));
+    it.service.pass(seconds(6));
+    it.service.leave("r2", seconds(2), milliseconds(0));
+    it.service.pass(seconds(2) + milliseconds(10));
+    it.service.replace("r2", "r3", false);
+    it.service.setReceiveDelay("r3", seconds(2));
+    it.service.pass(milliseconds(300));
+    it.service.crash("p");
+    it.service.activate(1);
+    it.check();
+}
+
 // Coordinators that change often still find out that a replica is gone.
 BOOST_AUTO_TEST_CASE(gone_replica_does_not_block_a_change_after_many_coordinators)
 {
