Drop an ended process that another coordinator has proved not needed

Callers saw a service without a primary: a replica had restarted with its log, the coordinator proved that the log of the earlier process is not needed, the coordinator changed, and then the primary ended. The new coordinator waited for the log again.

Cause: the coordinator takes such a process off the record in the store, but other hosts only marked it as settled, and the coordinator ignores that mark for a process that has ended. An ended process cannot receive again, so the proof is final. Hosts now drop it when the record does.

--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -177,7 +177,11 @@
 void ServerDirectory::noteSettled(const std::string& id, uint64_t startedUnixMs, Instant now)
 {
     const auto it = m_lapsed.find({ id, startedUnixMs });
-    if (it != m_lapsed.end() && !it->second.settledAt)
+    if (it == m_lapsed.end())
+        return;
+    if (it->second.ended)
+        m_lapsed.erase(it);
+    else if (!it->second.settledAt)
         it->second.settledAt = now;
 }
 
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -79,7 +79,8 @@
     std::vector<std::pair<std::string, uint64_t>> settleLapsed(
         const std::string& service, const std::vector<std::pair<std::string, uint64_t>>& settled, Instant now);
 
-    /// Records that a lapsed server is down and not needed, as another host has found. Ignored if it is not lapsed.
+    /// Records that a lapsed server is down and not needed, as another host has found; a process that has ended is
+    /// dropped. Ignored if it is not lapsed.
     void noteSettled(const std::string& id, uint64_t startedUnixMs, Instant now);
 
     /// Drops a lapsed server, for example because its process has ended. Ignored if it is not lapsed.
--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -337,6 +337,27 @@
     it.check(seconds(2));
 }
 
+// A coordinator before has proved that the log of the earlier process is not needed.
+BOOST_AUTO_TEST_CASE(restarted_replica_does_not_block_a_change_under_a_new_coordinator)
+{
+    ReplicatedServiceTiming timing;
+    timing.restartChangesStart = true;
+    LaggingReplica it(2, timing);
+    it.service.crash("r2");
+    it.service.pass(milliseconds(500));
+    it.service.restart("r2");
+    it.service.pass(seconds(3));
+    it.service.crash("p");
+    it.service.activate(1);
+    const Instant crashed = it.service.now;
+    const bool recovered = it.service.passUntil(
+        seconds(30), [&] { return it.service.term() > 1 && it.service.lastAcknowledgement() > crashed; });
+    BOOST_TEST(recovered);
+    BOOST_TEST((it.service.now - crashed <= crashRecoveryTime),
+        "it took " << (it.service.now - crashed) / milliseconds(1) << " ms");
+    it.check(seconds(2));
+}
+
 // What an earlier process of the primary held is no reason to wait: the present one leads with all of it.
 BOOST_AUTO_TEST_CASE(restarted_primary_is_demoted_for_good)
 {
--- a/tests/unit_replica_record.cpp
+++ b/tests/unit_replica_record.cpp
@@ -292,6 +292,10 @@
     BOOST_REQUIRE(lapsedIds(other.directory) == Ids { "a" });
     BOOST_TEST(other.directory.lapsed().front()->ended);
     BOOST_TEST(other.directory.lapsed().front()->entry.startedUnixMs == entryOf("a").startedUnixMs);
+    // The coordinator has proved that its log is not needed, and the process cannot run again.
+    other.setItem(recordOf({ restarted }));
+    other.read(false);
+    BOOST_TEST(lapsedIds(other.directory).empty());
 }
 
 // The copy from which a store was restored is older than the record that was read last.
