Ask a restarted primary before it is demoted

Callers saw a service without a primary: the primary was demoted right after a restart and was not promoted again, although it answered.

Cause: only a status of the present process shows that it leads with all commits. The plan took the last status of the earlier process for that of the leader and ordered the demotion; afterwards the server could not show it.

--- a/src/failover_plan.cpp
+++ b/src/failover_plan.cpp
@@ -214,7 +214,8 @@
     chooseStage(now, leader, primary, members, term);
     const Instant stageStart = m_allStoppingSince ? *m_allStoppingSince : m_startedAt;
     const bool demoteDue = target != nullptr || (m_allStoppingSince && now - stageStart >= m_settings.demoteAfter);
-    if (leader != nullptr && demoteDue && (now >= m_repeatAt || m_demoted != leader->id)) {
+    // Once demoted, a restarted primary can no longer show that its present process has led.
+    if (leader != nullptr && m_logs.isCurrent(*leader) && demoteDue && (now >= m_repeatAt || m_demoted != leader->id)) {
         m_repeatAt = now + m_settings.stopRepeatInterval;
         m_demoted = leader->id;
         m_demotedAt.reset();
--- a/tests/unit_failover_plan.cpp
+++ b/tests/unit_failover_plan.cpp
@@ -218,6 +218,35 @@
     BOOST_FAIL("nothing was promoted");
 }
 
+// Only a status of the present process shows that it leads with all commits. Once demoted it cannot show that any more.
+BOOST_AUTO_TEST_CASE(restarted_primary_is_asked_before_it_is_demoted)
+{
+    Fleet fleet;
+    fleet.get("p").startedUnixMs = 1;
+    fleet.step("p");
+    fleet.silence("r2");
+    fleet.now += std::chrono::milliseconds(10);
+    fleet.get("p").startedUnixMs = 2;
+    fleet.get("p").draining = true;
+    for (int i = 0; i < 200; ++i) {
+        const FailoverPlan::Step step = fleet.step("p");
+        if (step.action == FailoverAction::Demote) {
+            fleet.get("p").status->primary = false;
+            fleet.get("p").status->received = { 1, 21 };
+            fleet.answer("p");
+        } else if (step.action == FailoverAction::StopReceiving) {
+            fleet.stop("r1", step.term);
+        } else if (step.action == FailoverAction::Promote) {
+            BOOST_TEST(step.servers.front() == "p");
+            return;
+        }
+        fleet.now += std::chrono::milliseconds(50);
+        if (i % 8 == 7)
+            fleet.answer("p");
+    }
+    BOOST_FAIL("nothing was promoted");
+}
+
 // A wrongly assumed primary does not exclude any replica's log from the comparison.
 BOOST_AUTO_TEST_CASE(assumed_primary_that_is_a_replica_is_compared)
 {
