Take the last position of a demoted primary as proof

Callers saw a service without a primary: a replica left, the primary was demoted before it was asked again, and its promotion took effect while the coordinator did not reach it. The server that got its log could not be promoted.

Cause: only a leading primary's position proved that a log that had ended is not needed. A demoted primary reports where its term ended, which covers every commit that was acknowledged.

--- a/src/replica_logs.cpp
+++ b/src/replica_logs.cpp
@@ -129,7 +129,8 @@
             continue;
         if (!leads(member, primary, term))
             answering.push_back(&member);
-        else if (member.status->primary)
+        // A demoted primary reports where its term ended.
+        if (leads(member, primary, term) ? member.status->primary : hasLed(member.id, term))
             leader = &member;
     }
     checkSuccessors(now, members);
--- a/src/replica_logs.h
+++ b/src/replica_logs.h
@@ -63,7 +63,8 @@
     /// Proof that a log which grows no more is not needed.
     struct Coverage {
         Instant since; ///< The log has not grown since.
-        std::optional<LogPosition> primaryPosition; ///< First position that the primary reported after `since`.
+        /// First position that the primary reported after `since`, also when demoted.
+        std::optional<LogPosition> primaryPosition;
         std::string primary; ///< The primary that reported it.
         std::optional<Instant> coveredAt; ///< When a log other than that primary's had reached the position.
     };
--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -358,6 +358,27 @@
     it.check(seconds(2));
 }
 
+// The primary does not lead any more when the coordinator learns that the replica has left, but reports its log.
+BOOST_AUTO_TEST_CASE(replica_that_left_before_a_demotion_does_not_block_a_change)
+{
+    for (int pollOffset = 0; pollOffset < 400; pollOffset += 40) {
+        LaggingReplica it;
+        it.service.leave("r2", seconds(4) + milliseconds(pollOffset), milliseconds(0));
+        it.service.pass(milliseconds(pollOffset));
+        it.service.setStoreCut("p", true);
+        BOOST_REQUIRE(it.service.passUntil(seconds(10), [&] { return it.service.leader().empty(); }));
+        it.service.pass(milliseconds(20));
+        it.service.setDark("p", true);
+        it.service.replace("r2", "r3", false);
+        it.service.pass(seconds(4));
+        it.service.deregister("p");
+        it.service.exit("p");
+        it.service.replace("p", "new p", true);
+        it.service.setDark("p", false);
+        it.check();
+    }
+}
+
 // What an earlier process of the primary held is no reason to wait: the present one leads with all of it.
 BOOST_AUTO_TEST_CASE(restarted_primary_is_demoted_for_good)
 {
