--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -24,8 +24,8 @@
 
 /// A service whose replica r1 lags behind, with the log level of the coordinators.
 struct LaggingReplica {
-    explicit LaggingReplica(size_t hosts = 1)
-        : service(hosts)
+    explicit LaggingReplica(size_t hosts = 1, const ReplicatedServiceTiming& timing = {})
+        : service(hosts, timing)
     {
         setLogLevel(std::getenv("COORDINATOR_LOG") != nullptr ? std::getenv("COORDINATOR_LOG") : "error");
         service.setReceiveDelay("r1", lag);
@@ -301,6 +301,22 @@
     }
 }
 
+// The same, with a coordinator that does not know the log of the server that was replaced.
+BOOST_AUTO_TEST_CASE(replacement_received_a_part_of_the_log_before_a_new_coordinator)
+{
+    LaggingReplica it(2);
+    it.service.setReceiveDelay("r1", seconds(5));
+    it.service.pass(seconds(6));
+    it.service.leave("r2", seconds(2), milliseconds(0));
+    it.service.pass(seconds(2) + milliseconds(10));
+    it.service.replace("r2", "r3", false);
+    it.service.setReceiveDelay("r3", seconds(2));
+    it.service.pass(milliseconds(300));
+    it.service.crash("p");
+    it.service.activate(1);
+    it.check();
+}
+
 // Coordinators that change often still find out that a replica is gone.
 BOOST_AUTO_TEST_CASE(gone_replica_does_not_block_a_change_after_many_coordinators)
 {
@@ -336,4 +352,81 @@
     it.check();
 }
 
+// A coordinator before has proved that the log of the earlier process is not needed.
+BOOST_AUTO_TEST_CASE(restarted_replica_does_not_block_a_change_under_a_new_coordinator)
+{
+    ReplicatedServiceTiming timing;
+    timing.restartChangesStart = true;
+    LaggingReplica it(2, timing);
+    it.service.crash("r2");
+    it.service.pass(milliseconds(500));
+    it.service.restart("r2");
+    it.service.pass(seconds(3));
+    it.service.crash("p");
+    it.service.activate(1);
+    const Instant crashed = it.service.now;
+    const bool recovered = it.service.passUntil(
+        seconds(30), [&] { return it.service.term() > 1 && it.service.lastAcknowledgement() > crashed; });
+    BOOST_TEST(recovered);
+    BOOST_TEST((it.service.now - crashed <= crashRecoveryTime),
+        "it took " << (it.service.now - crashed) / milliseconds(1) << " ms");
+    it.check(seconds(2));
+}
+
+// The primary does not lead any more when the coordinator learns that the replica has left, but reports its log.
+BOOST_AUTO_TEST_CASE(replica_that_left_before_a_demotion_does_not_block_a_change)
+{
+    for (int pollOffset = 0; pollOffset < 400; pollOffset += 40) {
+        LaggingReplica it;
+        it.service.leave("r2", seconds(4) + milliseconds(pollOffset), milliseconds(0));
+        it.service.pass(milliseconds(pollOffset));
+        it.service.setStoreCut("p", true);
+        BOOST_REQUIRE(it.service.passUntil(seconds(10), [&] { return it.service.leader().empty(); }));
+        it.service.pass(milliseconds(20));
+        it.service.setDark("p", true);
+        it.service.replace("r2", "r3", false);
+        it.service.pass(seconds(4));
+        it.service.deregister("p");
+        it.service.exit("p");
+        it.service.replace("p", "new p", true);
+        it.service.setDark("p", false);
+        it.check();
+    }
+}
+
+// What an earlier process of the primary held is no reason to wait: the present one leads with all of it.
+BOOST_AUTO_TEST_CASE(restarted_primary_is_demoted_for_good)
+{
+    for (const size_t coordinator : { 0U, 1U }) {
+        ReplicatedServiceTiming timing;
+        timing.restartChangesStart = true;
+        LaggingReplica it(2, timing);
+        it.service.crash("p");
+        it.service.pass(milliseconds(200));
+        it.service.restart("p");
+        it.service.pass(seconds(2));
+        it.service.setDark("r2", true);
+        it.service.activate(coordinator);
+        it.service.pass(milliseconds(500));
+        it.service.setStoreCut("p", true);
+        it.check();
+    }
+}
+
+// The same for a primary that lost its log as a replica, before it was promoted with a complete one.
+BOOST_AUTO_TEST_CASE(primary_that_restarted_empty_before_its_promotion_is_demoted_for_good)
+{
+    for (const size_t coordinator : { 0U, 1U }) {
+        LaggingReplica it(2);
+        it.service.restartEmpty("r2");
+        it.service.pass(seconds(3));
+        it.service.crash("p");
+        BOOST_REQUIRE(it.service.passUntil(seconds(10), [&] { return it.service.leader() == "r2"; }));
+        it.service.activate(coordinator);
+        it.service.pass(milliseconds(300));
+        it.service.setDark("r1", true);
+        it.check();
+    }
+}
+
 BOOST_AUTO_TEST_CASE(random_faults_lose_no_commit) { checkRandomFaults(&RandomFaults::loss); }
