Don't take silence towards the coordinator's host for the end of a server

Callers lose acknowledged commits when a replica loses the store and the path to the coordinator's host only. It goes on confirming; 5 s later the coordinator counts it as down, and as soon as the other replica has reached a position that the primary reported after that, its log as not needed. If the primary ends then, the other replica is promoted without the newest commits. On the other side, each new coordinator counted the silence of a server from its own start: with coordinators that change every 2.5 s, a replica that is gone blocked every change for ever.

Cause: ReplicaLogs::isDown took silence towards one host for the end of the process.

The coordinator now asks up to eight hosts, one of each data centre at least, to probe a lapsed server that does not answer it (ProbeExchange, datagrams; ServerProber, one connection a server). A server that any of them reached in the last 5 s is not down, and its log stays needed. If none did, the time counts from the earliest failed attempt of any host that answered. Hosts go on probing for 10 s, and every host chooses the same ones, so the next coordinator learns how long the server has been silent. Hosts that reach a probed server claim the coordinator's lease first. Without answers the coordinator's own silence decides, as before. Requests are sent only while a lapsed server is silent.

--- a/src/failover_member.h
+++ b/src/failover_member.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway_ports.h"
+#include "indirect_probes.h"
 
 namespace plantainwall {
 
@@ -26,7 +27,9 @@
     /// count.
     bool refused = false;
     bool replaced = false; ///< Another server answers at its address.
+    Instant heardAt; ///< When it last answered anything.
     std::optional<Instant> silentSince; ///< Time of the first unanswered request since the last answer.
+    ProbeSummary probes; ///< Of other hosts; empty unless it is lapsed and silent.
     Instant failedAt; ///< Start of the latest connection attempt or request that was not answered in time.
 };
 
--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -14,12 +14,13 @@
 } // namespace
 
 FleetMember::FleetMember(const GatewaySettings& settings, Gateway& gateway, QuotaExchange& quota,
-    PromotionCoordinator& coordinator, MetadataStore& store, const StoreDecoder& decoder, PeerChannel& channel,
-    DelayedCall after, Gateway::Clock clock, uint64_t incarnation, uint64_t seed)
+    PromotionCoordinator& coordinator, ProbeExchange& probeExchange, MetadataStore& store, const StoreDecoder& decoder,
+    PeerChannel& channel, DelayedCall after, Gateway::Clock clock, uint64_t incarnation, uint64_t seed)
     : m_gatewaySettings(settings)
     , m_gateway(gateway)
     , m_quota(quota)
     , m_coordinator(coordinator)
+    , m_probeExchange(probeExchange)
     , m_store(store)
     , m_channel(channel)
     , m_after(std::move(after))
@@ -129,6 +130,7 @@
                 peer.incarnation = incarnation;
                 peer.address = value.at("address").as_string();
                 peer.region = value.has_field("region") ? value.at("region").as_string() : std::string();
+                peer.dataCentre = value.has_field("data_centre") ? value.at("data_centre").as_string() : std::string();
             }
         } catch (const std::exception& error) {
             logEvent(LogEvent::StoreItemRejected, { { "key", key }, { "reason", error.what() } });
@@ -179,6 +181,7 @@
     value["address"] = web::json::value::string(
         m_gatewaySettings.peerAdvertised.empty() ? m_gatewaySettings.peerAddress : m_gatewaySettings.peerAdvertised);
     value["region"] = web::json::value::string(m_gatewaySettings.region);
+    value["data_centre"] = web::json::value::string(m_gatewaySettings.dataCentre);
     value["incarnation"] = web::json::value::number(m_incarnation);
     StoreWrite write;
     write.key = hostsPrefix + m_gatewaySettings.host + "/" + std::to_string(m_incarnation) + "/"
@@ -233,6 +236,7 @@
     m_changeExchange.tick(m_follower.missingAfter(), [this] { return watchingHosts(); });
     m_quota.tick();
     tickReplicaRecords();
+    m_probeExchange.tick([this] { return probingHosts(); });
     tickCoordinator();
 }
 
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -3,6 +3,7 @@
 #include "change_exchange.h"
 #include "link_borrower.h"
 #include "position_exchange.h"
+#include "probe_exchange.h"
 #include "promotion_coordinator.h"
 #include "replica_record.h"
 #include "store_follower.h"
@@ -56,7 +57,7 @@
         Duration coordinatorOutageExtension = std::chrono::seconds(30);
     };
 
-    FleetMember(const GatewaySettings&, Gateway&, QuotaExchange&, PromotionCoordinator&, MetadataStore&,
+    FleetMember(const GatewaySettings&, Gateway&, QuotaExchange&, PromotionCoordinator&, ProbeExchange&, MetadataStore&,
         const StoreDecoder&, PeerChannel&, DelayedCall, Gateway::Clock, uint64_t incarnation, uint64_t seed);
 
     void start();
@@ -101,6 +102,7 @@
     struct Peer {
         std::string address;
         std::string region;
+        std::string dataCentre; ///< Empty if unknown.
         uint64_t incarnation = 0;
         Instant listedAt; ///< First seen in the store.
         Instant lastSeen;
@@ -156,6 +158,7 @@
 
     // fleet_member_replicas.cpp
     void tickReplicaRecords();
+    std::vector<ProbingHost> probingHosts() const;
 
     // fleet_member_relay.cpp
     StoreSource storeSource() const;
@@ -169,6 +172,7 @@
     Gateway& m_gateway;
     QuotaExchange& m_quota;
     PromotionCoordinator& m_coordinator;
+    ProbeExchange& m_probeExchange;
     MetadataStore& m_store;
     PeerChannel& m_channel;
     DelayedCall m_after;
--- a/src/fleet_member_coordinator.cpp
+++ b/src/fleet_member_coordinator.cpp
@@ -155,6 +155,7 @@
 }
 
 // Hosts claim in the order of a hash of their names, so the first claim normally succeeds before the others are sent.
+// Those that reach a server that the last coordinator may not have reached come first.
 Duration FleetMember::claimDelay(Duration least)
 {
     const auto hashOf = [](const std::string& host) { return XXH64(host.data(), host.size(), 0); };
@@ -166,6 +167,8 @@
     const size_t steps = std::min(static_cast<size_t>(earlierClaimants), maxClaimSteps);
     // A new process does not know the fleet yet, and must not order promotions before the settle time.
     const bool startingUp = !m_listedAt || m_clock() - *m_listedAt < m_settings.settleTime / 2;
+    if (!startingUp && m_probeExchange.reachesProbed())
+        return least;
     return least + (startingUp ? firstClaimPause : Duration(0)) + claimStep * steps
         + Duration(std::uniform_int_distribution<int64_t>(0, claimStep.count())(m_random));
 }
--- a/src/fleet_member_replicas.cpp
+++ b/src/fleet_member_replicas.cpp
@@ -1,6 +1,6 @@
 #include "fleet_member.h"
 
-// Record of the servers that may hold acknowledged commits, in the store.
+// Record of the servers that may hold acknowledged commits, in the store, and the hosts that may probe them.
 
 namespace plantainwall {
 
@@ -28,4 +28,14 @@
     }
 }
 
+std::vector<ProbingHost> FleetMember::probingHosts() const
+{
+    std::vector<ProbingHost> hosts { { m_gatewaySettings.host, std::string(), m_gatewaySettings.dataCentre } };
+    for (const auto& [host, peer] : m_peers) {
+        if (!peer.silent && !peer.address.empty())
+            hosts.push_back({ host, peer.address, peer.dataCentre });
+    }
+    return hosts;
+}
+
 } // namespace plantainwall
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -74,6 +74,10 @@
             "Another host relayed changes of the store from a different era than the one known here." },
         { 56, "configuration_not_applied", LogLevel::Info,
             "A configuration was read from the store but not put in force; the field reason says why." },
+        { 57, "server_probed", LogLevel::Warn,
+            "Other hosts have probed a server without a registration that does not answer the promotion coordinator; "
+            "the "
+            "fields name those that it answers and those that it does not." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/src/promotion_coordinator.cpp
+++ b/src/promotion_coordinator.cpp
@@ -8,6 +8,14 @@
     /// Number of order tokens per coordinator token; the next coordinator's tokens follow.
     constexpr uint64_t ordersPerToken = 1000;
 
+    std::string joined(const std::vector<std::string>& names)
+    {
+        std::string result;
+        for (const std::string& name : names)
+            result += (result.empty() ? "" : ",") + name;
+        return result;
+    }
+
 } // namespace
 
 /// Connection over which the status of one server is polled.
@@ -27,6 +35,7 @@
         const Instant requestedAt = requestTimes.front();
         requestTimes.pop_front();
         const std::optional<ServerStatus> status = coordinator.m_connector.statusOf(reply);
+        report.heardAt = coordinator.m_clock();
         report.silentSince.reset();
         report.refused = false;
         report.replaced = false;
@@ -79,10 +88,11 @@
 };
 
 PromotionCoordinator::PromotionCoordinator(Gateway& gateway, BackendConnector& connector, PromotionService& promotions,
-    Gateway::Clock clock, std::string host, Metrics& metrics)
+    IndirectProbes& probes, Gateway::Clock clock, std::string host, Metrics& metrics)
     : m_gateway(gateway)
     , m_connector(connector)
     , m_promotions(promotions)
+    , m_probes(probes)
     , m_clock(std::move(clock))
     , m_host(std::move(host))
     , m_metrics(metrics)
@@ -176,15 +186,30 @@
         FailoverMember& report = pollServer(*entry, customer, now).report;
         report.registered = true;
         report.settled = false;
+        report.probes = ProbeSummary();
     }
     for (const LapsedServer* const server : m_gateway.directory().lapsed(service)) {
         if (server->ended)
             continue;
-        FailoverMember& report = pollServer(server->entry, customer, now).report;
-        report.registered = false;
-        report.lapsedAt = server->since;
-        report.settled = server->settledAt.has_value();
+        Member& member = pollServer(server->entry, customer, now);
+        member.report.registered = false;
+        member.report.lapsedAt = server->since;
+        member.report.settled = server->settledAt.has_value();
+        probeIndirectly(server->entry, member);
+    }
+}
+
+void PromotionCoordinator::probeIndirectly(const ServerEntry& entry, Member& member)
+{
+    FailoverMember& report = member.report;
+    if (!report.silentSince || report.refused || report.replaced) {
+        report.probes = ProbeSummary();
+        return;
     }
+    ProbeSummary probes = m_probes.probe(entry);
+    if (!probes.pending && (probes.reachedBy != report.probes.reachedBy || report.probes.pending))
+        logProbes(member, probes);
+    report.probes = std::move(probes);
 }
 
 PromotionCoordinator::Member& PromotionCoordinator::pollServer(
@@ -283,6 +308,17 @@
     }
 }
 
+void PromotionCoordinator::logProbes(const Member& member, const ProbeSummary& probes) const
+{
+    logEvent(LogEvent::ServerProbed,
+        { { "service", member.service }, { "server", member.id }, { "started", member.report.startedUnixMs },
+            { "reached_by", joined(probes.reachedBy) }, { "not_reached_by", joined(probes.notReachedBy) },
+            { "silent_ms",
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    m_clock() - member.report.silentSince.value_or(m_clock()))
+                    .count() } });
+}
+
 void PromotionCoordinator::logServers(const std::string& service) const
 {
     const Instant now = m_clock();
@@ -300,7 +336,9 @@
                 { "term", status.term }, { "received_term", status.received.term },
                 { "received", status.received.position }, { "stopped_at_term", status.stoppedAtTerm },
                 { "answered_ms_ago", report.status ? millisecondsSince(report.answeredAt) : -1 },
-                { "silent_ms", millisecondsSince(report.silentSince) }, { "refused", report.refused } });
+                { "silent_ms", millisecondsSince(report.silentSince) }, { "refused", report.refused },
+                { "reached_by", joined(report.probes.reachedBy) },
+                { "not_reached_by", joined(report.probes.notReachedBy) } });
     }
 }
 
--- a/src/promotion_coordinator.h
+++ b/src/promotion_coordinator.h
@@ -25,7 +25,8 @@
         Duration lapsedReconnectInterval = std::chrono::milliseconds(1000);
     };
 
-    PromotionCoordinator(Gateway&, BackendConnector&, PromotionService&, Gateway::Clock, std::string host, Metrics&);
+    PromotionCoordinator(
+        Gateway&, BackendConnector&, PromotionService&, IndirectProbes&, Gateway::Clock, std::string host, Metrics&);
     ~PromotionCoordinator();
 
     /// Activates this host as the coordinator, or deactivates it. A greater token belongs to a newer coordinator.
@@ -45,8 +46,10 @@
     void pollServers(const std::string& service, Instant now);
     Member& pollServer(const ServerEntry&, const std::string& customer, Instant now);
     void planService(const std::string& service, Instant now);
+    void probeIndirectly(const ServerEntry&, Member&);
     void carryOut(const std::string& service, const FailoverPlan::Step&);
     void promote(const std::string& service, const FailoverPlan::Step&);
+    void logProbes(const Member&, const ProbeSummary&) const;
     void logServers(const std::string& service) const;
     void logMissing(const std::string& service, const FailoverPlan::Step&) const;
     void sendCommand(const std::string& id, BackendCommandKind, uint64_t term);
@@ -54,6 +57,7 @@
     Gateway& m_gateway;
     BackendConnector& m_connector;
     PromotionService& m_promotions;
+    IndirectProbes& m_probes;
     Gateway::Clock m_clock;
     std::string m_host;
     Metrics& m_metrics;
--- a/src/replica_logs.cpp
+++ b/src/replica_logs.cpp
@@ -14,8 +14,17 @@
         return true;
     if (!member.silentSince)
         return false;
-    return member.refused
-        || (!member.registered && now - std::max(member.lapsedAt, *member.silentSince) >= m_settings.goneTimeout);
+    if (member.refused)
+        return true;
+    if (member.registered)
+        return false;
+    // Attempts of other hosts count, so that a new coordinator need not start from its own.
+    Instant silentSince = *member.silentSince;
+    if (member.probes.silentSince && !member.probes.pending)
+        silentSince = std::min(silentSince, *member.probes.silentSince);
+    const Instant lastSign
+        = std::max({ member.lapsedAt, member.heardAt, member.probes.reachedAt.value_or(member.heardAt) });
+    return now - std::max(lastSign, silentSince) >= m_settings.goneTimeout;
 }
 
 void ReplicaLogs::noteLost(
@@ -97,7 +106,8 @@
         copy.term = status.term;
         copy.received = status.received;
     }
-    const bool stillSettled = member.settled && copy.down && !member.status;
+    const bool reachedSince = copy.down && member.probes.reachedAt && *member.probes.reachedAt > copy.down->since;
+    const bool stillSettled = member.settled && copy.down && !member.status && !reachedSince;
     if (!isDown(now, member) && !stillSettled)
         copy.down.reset();
     else if (!copy.down)
--- a/src/replica_logs.h
+++ b/src/replica_logs.h
@@ -8,9 +8,9 @@
 namespace plantainwall {
 
 struct ReplicaLogsSettings {
-    /// A server without a registration that does not answer counts as down after this long. A longer time protects
-    /// commits of a server that only the primary reaches; a shorter one lets the service survive the loss of a second
-    /// server sooner.
+    /// A server without a registration that answers neither this host nor those that probe it counts as down after
+    /// this long. A longer time protects commits of a server that only the primary reaches; a shorter one lets the
+    /// service survive the loss of a second server sooner.
     Duration goneTimeout = std::chrono::milliseconds(5000);
 };
 
--- a/tests/support_fleet.cpp
+++ b/tests/support_fleet.cpp
@@ -334,11 +334,16 @@
     : store(fleet.store)
     , port(fleet.channel, std::to_string(index))
     , quota(std::to_string(index), port, [&fleet] { return fleet.now; })
+    , prober(
+          fixture.gateway, fixture.connector, [&fleet] { return fleet.now; }, std::to_string(index))
+    , probes(
+          std::to_string(index), port, [&fleet] { return fleet.now; }, prober)
     , coordinator(
-          fixture.gateway, fixture.connector, promotions, [&fleet] { return fleet.now; }, std::to_string(index),
+          fixture.gateway, fixture.connector, promotions, probes, [&fleet] { return fleet.now; }, std::to_string(index),
           fixture.metrics)
     , member(
-          hostSettings(index, regions, promotes), fixture.gateway, quota, coordinator, store, fleet.decoder, port,
+          hostSettings(index, regions, promotes), fixture.gateway, quota, coordinator, probes, store, fleet.decoder,
+          port,
           [&fleet, index](Duration delay, std::function<void()> task) {
               fleet.timers.add(fleet.now + delay, [&fleet, index, task = std::move(task)] {
                   if (fleet.dead.count(index) == 0)
@@ -355,6 +360,7 @@
     settings.host = std::to_string(index);
     settings.peerAddress = settings.host;
     settings.region = std::to_string(index % regions);
+    settings.dataCentre = settings.region;
     settings.promotionAddress = promotes ? "127.0.0.1:1" : "";
     return settings;
 }
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -194,6 +194,8 @@
         FakePeerNetwork::Port port;
         QuotaExchange quota;
         FakePromotions promotions;
+        ServerProber prober;
+        ProbeExchange probes;
         PromotionCoordinator coordinator;
         FleetMember member;
     };
--- a/tests/support_replicated_service.cpp
+++ b/tests/support_replicated_service.cpp
@@ -100,7 +100,7 @@
     std::shared_ptr<Connection> connection;
 };
 
-struct ReplicatedService::Host final : BackendConnector, PromotionService {
+struct ReplicatedService::Host final : BackendConnector, PromotionService, PeerChannel {
     Host(ReplicatedService& service, size_t index)
         : service(service)
         , index(index)
@@ -108,6 +108,9 @@
               GatewaySettings(), unused, quota, [&service] { return service.now; }, metrics, index + 1)
     {
         gateway.setConfiguration(GatewayFixture::configuration(1));
+        const auto clock = [&service] { return service.now; };
+        prober = std::make_unique<ServerProber>(gateway, *this, clock, std::to_string(index));
+        probes = std::make_unique<ProbeExchange>(std::to_string(index), *this, clock, *prober);
     }
 
     std::unique_ptr<BackendLink> open(const ServerEntry& entry, const std::string&, BackendObserver& observer) override
@@ -150,12 +153,37 @@
             [this, id, token, handler = std::move(handler)] { service.orderPromotion(id, token, index, handler); });
     }
 
+    // Addresses are the indexes of the hosts.
+    void send(const std::string& address, const std::string& text) override
+    {
+        const size_t to = std::stoul(address);
+        if (cutOff || service.m_hosts[to]->cutOff)
+            return;
+        service.timers.add(service.now + service.m_timing.peerDelay, [owner = &service, to, text] {
+            owner->m_hosts[to]->probes->datagram(text, [](const std::string& host) { return host; });
+        });
+    }
+
+    std::vector<ProbingHost> probingHosts() const
+    {
+        std::vector<ProbingHost> hosts { { std::to_string(index), "", "" } };
+        for (const std::unique_ptr<Host>& host : service.m_hosts) {
+            const std::string name = std::to_string(host->index);
+            if (host.get() != this)
+                hosts.push_back({ name, name, "" });
+        }
+        return hosts;
+    }
+
     ReplicatedService& service;
     size_t index;
+    bool cutOff = false; ///< From the other hosts.
     FakeConnector unused; ///< Of the gateway, which serves no sessions.
     FakeQuota quota;
     Metrics metrics;
     Gateway gateway;
+    std::unique_ptr<ServerProber> prober;
+    std::unique_ptr<ProbeExchange> probes;
     std::unique_ptr<PromotionCoordinator> coordinator;
 };
 
@@ -224,6 +252,7 @@
         m_sinceHostTick = Duration(0);
         for (const std::unique_ptr<Host>& host : m_hosts) {
             host->gateway.tick();
+            host->probes->tick([&host] { return host->probingHosts(); });
             if (host->coordinator)
                 host->coordinator->tick(true);
         }
@@ -246,7 +275,7 @@
     ++m_token;
     Host& it = *m_hosts[host];
     it.coordinator = std::make_unique<PromotionCoordinator>(
-        it.gateway, it, it, [this] { return now; }, std::to_string(host), it.metrics);
+        it.gateway, it, it, *it.probes, [this] { return now; }, std::to_string(host), it.metrics);
     it.coordinator->setActive(true, m_token);
     note("host " + std::to_string(host) + " coordinates");
 }
@@ -341,6 +370,14 @@
         note(id + (cut ? " loses host " : " reaches host ") + std::to_string(host));
 }
 
+void ReplicatedService::setPeersCut(size_t host, bool cut)
+{
+    bool& current = m_hosts[host]->cutOff;
+    if (current != cut)
+        note("host " + std::to_string(host) + (cut ? " loses" : " reaches") + " the other hosts");
+    current = cut;
+}
+
 void ReplicatedService::setReplicationCut(const std::string& id, bool cut)
 {
     bool& current = find(id)->replicationCut;
--- a/tests/support_replicated_service.h
+++ b/tests/support_replicated_service.h
@@ -8,6 +8,7 @@
 struct ReplicatedServiceTiming {
     Duration connectDelay = std::chrono::milliseconds(4);
     Duration messageDelay = std::chrono::milliseconds(2); ///< One way, between a host and a server.
+    Duration peerDelay = std::chrono::milliseconds(2); ///< One way, between two hosts.
     Duration commitInterval = std::chrono::milliseconds(10); ///< Between two commits of a running primary.
     Duration receiveDelay = std::chrono::milliseconds(5); ///< From a commit until a replica has received it.
     Duration confirmDelay = std::chrono::milliseconds(2); ///< From a receipt until the primary knows of it.
@@ -58,6 +59,8 @@
     void setDark(const std::string& id, bool dark);
     void setStoreCut(const std::string& id, bool cut);
     void setHostCut(const std::string& id, size_t host, bool cut);
+    /// Disconnects a host from the other hosts.
+    void setPeersCut(size_t host, bool cut);
     /// Disconnects a replica from the primary only.
     void setReplicationCut(const std::string& id, bool cut);
     void setReceiveDelay(const std::string& id, Duration delay);
--- a/tests/unit_fleet_member.cpp
+++ b/tests/unit_fleet_member.cpp
@@ -296,3 +296,107 @@
     fleet.pass(seconds(4));
     BOOST_TEST(fleet.relays().empty());
 }
+
+namespace {
+
+/// Removes the registration of r2 after it has announced that it leaves, so that it lapses at once.
+void lapse(FakeFleet& fleet)
+{
+    fleet.store.put("s/r2", "replica draining");
+    fleet.pass(seconds(1));
+    fleet.store.erase("s/r2");
+}
+
+std::set<std::string> probeRequestTargets(const FakeFleet& fleet)
+{
+    std::set<std::string> result;
+    for (const FakePeerNetwork::Datagram& datagram : fleet.channel.sent) {
+        if (datagram.text.rfind("probe? ", 0) == 0)
+            result.insert(datagram.to);
+    }
+    return result;
+}
+
+size_t activeCoordinator(const FakeFleet& fleet)
+{
+    size_t active = 0;
+    while (
+        active < fleet.hosts.size() && (fleet.dead.count(active) != 0 || !fleet.hosts[active]->coordinator.isActive()))
+        ++active;
+    return active;
+}
+
+/// Passes time in which r2 answers one host.
+void passReached(FakeFleet& fleet, size_t host, Duration duration)
+{
+    FakeConnector& connector = fleet.hosts[host]->fixture.connector;
+    for (Duration passed {}; passed < duration; passed += milliseconds(100)) {
+        fleet.pass(milliseconds(100));
+        for (size_t i = 0; i < connector.links.size(); ++i) {
+            FakeConnector::Opened& link = connector.links[i];
+            if (link.server != "r2" || link.closed)
+                continue;
+            if (!link.accepted)
+                link.observer->backendOpened();
+            link.accepted = true;
+            while (!link.commands.empty())
+                connector.reply(i, okReply("", { 1, 1 }));
+        }
+    }
+}
+
+} // namespace
+
+// Load pattern: 60 hosts. None probes for others while all servers are registered; for a lapsed one that is silent the
+// same few hosts are asked twice a second, whichever host coordinates.
+BOOST_AUTO_TEST_CASE(few_hosts_probe_a_lapsed_server)
+{
+    FakeFleet fleet(60, 3);
+    fleet.pass(seconds(20));
+    BOOST_TEST(probeRequestTargets(fleet).empty());
+    lapse(fleet);
+    fleet.channel.sent.clear();
+    fleet.pass(seconds(20));
+    const std::set<std::string> targets = probeRequestTargets(fleet);
+    BOOST_TEST(targets.size() >= 7U); // One of the eight may coordinate.
+    BOOST_TEST(targets.size() <= 8U);
+    std::set<size_t> dataCentres;
+    for (const std::string& target : targets)
+        dataCentres.insert(std::stoul(target) % 3);
+    BOOST_TEST(dataCentres.size() == 3U);
+    const auto requests = std::count_if(fleet.channel.sent.begin(), fleet.channel.sent.end(),
+        [](const FakePeerNetwork::Datagram& datagram) { return datagram.text.rfind("probe? ", 0) == 0; });
+    BOOST_TEST(requests <= 20 * 2 * 8);
+    fleet.store.put("s/r2", "replica");
+    fleet.pass(seconds(5));
+    fleet.channel.sent.clear();
+    fleet.pass(seconds(5));
+    BOOST_TEST(probeRequestTargets(fleet).empty());
+    fleet.pass(seconds(6));
+    for (const std::unique_ptr<FakeFleet::Host>& host : fleet.hosts)
+        BOOST_TEST(host->prober.size() == 0U);
+}
+
+// After a coordinator that does not reach a server, one that does can stop it.
+BOOST_AUTO_TEST_CASE(host_that_reaches_a_silent_server_becomes_coordinator)
+{
+    for (size_t n = 0; n < 4; ++n) {
+        FakeFleet fleet(20);
+        fleet.pass(seconds(10));
+        lapse(fleet);
+        fleet.channel.sent.clear();
+        fleet.pass(seconds(4));
+        std::set<std::string> targets = probeRequestTargets(fleet);
+        const size_t active = activeCoordinator(fleet);
+        BOOST_REQUIRE(active < fleet.hosts.size());
+        targets.erase(std::to_string(active));
+        BOOST_REQUIRE(targets.size() > n);
+        const size_t reaching = std::stoul(*std::next(targets.begin(), static_cast<ptrdiff_t>(n)));
+        passReached(fleet, reaching, seconds(2));
+        const size_t last = activeCoordinator(fleet);
+        if (last != reaching)
+            fleet.dead.insert(last);
+        passReached(fleet, reaching, seconds(3));
+        BOOST_TEST(fleet.hosts[reaching]->coordinator.isActive());
+    }
+}
--- a/tests/unit_gateway.cpp
+++ b/tests/unit_gateway.cpp
@@ -362,6 +362,10 @@
 
 namespace {
 
+struct NoProbes final : IndirectProbes {
+    ProbeSummary probe(const ServerEntry&) override { return {}; }
+};
+
 struct NoPromotions final : PromotionService {
     void promote(const std::string&, const std::string&, const std::string&, uint64_t,
         std::function<void(PromotionOutcome)>) override
@@ -375,8 +379,9 @@
 BOOST_FIXTURE_TEST_CASE(resigned_coordinator_closes_its_connections, GatewayFixture)
 {
     NoPromotions promotions;
+    NoProbes probes;
     PromotionCoordinator coordinator(
-        gateway, connector, promotions, [this] { return now; }, "mill-1", metrics);
+        gateway, connector, promotions, probes, [this] { return now; }, "mill-1", metrics);
     coordinator.setActive(true, 7);
     coordinator.tick(true);
     BOOST_REQUIRE(connector.links.size() == 3U);
--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -52,6 +52,23 @@
     ReplicatedService service;
 };
 
+/// Passes time until commits are acknowledged again after the crash of the primary, and makes the next host the
+/// coordinator whenever the present one fails to reach servers. Returns whether it happened within recoveryTime.
+bool recoversWithHandOvers(ReplicatedService& service)
+{
+    const Instant crashed = service.now;
+    const auto recovered = [&] { return service.promotions() > 0 && service.lastAcknowledgement() > crashed; };
+    while (!recovered() && service.now - crashed < recoveryTime) {
+        service.passUntil(
+            recoveryTime - (service.now - crashed), [&] { return recovered() || service.coordinatorUnreachable(); });
+        if (recovered() || !service.coordinatorUnreachable())
+            break;
+        service.pass(milliseconds(300));
+        service.activate((service.coordinator() + 1) % service.hosts());
+    }
+    return recovered();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(crash_of_the_primary_of_a_healthy_service)
@@ -321,4 +338,57 @@
     it.check(seconds(2));
 }
 
+// Other hosts and the primary still reach the replica.
+BOOST_AUTO_TEST_CASE(lapsed_replica_that_the_coordinator_does_not_reach_confirms)
+{
+    for (int phase = 0; phase < 1000; phase += 100) {
+        LaggingReplica it(3);
+        it.service.setStoreCut("r2", true);
+        it.service.setHostCut("r2", 0, true);
+        it.service.pass(lapseTime + seconds(12) + milliseconds(phase));
+        it.service.crash("p");
+        const Instant crashed = it.service.now;
+        BOOST_TEST(recoversWithHandOvers(it.service));
+        BOOST_TEST_MESSAGE(
+            "commits are acknowledged again after " << (it.service.now - crashed) / milliseconds(1) << " ms");
+        it.check(seconds(2));
+    }
+}
+
+// The same, with a replica that was down before and a coordinator that has never heard of it.
+BOOST_AUTO_TEST_CASE(settled_replica_confirms_again_without_reaching_the_coordinator)
+{
+    for (int phase = 0; phase < 1000; phase += 100) {
+        LaggingReplica it(3);
+        it.service.setDark("r2", true);
+        it.service.pass(lapseTime + seconds(10));
+        it.service.setStoreCut("r2", true);
+        it.service.setHostCut("r2", 0, true);
+        it.service.activate(0);
+        it.service.pass(seconds(2));
+        it.service.setDark("r2", false);
+        it.service.pass(seconds(6) + milliseconds(phase));
+        it.service.crash("p");
+        BOOST_TEST(recoversWithHandOvers(it.service));
+        it.check(seconds(2));
+    }
+}
+
+// Without the reports of other hosts its own silence decides.
+BOOST_AUTO_TEST_CASE(gone_replica_does_not_block_a_coordinator_without_other_hosts)
+{
+    LaggingReplica it(3);
+    it.service.setReceiveDelay("r1", ReplicatedServiceTiming().receiveDelay);
+    it.service.setPeersCut(0, true);
+    it.service.setDark("r2", true);
+    it.service.pass(lapseTime + seconds(10));
+    it.service.crash("p");
+    const Instant crashed = it.service.now;
+    const bool promoted = it.service.passUntil(seconds(30), [&] { return it.service.leader() == "r1"; });
+    BOOST_TEST(promoted);
+    BOOST_TEST((it.service.now - crashed <= goneReplicaRecoveryTime),
+        "it took " << (it.service.now - crashed) / milliseconds(1) << " ms");
+    it.check(seconds(2));
+}
+
 BOOST_AUTO_TEST_CASE(random_faults_lose_no_commit) { checkRandomFaults(&RandomFaults::loss); }
