Don't let a demoted primary stand in once a later term has begun

Callers would see acknowledged commits lost: a promotion was accepted, the new primary led without reaching the coordinator, and after 4 s the coordinator promoted the demoted primary instead, without the logs that had confirmed since.

Cause: the plan took the demoted primary's log for complete as long as it had not seen the new primary, although another log had entries of the new term.

A demoted primary stands in only while no status shows an entry of a later term and no other server is known to have led one. unit.failover-plan, demoted_ primary_does_not_stand_in_for_a_later_term, failed before.

--- a/src/failover_plan.cpp
+++ b/src/failover_plan.cpp
@@ -90,6 +90,7 @@
     const std::string& primary, const std::vector<FailoverMember>& members, uint64_t term) const
 {
     Stopped stopped;
+    const bool demotedHoldsAll = m_demotedAt && !isSuperseded(members);
     const auto hasLonger = [](const FailoverMember* best, const FailoverMember& member) {
         return best == nullptr || best->status->received < member.status->received;
     };
@@ -98,12 +99,12 @@
             || member.requestedAt < m_startedAt)
             continue;
         // Nobody leads, so a demoted primary receives nothing.
-        const bool demoted = m_demotedAt && member.id == m_demoted && !member.status->primary;
+        const bool demoted = demotedHoldsAll && member.id == m_demoted && !member.status->primary;
         if (member.status->stoppedAtTerm < m_term && !demoted)
             continue;
         stopped.ids.push_back(member.id);
         stopped.longest = laterPosition(stopped.longest, member.status->received);
-        if (member.id == m_demoted)
+        if (demoted)
             stopped.demoted = true;
         else
             stopped.longestButDemoted = laterPosition(stopped.longestButDemoted, member.status->received);
@@ -115,6 +116,13 @@
     return stopped;
 }
 
+bool FailoverPlan::isSuperseded(const std::vector<FailoverMember>& members) const
+{
+    return std::any_of(members.begin(), members.end(), [&](const FailoverMember& member) {
+        return member.provenTerm > m_demotedTerm || (member.status && member.status->received.term > m_demotedTerm);
+    });
+}
+
 const FailoverMember* FailoverPlan::chooseTarget(Instant now, const Stopped& stopped,
     const std::vector<FailoverMember>& members, uint64_t term, gsl::span<const ReplicaLogs::Missing> missing) const
 {
@@ -169,8 +177,10 @@
             continue;
         const bool byOther
             = m_demoted.empty() && leader == nullptr && member.provenTerm > 0 && member.provenTerm >= term;
-        if (byOther)
+        if (byOther) {
             m_demoted = member.id;
+            m_demotedTerm = member.provenTerm;
+        }
         if (!m_demotedAt && member.id == m_demoted)
             m_demotedAt = member.answeredAt;
     }
@@ -218,6 +228,7 @@
     if (leader != nullptr && m_logs.isCurrent(*leader) && demoteDue && (now >= m_repeatAt || m_demoted != leader->id)) {
         m_repeatAt = now + m_settings.stopRepeatInterval;
         m_demoted = leader->id;
+        m_demotedTerm = leader->status->term;
         m_demotedAt.reset();
         m_ordered = true;
         step.action = FailoverAction::Demote;
--- a/src/failover_plan.h
+++ b/src/failover_plan.h
@@ -105,6 +105,8 @@
     Stopped stoppedReplicas(const std::string& primary, const std::vector<FailoverMember>&, uint64_t term) const;
     /// Records when the primary became a replica, by an order of this coordinator or of an earlier one.
     void noteDemoted(const FailoverMember* leader, const std::vector<FailoverMember>&, uint64_t term);
+    /// Returns whether a later term than that of the demoted primary has begun.
+    bool isSuperseded(const std::vector<FailoverMember>&) const;
     /// Decides whether the staying replicas are stopped too; before, only those that leave are.
     void chooseStage(Instant, const FailoverMember* leader, const std::string& primary,
         const std::vector<FailoverMember>&, uint64_t term);
@@ -119,6 +121,7 @@
     uint64_t m_term = 0; ///< Term at which replicas stop receiving.
     std::string m_target;
     std::string m_demoted; ///< Primary of the newest term that was ordered to demote itself.
+    uint64_t m_demotedTerm = 0; ///< Term that it led.
     std::optional<Instant> m_demotedAt; ///< When it reported that it is a replica.
     bool m_ordered = false; ///< A promotion or demotion was ordered in this attempt.
     bool m_waitingForAnswer = false;
