Don't take a replaced primary for the primary because of its registration

Callers saw acknowledged commits lost after a primary that had been replaced restarted empty.

Cause: the log of a process that has ended counts as not needed if its last registration called it primary, because the replicas hold all that a primary acknowledged. A primary that lost the store is replaced, but its registration does not show that, and then it confirms the commits of the next primary.

Only the last known primary of the service counts now. unit.promotion-coordinator, replaced_primary_with_an_outdated_registration_restarted_empty: 194 acknowledged commits lost before, none now.

--- a/src/failover_member.h
+++ b/src/failover_member.h
@@ -17,7 +17,7 @@
     /// It was down, and its log was not needed, when a coordinator last asked it.
     bool settled = false;
     uint64_t startedUnixMs = 0; ///< Start of its process; 0 if unknown. A restarted server may have lost its log.
-    bool registeredPrimary = false; ///< Its last registration says that it is primary.
+    bool wasPrimary = false; ///< Of a process that has ended: it was the last known primary.
     bool draining = false;
     uint64_t provenTerm = 0; ///< Newest term that it is known to have led; 0 if none.
     std::optional<ServerStatus> status; ///< Last status received.
--- a/src/promotion_coordinator.cpp
+++ b/src/promotion_coordinator.cpp
@@ -154,6 +154,7 @@
     // A new coordinator first polls all servers: a registration may be outdated and does not identify the primary.
     if (reports.empty())
         return;
+    const std::string primary = m_gateway.directory().knownPrimary(service);
     for (const LapsedServer* const server : m_gateway.directory().lapsed(service)) {
         if (!server->ended) {
             addReport(server->entry.id);
@@ -164,13 +165,13 @@
         report.registered = false;
         report.ended = true;
         report.startedUnixMs = server->entry.startedUnixMs;
-        report.registeredPrimary = server->entry.primary;
+        // The registration of a primary that lost the store does not show its replacement.
+        report.wasPrimary = server->entry.primary && (primary.empty() || primary == server->entry.id);
         reports.push_back(report);
     }
     if (!allPolled)
         return;
     FailoverPlan& plan = m_plans.try_emplace(service).first->second;
-    const std::string primary = m_gateway.directory().knownPrimary(service);
     carryOut(service, plan.step(now, primary, reports, m_gateway.directory().term(service)));
     for (const auto& [id, startedUnixMs] : m_gateway.directory().settleLapsed(service, plan.settled(), now))
         logEvent(LogEvent::ServerRemoved,
--- a/src/replica_logs.cpp
+++ b/src/replica_logs.cpp
@@ -128,7 +128,7 @@
     }
     for (const FailoverMember& member : members) {
         if (member.ended)
-            noteLost(now, member.id, member.startedUnixMs, member.registeredPrimary, Copy());
+            noteLost(now, member.id, member.startedUnixMs, member.wasPrimary, Copy());
         else
             updateCopy(now, member, leads(member, primary, term));
     }
--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -499,4 +499,26 @@
     it.check(seconds(2));
 }
 
+// A primary that lost the store was replaced, and confirmed the next primary's commits until it restarted empty. Its
+// last registration still calls it primary.
+BOOST_AUTO_TEST_CASE(replaced_primary_with_an_outdated_registration_restarted_empty)
+{
+    LaggingReplica it(2);
+    it.service.setStoreCut("p", true);
+    BOOST_REQUIRE(it.service.passUntil(seconds(15), [&] { return it.service.promotions() == 1; }));
+    const std::string leader = it.service.leader();
+    const std::string other = leader == "r1" ? "r2" : "r1";
+    BOOST_REQUIRE(leader != "p");
+    it.service.setReceiveDelay("p", ReplicatedServiceTiming().receiveDelay);
+    it.service.setReceiveDelay(other, seconds(2));
+    it.service.pass(seconds(4));
+    it.service.setReplicationCut("p", true);
+    it.service.setStoreCut("p", false);
+    it.service.restartEmpty("p");
+    it.service.pass(milliseconds(50));
+    it.service.crash(leader);
+    it.service.activate(1);
+    it.check();
+}
+
 BOOST_AUTO_TEST_CASE(random_faults_lose_no_commit) { checkRandomFaults(&RandomFaults::loss); }
