Don't take a primary that restarted empty for a demoted one

Callers saw acknowledged commits lost after a primary had restarted empty and the coordinator had changed.

Cause: a proven primary that answers as a replica counted as demoted, and the log of a demoted primary stands in for servers that do not answer. A primary that restarted empty answers in the same way, until its registration shows the restart.

Such a server must know the term that it led.

--- a/src/failover_plan.cpp
+++ b/src/failover_plan.cpp
@@ -175,8 +175,9 @@
     for (const FailoverMember& member : members) {
         if (member.ended || member.silentSince || !member.status || member.status->primary)
             continue;
-        const bool byOther
-            = m_demoted.empty() && leader == nullptr && member.provenTerm > 0 && member.provenTerm >= term;
+        // A process that does not know the term has not led it: it restarted and lost the log.
+        const bool byOther = m_demoted.empty() && leader == nullptr && member.provenTerm > 0
+            && member.provenTerm >= term && member.status->term >= member.provenTerm;
         if (byOther) {
             m_demoted = member.id;
             m_demotedTerm = member.provenTerm;
--- a/src/replica_logs.cpp
+++ b/src/replica_logs.cpp
@@ -62,7 +62,7 @@
     }
 }
 
-void ReplicaLogs::updateCopy(Instant now, const FailoverMember& member, bool leading)
+void ReplicaLogs::updateCopy(Instant now, const FailoverMember& member, const std::string& primary, uint64_t term)
 {
     const auto [it, added] = m_copies.try_emplace(member.id);
     Copy& copy = it->second;
@@ -74,7 +74,8 @@
     }
     if (copy.startedUnixMs != member.startedUnixMs && member.startedUnixMs != 0) {
         if (copy.startedUnixMs != 0) {
-            noteLost(now, member.id, copy.startedUnixMs, wasLeading, copy);
+            const bool provenPrimary = member.provenTerm != 0 && member.provenTerm >= term;
+            noteLost(now, member.id, copy.startedUnixMs, wasLeading || provenPrimary, copy);
             const uint64_t lostInTerm = copy.lostInTerm;
             copy = Copy();
             copy.lostInTerm = lostInTerm;
@@ -83,7 +84,7 @@
         }
         copy.startedUnixMs = member.startedUnixMs;
     }
-    copy.leading = leading;
+    copy.leading = leads(member, primary, term);
     copy.registered = member.registered;
     copy.failedAt = member.failedAt;
     copy.address = member.address;
@@ -130,7 +131,7 @@
         if (member.ended)
             noteLost(now, member.id, member.startedUnixMs, member.wasPrimary, Copy());
         else
-            updateCopy(now, member, leads(member, primary, term));
+            updateCopy(now, member, primary, term);
     }
     const FailoverMember* leader = nullptr;
     std::vector<const FailoverMember*> answering;
--- a/src/replica_logs.h
+++ b/src/replica_logs.h
@@ -95,7 +95,7 @@
         Coverage coverage;
     };
 
-    void updateCopy(Instant, const FailoverMember&, bool leading);
+    void updateCopy(Instant, const FailoverMember&, const std::string& primary, uint64_t term);
     void noteLost(Instant, const std::string& id, uint64_t startedUnixMs, bool wasPrimary, const Copy&);
     void checkLogKept(Instant, const std::string& id, const ServerStatus&);
     /// Marks logs as covered that a later process at the server's address, or under its id, has kept.
--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -521,4 +521,19 @@
     it.check();
 }
 
+// A primary that restarted empty is not a demoted one, although its registration does not show the restart yet.
+BOOST_AUTO_TEST_CASE(primary_restarted_empty_before_a_new_coordinator)
+{
+    LaggingReplica it(2);
+    it.service.activate(1); // Host 1 learns the primary of the term.
+    it.service.pass(seconds(2));
+    it.service.activate(0);
+    it.service.pass(seconds(2));
+    it.service.setHostCut("r2", 1, true);
+    it.service.setStoreCut("p", true);
+    it.service.restartEmpty("p");
+    it.service.activate(1);
+    it.check();
+}
+
 BOOST_AUTO_TEST_CASE(random_faults_lose_no_commit) { checkRandomFaults(&RandomFaults::loss); }
