Record the restart of a primary only once

Callers got no write through for good after a primary had restarted empty, although all servers ran and both replicas had kept their logs.

Cause: the coordinator noticed the shorter log before the registration showed the new start, and recorded the restart twice: as that of a primary, and then as that of a replica, whose log nothing could prove not to be needed.

While nobody leads, what is lost later under the id of a lost primary is no more needed than its log. unit.promotion-coordinator, primary_restarted_empty_and_registered_later, failed before for a registration after 600 ms.

--- a/src/replica_logs.cpp
+++ b/src/replica_logs.cpp
@@ -30,10 +30,16 @@
 void ReplicaLogs::noteLost(
     Instant now, const std::string& id, uint64_t startedUnixMs, bool wasPrimary, const Copy& copy)
 {
-    const bool known = std::any_of(m_lostCopies.begin(), m_lostCopies.end(),
-        [&](const LostCopy& lost) { return lost.id == id && lost.startedUnixMs == startedUnixMs; });
-    if (!known)
-        m_lostCopies.push_back({ id, startedUnixMs, wasPrimary, copy.term, copy.received, { now, {}, {}, {} } });
+    for (const LostCopy& lost : m_lostCopies) {
+        if (lost.id != id)
+            continue;
+        if (lost.startedUnixMs == startedUnixMs)
+            return;
+        // Nobody has led since, so a later process has confirmed nothing. A restart may also be recorded twice, by its
+        // shorter log and by its new start.
+        wasPrimary = wasPrimary || lost.wasPrimary;
+    }
+    m_lostCopies.push_back({ id, startedUnixMs, wasPrimary, copy.term, copy.received, { now, {}, {}, {} } });
 }
 
 // A server that lost its log reports less than before, unless it receives the whole log before its first answer.
--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -499,6 +499,35 @@
     it.check(seconds(2));
 }
 
+// A primary that restarted empty is not a demoted one, although its registration does not show the restart yet.
+BOOST_AUTO_TEST_CASE(primary_restarted_empty_before_a_new_coordinator)
+{
+    LaggingReplica it(2);
+    it.service.activate(1); // Host 1 learns the primary of the term.
+    it.service.pass(seconds(2));
+    it.service.activate(0);
+    it.service.pass(seconds(2));
+    it.service.setHostCut("r2", 1, true);
+    it.service.setStoreCut("p", true);
+    it.service.restartEmpty("p");
+    it.service.activate(1);
+    it.check();
+}
+
+// The coordinator asks a primary that restarted empty before its registration shows the restart. Both replicas run.
+BOOST_AUTO_TEST_CASE(primary_restarted_empty_and_registered_later)
+{
+    for (const int registeredAfter : { 0, 100, 600 }) {
+        LaggingReplica it;
+        it.service.pass(seconds(3));
+        it.service.setStoreCut("p", true);
+        it.service.restartEmpty("p");
+        it.service.pass(milliseconds(registeredAfter));
+        it.service.setStoreCut("p", false);
+        BOOST_TEST_CONTEXT("registered after " << registeredAfter << " ms") { it.check(); }
+    }
+}
+
 // A primary that lost the store was replaced, and confirmed the next primary's commits until it restarted empty. Its
 // last registration still calls it primary.
 BOOST_AUTO_TEST_CASE(replaced_primary_with_an_outdated_registration_restarted_empty)
@@ -521,19 +550,4 @@
     it.check();
 }
 
-// A primary that restarted empty is not a demoted one, although its registration does not show the restart yet.
-BOOST_AUTO_TEST_CASE(primary_restarted_empty_before_a_new_coordinator)
-{
-    LaggingReplica it(2);
-    it.service.activate(1); // Host 1 learns the primary of the term.
-    it.service.pass(seconds(2));
-    it.service.activate(0);
-    it.service.pass(seconds(2));
-    it.service.setHostCut("r2", 1, true);
-    it.service.setStoreCut("p", true);
-    it.service.restartEmpty("p");
-    it.service.activate(1);
-    it.check();
-}
-
 BOOST_AUTO_TEST_CASE(random_faults_lose_no_commit) { checkRandomFaults(&RandomFaults::loss); }
