Record which process of a server id has ended

Found in a review; no report of it. A new host that read two processes of an unregistered server from the record took both as running. The coordinator keeps its connections by id, so both shared one, and the log of the process that had ended was never noted as lost: an acknowledged commit that only it had could be missing from the promoted server.

Cause: the record named the processes, but not which of them has ended.

The record now has the field "ended", and a known process takes it over. Of processes without the field, as in records of earlier versions, the one that is added last counts as running, so at most one process of an id is asked.

--- a/src/replica_record.cpp
+++ b/src/replica_record.cpp
@@ -19,9 +19,10 @@
         return json.as_number().to_uint64();
     }
 
-    ServerEntry entryFrom(const std::string& service, const Json& json)
+    Replica replicaFrom(const std::string& service, const Json& json)
     {
-        ServerEntry entry;
+        Replica replica;
+        ServerEntry& entry = replica.entry;
         entry.service = service;
         entry.id = json.at("id").as_string();
         entry.address = json.at("address").as_string();
@@ -34,49 +35,56 @@
         entry.primary = json.has_field("primary") && json.at("primary").as_bool();
         if (entry.id.empty() || entry.address.empty())
             throw std::invalid_argument("a server without id or address");
-        return entry;
+        replica.ended = json.has_field("ended") && json.at("ended").as_bool();
+        return replica;
     }
 
     /// Start times tell processes apart that had the same id.
     std::tuple<std::string, uint64_t> processOf(const ServerEntry& entry) { return { entry.id, entry.startedUnixMs }; }
 
     /// Compares what a record contains.
-    bool sameContent(const ServerEntry& a, const ServerEntry& b)
+    bool sameContent(const Replica& a, const Replica& b)
     {
-        return a.id == b.id && a.address == b.address && a.dataCentre == b.dataCentre && a.slots == b.slots
-            && a.draining == b.draining && a.primary == b.primary && a.startedUnixMs == b.startedUnixMs;
+        const ServerEntry& left = a.entry;
+        const ServerEntry& right = b.entry;
+        return a.ended == b.ended && left.id == right.id && left.address == right.address
+            && left.dataCentre == right.dataCentre && left.slots == right.slots && left.draining == right.draining
+            && left.primary == right.primary && left.startedUnixMs == right.startedUnixMs;
     }
 
-    bool sameContent(const std::vector<ServerEntry>& recorded, const std::vector<const ServerEntry*>& known)
+    bool sameContent(const std::vector<Replica>& recorded, const std::vector<Replica>& known)
     {
         return std::equal(recorded.begin(), recorded.end(), known.begin(), known.end(),
-            [](const ServerEntry& a, const ServerEntry* b) { return sameContent(a, *b); });
+            [](const Replica& a, const Replica& b) { return sameContent(a, b); });
     }
 
-    bool contains(const std::vector<ServerEntry>& servers, const ServerEntry& server)
+    bool contains(const std::vector<Replica>& servers, const ServerEntry& server)
     {
         return std::any_of(servers.begin(), servers.end(),
-            [&](const ServerEntry& entry) { return processOf(entry) == processOf(server); });
+            [&](const Replica& replica) { return processOf(replica.entry) == processOf(server); });
     }
 
 } // namespace
 
 const std::string ReplicaRecords::prefix = std::string(StoreFollower::ownPrefix) + "replicas/";
 
-std::string encodeReplicaRecord(gsl::span<const ServerEntry* const> servers)
+std::string encodeReplicaRecord(gsl::span<const Replica> servers)
 {
     std::vector<Json> list;
-    for (const ServerEntry* const entry : servers) {
+    for (const Replica& replica : servers) {
+        const ServerEntry& entry = replica.entry;
         Json json = Json::object();
-        json["id"] = Json::string(entry->id);
-        json["address"] = Json::string(entry->address);
-        json["data_centre"] = Json::string(entry->dataCentre);
-        json["started"] = Json::number(entry->startedUnixMs);
-        json["slots"] = Json::number(static_cast<uint32_t>(entry->slots));
-        if (entry->draining)
+        json["id"] = Json::string(entry.id);
+        json["address"] = Json::string(entry.address);
+        json["data_centre"] = Json::string(entry.dataCentre);
+        json["started"] = Json::number(entry.startedUnixMs);
+        json["slots"] = Json::number(static_cast<uint32_t>(entry.slots));
+        if (entry.draining)
             json["draining"] = Json::boolean(true);
-        if (entry->primary)
+        if (entry.primary)
             json["primary"] = Json::boolean(true);
+        if (replica.ended)
+            json["ended"] = Json::boolean(true);
         list.push_back(std::move(json));
     }
     Json record = Json::object();
@@ -84,15 +92,15 @@
     return record.serialize();
 }
 
-std::vector<ServerEntry> decodeReplicaRecord(const std::string& service, const std::string& value)
+std::vector<Replica> decodeReplicaRecord(const std::string& service, const std::string& value)
 {
     const Json record = Json::parse(value);
-    std::vector<ServerEntry> servers;
+    std::vector<Replica> servers;
     for (const Json& json : record.at("servers").as_array())
-        servers.push_back(entryFrom(service, json));
+        servers.push_back(replicaFrom(service, json));
     std::sort(servers.begin(), servers.end(),
-        [](const ServerEntry& a, const ServerEntry& b) { return processOf(a) < processOf(b); });
-    const auto same = [](const ServerEntry& a, const ServerEntry& b) { return processOf(a) == processOf(b); };
+        [](const Replica& a, const Replica& b) { return processOf(a.entry) < processOf(b.entry); });
+    const auto same = [](const Replica& a, const Replica& b) { return processOf(a.entry) == processOf(b.entry); };
     if (std::adjacent_find(servers.begin(), servers.end(), same) != servers.end())
         throw std::invalid_argument("two servers with the same id and start");
     return servers;
@@ -138,7 +146,7 @@
     ServerDirectory& directory, Instant now)
 {
     record.value = item.value;
-    std::vector<ServerEntry> servers;
+    std::vector<Replica> servers;
     try {
         servers = decodeReplicaRecord(service, item.value);
         record.malformed = false;
@@ -150,9 +158,9 @@
     }
     // After the restoration of a copy the item may have a lower revision and lack servers that were added since.
     if (!coordinator && item.revision > record.revision) {
-        for (const ServerEntry& entry : record.servers) {
-            if (!contains(servers, entry))
-                directory.noteSettled(entry.id, entry.startedUnixMs, now);
+        for (const Replica& replica : record.servers) {
+            if (!contains(servers, replica.entry))
+                directory.noteSettled(replica.entry.id, replica.entry.startedUnixMs, now);
         }
     }
     record.revision = item.revision;
@@ -160,8 +168,8 @@
     // The coordinator may have dropped a server between its write and the reading of it.
     if (coordinator && record.ownWrite && record.ownWrite->value == item.value)
         return;
-    for (const ServerEntry& entry : record.servers)
-        directory.addLapsed(entry, now);
+    for (const Replica& replica : record.servers)
+        directory.addLapsed(replica.entry, now, replica.ended);
 }
 
 std::vector<StoreWrite> ReplicaRecords::due(const std::map<std::string, StoreItem>& items,
@@ -171,7 +179,7 @@
     if (now < m_checkAt)
         return writes;
     m_checkAt = now + m_settings.checkInterval;
-    const std::map<std::string, std::vector<const ServerEntry*>> known = directory.replicas();
+    const std::map<std::string, std::vector<Replica>> known = directory.replicas();
     for (const auto& [service, configured] : configuration.services) {
         if (m_writesUnderWay >= m_settings.maxWritesUnderWay)
             break;
@@ -186,10 +194,10 @@
         if (record.ownWrite && now < record.ownWriteUntil)
             continue;
         const auto found = known.find(service);
-        std::vector<const ServerEntry*> servers
-            = found == known.end() ? std::vector<const ServerEntry*>() : found->second;
+        std::vector<Replica> servers = found == known.end() ? std::vector<Replica>() : found->second;
         // Such a server cannot be asked, and its record would count as malformed.
-        const auto unusable = [](const ServerEntry* entry) { return entry->id.empty() || entry->address.empty(); };
+        const auto unusable
+            = [](const Replica& replica) { return replica.entry.id.empty() || replica.entry.address.empty(); };
         servers.erase(std::remove_if(servers.begin(), servers.end(), unusable), servers.end());
         const bool same
             = item == items.end() ? servers.empty() : !record.malformed && sameContent(record.servers, servers);
--- a/src/replica_record.h
+++ b/src/replica_record.h
@@ -7,11 +7,11 @@
 namespace plantainwall {
 
 /// Encodes the servers of a service that may hold acknowledged commits as the value of an item of the store.
-std::string encodeReplicaRecord(gsl::span<const ServerEntry* const>);
+std::string encodeReplicaRecord(gsl::span<const Replica>);
 
-/// Returns the servers of an encoded record, in order of their ids and starts. Throws std::exception if it is
-/// malformed.
-std::vector<ServerEntry> decodeReplicaRecord(const std::string& service, const std::string& value);
+/// Returns the servers of an encoded record, in order of their ids and starts. A server without the field `ended` is
+/// taken as running. Throws std::exception if the record is malformed.
+std::vector<Replica> decodeReplicaRecord(const std::string& service, const std::string& value);
 
 /// Compares the recorded servers of each service with the known ones: decides which items are written, and which lapsed
 /// servers a directory adds and drops because of the items. A decision object.
@@ -62,7 +62,7 @@
     struct Record {
         std::optional<std::string> value; ///< Last value that was read.
         uint64_t revision = 0; ///< Revision of the last valid value.
-        std::vector<ServerEntry> servers; ///< Servers of the last valid value, in order of their ids.
+        std::vector<Replica> servers; ///< Servers of the last valid value, in order of their ids.
         bool malformed = false; ///< The last value cannot be decoded.
         bool present = false; ///< The item exists.
         std::optional<Instant> absentSince;
--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -51,8 +51,7 @@
         lapse(known.entry, m_expiredAt, true);
     known.entry = entry;
     known.missingSince.reset();
-    for (auto& [process, server] : m_lapsed)
-        server.ended = server.ended || process.first == entry.id;
+    markEnded(entry.id);
     m_lapsed.erase({ entry.id, entry.startedUnixMs });
     Leadership& leadership = m_leadership[entry.service];
     if (becamePrimary) {
@@ -141,13 +140,28 @@
     return result;
 }
 
-void ServerDirectory::addLapsed(const ServerEntry& entry, Instant now)
+void ServerDirectory::addLapsed(const ServerEntry& entry, Instant now, bool ended)
 {
     const auto registered = m_servers.find(entry.id);
     const uint64_t registeredStart = registered == m_servers.end() ? 0 : registered->second.entry.startedUnixMs;
     const bool known = registered != m_servers.end() && entry.startedUnixMs >= registeredStart;
-    if (!known && m_lapsed.count({ entry.id, entry.startedUnixMs }) == 0)
-        lapse(entry, now, registered != m_servers.end());
+    if (known)
+        return;
+    const auto lapsed = m_lapsed.find({ entry.id, entry.startedUnixMs });
+    if (lapsed != m_lapsed.end()) {
+        lapsed->second.ended = lapsed->second.ended || ended;
+        return;
+    }
+    ended = ended || registered != m_servers.end();
+    if (!ended)
+        markEnded(entry.id);
+    lapse(entry, now, ended);
+}
+
+void ServerDirectory::markEnded(const std::string& id)
+{
+    for (auto it = m_lapsed.lower_bound({ id, 0 }); it != m_lapsed.end() && it->first.first == id; ++it)
+        it->second.ended = true;
 }
 
 std::vector<const LapsedServer*> ServerDirectory::lapsed() const
@@ -158,18 +172,18 @@
     return result;
 }
 
-std::map<std::string, std::vector<const ServerEntry*>> ServerDirectory::replicas() const
+std::map<std::string, std::vector<Replica>> ServerDirectory::replicas() const
 {
-    std::map<std::string, std::vector<const ServerEntry*>> result;
+    std::map<std::string, std::vector<Replica>> result;
     for (const auto& [id, known] : m_servers)
-        result[known.entry.service].push_back(&known.entry);
+        result[known.entry.service].push_back({ known.entry, false });
     for (const auto& [process, server] : m_lapsed) {
         if (!server.settledAt)
-            result[server.entry.service].push_back(&server.entry);
+            result[server.entry.service].push_back({ server.entry, server.ended });
     }
     for (auto& [service, servers] : result)
-        std::sort(servers.begin(), servers.end(), [](const ServerEntry* a, const ServerEntry* b) {
-            return std::tie(a->id, a->startedUnixMs) < std::tie(b->id, b->startedUnixMs);
+        std::sort(servers.begin(), servers.end(), [](const Replica& a, const Replica& b) {
+            return std::tie(a.entry.id, a.entry.startedUnixMs) < std::tie(b.entry.id, b.entry.startedUnixMs);
         });
     return result;
 }
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -26,10 +26,16 @@
 struct LapsedServer {
     ServerEntry entry;
     Instant since; ///< When the registration ended, or when this host learned of the server.
-    bool ended = false; ///< The id was registered again by a process that started later.
+    bool ended = false; ///< Another process has the id now.
     std::optional<Instant> settledAt; ///< Since when it has been known to be down and not needed.
 };
 
+/// A server that may hold acknowledged commits.
+struct Replica {
+    ServerEntry entry;
+    bool ended = false; ///< As in LapsedServer.
+};
+
 /// Lists the servers of each service and determines its primary, from the servers' registrations and their replies. A
 /// server stays known as lapsed after its registration: it gets no statements, and find(), members(), primary() and
 /// size() leave it out. A decision object.
@@ -66,13 +72,14 @@
     std::vector<const LapsedServer*> lapsed() const;
 
     /// Returns the servers of each service that may hold acknowledged commits, in order of id and start: those that are
-    /// registered or in their grace time, and lapsed ones that are not settled. The pointers are valid until the next
-    /// change of this directory.
-    std::map<std::string, std::vector<const ServerEntry*>> replicas() const;
+    /// registered or in their grace time, and lapsed ones that are not settled.
+    std::map<std::string, std::vector<Replica>> replicas() const;
 
     /// Adds a lapsed server that is known from another source than its registration. Ignored if its process, or an
-    /// earlier one with the id, is registered, in its grace time or lapsed.
-    void addLapsed(const ServerEntry&, Instant now);
+    /// earlier one with the id, is registered or in its grace time. Only one process of an id runs: the registered one,
+    /// else the one that was added last without having ended.
+    /// @param ended Whether the source knows that another process has the id now; also applied to a known process.
+    void addLapsed(const ServerEntry&, Instant now, bool ended = false);
 
     /// Records which lapsed servers of a service (id and start, Unix milliseconds) are down and not needed. Servers
     /// that have been for forgetAfter, and processes that have ended, are dropped. Returns what was dropped.
@@ -132,6 +139,8 @@
     };
 
     void lapse(const ServerEntry&, Instant since, bool ended);
+    /// Records that all lapsed processes of an id have ended.
+    void markEnded(const std::string& id);
 
     DirectorySettings m_settings;
     std::map<std::string, KnownServer> m_servers;
--- a/tests/unit_replica_record.cpp
+++ b/tests/unit_replica_record.cpp
@@ -26,11 +26,11 @@
 
 std::string recordOf(const std::vector<ServerEntry>& servers)
 {
-    std::vector<const ServerEntry*> pointers;
-    pointers.reserve(servers.size());
+    std::vector<Replica> replicas;
+    replicas.reserve(servers.size());
     for (const ServerEntry& entry : servers)
-        pointers.push_back(&entry);
-    return encodeReplicaRecord(pointers);
+        replicas.push_back({ entry, false });
+    return encodeReplicaRecord(replicas);
 }
 
 Ids lapsedIds(const ServerDirectory& directory, const std::string& service = "orders")
@@ -54,8 +54,8 @@
 Ids recordedIds(const std::string& value)
 {
     Ids ids;
-    for (const ServerEntry& entry : decodeReplicaRecord("orders", value))
-        ids.push_back(entry.id);
+    for (const Replica& replica : decodeReplicaRecord("orders", value))
+        ids.push_back(replica.entry.id);
     return ids;
 }
 
@@ -90,17 +90,22 @@
     ServerEntry second = entryOf("i-2");
     second.draining = true;
     second.startedUnixMs = 0;
-    const std::vector<ServerEntry> decoded = decodeReplicaRecord("orders", recordOf({ second, entryOf("i-1") }));
+    const std::vector<Replica> decoded = decodeReplicaRecord("orders", recordOf({ second, entryOf("i-1") }));
     BOOST_REQUIRE(decoded.size() == 2U);
-    BOOST_TEST(decoded[0].id == "i-1");
-    BOOST_TEST(decoded[0].service == "orders");
-    BOOST_TEST(decoded[0].address == "127.0.0.1:7");
-    BOOST_TEST(decoded[0].dataCentre == "north-1");
-    BOOST_TEST(decoded[0].slots == 6U);
-    BOOST_TEST(decoded[0].startedUnixMs == 1760000000123U);
-    BOOST_TEST(!decoded[0].draining);
-    BOOST_TEST(decoded[1].draining);
-    BOOST_TEST(decoded[1].startedUnixMs == 0U);
+    BOOST_TEST(decoded[0].entry.id == "i-1");
+    BOOST_TEST(decoded[0].entry.service == "orders");
+    BOOST_TEST(decoded[0].entry.address == "127.0.0.1:7");
+    BOOST_TEST(decoded[0].entry.dataCentre == "north-1");
+    BOOST_TEST(decoded[0].entry.slots == 6U);
+    BOOST_TEST(decoded[0].entry.startedUnixMs == 1760000000123U);
+    BOOST_TEST(!decoded[0].entry.draining);
+    BOOST_TEST(decoded[1].entry.draining);
+    BOOST_TEST(decoded[1].entry.startedUnixMs == 0U);
+    BOOST_TEST(!decoded[0].ended);
+    const std::vector<Replica> ended
+        = decodeReplicaRecord("orders", encodeReplicaRecord(std::vector<Replica> { { second, true } }));
+    BOOST_REQUIRE(ended.size() == 1U);
+    BOOST_TEST(ended[0].ended);
     BOOST_TEST(decodeReplicaRecord("orders", recordOf({})).empty());
 }
 
@@ -116,7 +121,8 @@
               R"({"id":"a","address":"b","data_centre":"c","started":1.5,"slots":2})",
               R"({"id":"a","address":"b","data_centre":"c","started":"1","slots":2})",
               R"({"id":"a","address":"b","data_centre":"c","started":1,"slots":4294967296})",
-              R"({"id":"a","address":"b","data_centre":"c","started":1,"slots":2,"draining":1})" };
+              R"({"id":"a","address":"b","data_centre":"c","started":1,"slots":2,"draining":1})",
+              R"({"id":"a","address":"b","data_centre":"c","started":1,"slots":2,"ended":1})" };
     for (const std::string& entry : entries)
         BOOST_CHECK_THROW(decodeReplicaRecord("orders", "{\"servers\":[" + entry + "]}"), std::exception);
     for (const char* const value : { "", "{", "[]", "{}", R"({"servers":{}})", R"({"servers":null})", "\xff\xfe" })
@@ -294,6 +300,34 @@
     BOOST_TEST(other.directory.lapsed().front()->entry.startedUnixMs == entryOf("a").startedUnixMs);
 }
 
+// A new host took both recorded processes of an unregistered id as running, and the log of the ended one was not noted.
+// Start times do not tell which process has ended, because clocks may go back.
+BOOST_AUTO_TEST_CASE(ended_process_of_an_unregistered_server_is_recorded)
+{
+    for (const bool clockWentBack : { false, true }) {
+        ServerEntry restarted = entryOf("a");
+        restarted.startedUnixMs += clockWentBack ? -5000 : 5000;
+        RecordsFixture it;
+        it.directory.registerServer(entryOf("a"));
+        it.directory.registerServer(restarted);
+        it.directory.remove("a", it.now);
+        it.directory.expire(it.now + seconds(3));
+        const std::vector<StoreWrite> writes = it.due();
+        BOOST_REQUIRE(writes.size() == 1U);
+        // The other host knows the first process as running, or neither.
+        for (const bool known : { false, true }) {
+            RecordsFixture other;
+            if (known)
+                other.directory.addLapsed(entryOf("a"), other.now);
+            other.setItem(writes[0].value);
+            other.read(false);
+            BOOST_REQUIRE(lapsedIds(other.directory) == (Ids { "a", "a" }));
+            for (const LapsedServer* const server : other.directory.lapsed())
+                BOOST_TEST(server->ended == (server->entry.startedUnixMs == entryOf("a").startedUnixMs));
+        }
+    }
+}
+
 // The copy from which a store was restored is older than the record that was read last.
 BOOST_AUTO_TEST_CASE(item_of_a_restored_copy_drops_no_server)
 {
--- a/tests/unit_server_directory.cpp
+++ b/tests/unit_server_directory.cpp
@@ -145,3 +145,20 @@
     BOOST_TEST(!directory.noteReportedPrimary("orders", "a", 2));
     BOOST_TEST(directory.primary("orders", now) == "b");
 }
+
+// A record does not say which of two processes with an id has ended.
+BOOST_AUTO_TEST_CASE(recorded_process_before_a_lapsed_one_has_ended)
+{
+    ServerDirectory directory;
+    const Instant now { seconds(100) };
+    ServerEntry entry = entryOf("a");
+    entry.startedUnixMs = 200;
+    directory.addLapsed(entry, now);
+    entry.startedUnixMs = 300;
+    directory.addLapsed(entry, now);
+    const std::vector<const LapsedServer*> lapsed = directory.lapsed("orders");
+    BOOST_REQUIRE(lapsed.size() == 2U);
+    BOOST_TEST(lapsed[0]->entry.startedUnixMs == 200U);
+    BOOST_TEST(lapsed[0]->ended);
+    BOOST_TEST(!lapsed[1]->ended);
+}
