Keep a recorded process that started later than the registered one

Found in a review; no report of it. If a server started again with an earlier start time, because its machine's clock had gone back, hosts ignored the process before it in the record. The next write of such a host as coordinator dropped that process for all hosts, and a log that may be needed with it.

Cause: the directory took the process with the later start as the running one.

A registration now tells which process runs, whatever the start times are: any other process with the id in the record is kept as ended. Only for a registered server without a start time nothing is known, as before.

--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -144,8 +144,7 @@
 {
     const auto registered = m_servers.find(entry.id);
     const uint64_t registeredStart = registered == m_servers.end() ? 0 : registered->second.entry.startedUnixMs;
-    const bool known = registered != m_servers.end() && entry.startedUnixMs >= registeredStart;
-    if (known)
+    if (registered != m_servers.end() && (registeredStart == 0 || registeredStart == entry.startedUnixMs))
         return;
     const auto lapsed = m_lapsed.find({ entry.id, entry.startedUnixMs });
     if (lapsed != m_lapsed.end()) {
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -75,9 +75,10 @@
     /// registered or in their grace time, and lapsed ones that are not settled.
     std::map<std::string, std::vector<Replica>> replicas() const;
 
-    /// Adds a lapsed server that is known from another source than its registration. Ignored if its process, or an
-    /// earlier one with the id, is registered or in its grace time. Only one process of an id runs: the registered one,
-    /// else the one that was added last without having ended.
+    /// Adds a lapsed server that is known from another source than its registration. Ignored if its process, or
+    /// one with the id and an unknown start, is registered or in its grace time. Only one process of an id runs: the
+    /// registered one, else the one that was added last without having ended. Start times do not tell, because clocks
+    /// may go back.
     /// @param ended Whether the source knows that another process has the id now; also applied to a known process.
     void addLapsed(const ServerEntry&, Instant now, bool ended = false);
 
--- a/tests/unit_server_directory.cpp
+++ b/tests/unit_server_directory.cpp
@@ -162,3 +162,16 @@
     BOOST_TEST(lapsed[0]->ended);
     BOOST_TEST(!lapsed[1]->ended);
 }
+
+// The clock of a server's machine went back between two starts.
+BOOST_AUTO_TEST_CASE(recorded_process_with_a_later_start_than_the_registered_one)
+{
+    ServerDirectory directory;
+    ServerEntry entry = entryOf("a");
+    entry.startedUnixMs = 150;
+    directory.registerServer(entry);
+    entry.startedUnixMs = 200;
+    directory.addLapsed(entry, Instant(seconds(100)));
+    BOOST_REQUIRE(lapsedIds(directory) == Ids { "a" });
+    BOOST_TEST(directory.lapsed().front()->ended);
+}
