Drop lapsed servers that are not needed before those that are

Found in a review; no report of it. Above 16 lapsed servers of a service the oldest was dropped without a line in the logs, also if its log may hold acknowledged commits, while younger servers that are known not to be needed stayed. The next coordinator would have promoted a server without that log.

Cause: the bound looked at the age only.

Settled servers are dropped first, the oldest of them first. Without any, the oldest goes, so that memory stays bounded, and server_removed names it.

unit.server-directory, needed_lapsed_server_is_kept_before_settled_ones, failed before. oldest_lapsed_servers_of_a_service_are_dropped asserted that a needed server is dropped by its age without a log line. Its successor, lapsed_servers_of_a_service_are_bounded_and_needed_ones_dropped_last, checks the same bound and that other services are untouched, and also the order and the log line.

--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -1,4 +1,5 @@
 #include "server_directory.h"
+#include "log_event.h"
 #include <algorithm>
 #include <tuple>
 
@@ -117,17 +118,25 @@
 void ServerDirectory::lapse(const ServerEntry& entry, Instant since, bool ended)
 {
     m_lapsed[{ entry.id, entry.startedUnixMs }] = { entry, since, ended, {} };
+    const auto goesFirst = [](const LapsedServer& a, const LapsedServer& b) {
+        return std::make_tuple(!a.settledAt, a.since) < std::make_tuple(!b.settledAt, b.since);
+    };
     size_t n = 0;
-    auto oldest = m_lapsed.end();
+    auto first = m_lapsed.end();
     for (auto it = m_lapsed.begin(); it != m_lapsed.end(); ++it) {
         if (it->second.entry.service != entry.service)
             continue;
         ++n;
-        if (oldest == m_lapsed.end() || it->second.since < oldest->second.since)
-            oldest = it;
+        if (first == m_lapsed.end() || goesFirst(it->second, first->second))
+            first = it;
     }
-    if (n > m_settings.maxLapsedPerService)
-        m_lapsed.erase(oldest);
+    if (n <= m_settings.maxLapsedPerService)
+        return;
+    if (!first->second.settledAt)
+        logEvent(LogEvent::ServerRemoved,
+            { { "service", entry.service }, { "server", first->first.first }, { "started", first->first.second },
+                { "reason", "too many lapsed servers; its log may be needed" } });
+    m_lapsed.erase(first);
 }
 
 std::vector<const LapsedServer*> ServerDirectory::lapsed(const std::string& service) const
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -14,8 +14,8 @@
     /// A server that denied being primary is not used as primary for this long: one store round trip and the delay of
     /// a registration.
     Duration denialTime = std::chrono::milliseconds(300);
-    /// Lapsed servers that are kept per service; the oldest are dropped. A service has a few servers, and restarts of
-    /// them are minutes apart, so more than this many have not been needed for long.
+    /// Lapsed servers that are kept per service. Above it the oldest settled one is dropped, and only without any the
+    /// oldest of the others, with a log line. A service has a few servers, and restarts of them are minutes apart.
     size_t maxLapsedPerService = 16;
     /// A lapsed server that is down may start again without reaching the store; it is kept for this long in case it
     /// answers again.
--- a/tests/unit_server_directory.cpp
+++ b/tests/unit_server_directory.cpp
@@ -1,4 +1,6 @@
 #include "server_directory.h"
+#include "support_log_capture.h"
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 using namespace plantainwall;
@@ -93,17 +95,29 @@
     BOOST_TEST(directory.size() == 2U);
 }
 
-BOOST_AUTO_TEST_CASE(oldest_lapsed_servers_of_a_service_are_dropped)
+// A log that may be needed was forgotten silently when many servers had lapsed.
+BOOST_AUTO_TEST_CASE(lapsed_servers_of_a_service_are_bounded_and_needed_ones_dropped_last)
 {
     DirectorySettings settings;
     settings.maxLapsedPerService = 3;
     ServerDirectory directory(settings);
     const Instant now { seconds(100) };
+    const CerrCapture capture;
+    const auto add = [&](const char* id, int passed) { directory.addLapsed(entryOf(id), now + seconds(passed)); };
     directory.addLapsed(entryOf("a", "invoices"), now);
-    int passed = 0;
-    for (const char* const id : { "e", "d", "c", "b" })
-        directory.addLapsed(entryOf(id), now + seconds(++passed));
-    BOOST_TEST(lapsedIds(directory) == (Ids { "b", "c", "d" }));
+    add("e", 1);
+    add("d", 2);
+    add("c", 3);
+    directory.noteSettled("c", 0, now + seconds(3));
+    directory.noteSettled("d", 0, now + seconds(4));
+    add("b", 4);
+    BOOST_TEST(lapsedIds(directory) == (Ids { "b", "c", "e" }));
+    add("f", 5);
+    BOOST_TEST(lapsedIds(directory) == (Ids { "b", "e", "f" }));
+    BOOST_TEST(capture.text.str().empty());
+    add("g", 6);
+    BOOST_TEST(lapsedIds(directory) == (Ids { "b", "f", "g" }));
+    BOOST_TEST(capture.text.str().find(R"("server":"e")") != std::string::npos);
     BOOST_TEST(lapsedIds(directory, "invoices") == Ids { "a" });
 }
 
@@ -175,3 +189,20 @@
     BOOST_REQUIRE(lapsedIds(directory) == Ids { "a" });
     BOOST_TEST(directory.lapsed().front()->ended);
 }
+
+// Servers that are not needed take no place of one that is.
+BOOST_AUTO_TEST_CASE(needed_lapsed_server_is_kept_before_settled_ones)
+{
+    DirectorySettings settings;
+    settings.maxLapsedPerService = 3;
+    ServerDirectory directory(settings);
+    Instant now { seconds(100) };
+    directory.addLapsed(entryOf("needed"), now);
+    for (const char* const id : { "b", "c", "d" }) {
+        now += seconds(1);
+        directory.addLapsed(entryOf(id), now);
+        directory.noteSettled(id, 0, now);
+    }
+    const Ids ids = lapsedIds(directory);
+    BOOST_TEST(std::count(ids.begin(), ids.end(), "needed") == 1);
+}
