Keep the known start of a server whose entry has none

Found in a review; no report of it. An entry without a start, as another writer may leave in the store, made the running process an ended one. Its log counted as lost, and no server could be promoted until another log had reached a position that the primary reported after that.

Cause: an unknown start was compared like a different one.

An entry without a start now counts as one of the process that is known to run, registered or lapsed. Such entries are not rejected, because servers may have no start at all; without a known start nothing changes for them.

--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -30,8 +30,27 @@
     return removed;
 }
 
+uint64_t ServerDirectory::runningStart(const std::string& id) const
+{
+    const auto registered = m_servers.find(id);
+    if (registered != m_servers.end())
+        return registered->second.entry.startedUnixMs;
+    for (auto it = m_lapsed.lower_bound({ id, 0 }); it != m_lapsed.end() && it->first.first == id; ++it) {
+        if (!it->second.ended)
+            return it->first.second;
+    }
+    return 0;
+}
+
 void ServerDirectory::registerServer(const ServerEntry& entry)
 {
+    const uint64_t knownStart = runningStart(entry.id);
+    if (entry.startedUnixMs == 0 && knownStart != 0) {
+        ServerEntry completed = entry;
+        completed.startedUnixMs = knownStart;
+        registerServer(completed);
+        return;
+    }
     KnownServer& known = m_servers[entry.id];
     const bool sameStart = entry.startedUnixMs != 0 && known.entry.startedUnixMs == entry.startedUnixMs;
     if (sameStart && entry.sequence != 0 && entry.sequence < known.entry.sequence) {
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -49,7 +49,8 @@
 
     /// Adds or updates a registered server, which ends its lapsed state. Another start time means that the process with
     /// the id before has ended; it is kept as lapsed. An entry of the same start with a lower sequence number than the
-    /// known one comes from a copy of the store: it keeps the server registered and changes nothing else.
+    /// known one comes from a copy of the store: it keeps the server registered and changes nothing else. An entry
+    /// without a start is taken as one of the process that is known to run.
     void registerServer(const ServerEntry&);
 
     /// Records that a registration was removed. A draining server lapses at once, any other after the grace time.
@@ -140,6 +141,8 @@
     };
 
     void lapse(const ServerEntry&, Instant since, bool ended);
+    /// Returns the start of the registered or lapsed process of an id that has not ended; 0 if unknown.
+    uint64_t runningStart(const std::string& id) const;
     /// Records that all lapsed processes of an id have ended.
     void markEnded(const std::string& id);
 
--- a/tests/unit_server_directory.cpp
+++ b/tests/unit_server_directory.cpp
@@ -206,3 +206,25 @@
     const Ids ids = lapsedIds(directory);
     BOOST_TEST(std::count(ids.begin(), ids.end(), "needed") == 1);
 }
+
+// An entry without a start, as another writer's may be, says nothing about the process that runs.
+BOOST_AUTO_TEST_CASE(entry_without_a_start_ends_no_process)
+{
+    ServerDirectory directory;
+    ServerEntry entry = entryOf("a");
+    entry.startedUnixMs = 200;
+    entry.sequence = 5;
+    directory.registerServer(entry);
+    entry.startedUnixMs = 0;
+    entry.sequence = 0;
+    directory.registerServer(entry);
+    BOOST_TEST(directory.lapsed().empty());
+    BOOST_REQUIRE(directory.find("a") != nullptr);
+    BOOST_TEST(directory.find("a")->startedUnixMs == 200U);
+    directory.remove("a", Instant(seconds(100)));
+    directory.expire(Instant(seconds(103)));
+    directory.registerServer(entry); // As the first entry of a lapsed server.
+    BOOST_TEST(directory.lapsed().empty());
+    BOOST_REQUIRE(directory.find("a") != nullptr);
+    BOOST_TEST(directory.find("a")->startedUnixMs == 200U);
+}
