Don't compare revisions of records across a restore of the store

Found in a review; no report of it. After the store was restored from a copy, a record without a needed server could settle that server on all hosts but the coordinator, if its revision was greater than that of the record before the restore. The next coordinator then did not wait for its log.

Cause: a greater revision counted as newer, but a copy counts its revisions anew, and a coordinator that started after the restore does not know the servers that the copy lacks.

The first record of a service in an era now settles nothing. Later ones are compared with it, because their writer has read it.

unit.replica-record, record_written_after_a_restore_settles_no_server, failed before. It now passes the era to the reading, and also checks that a later record of the new era settles; record_in_a_restored_copy_is_compared_with_the_next_one is new. unit.restored-store and unit.fleet-member pass.

--- a/src/fleet_member_replicas.cpp
+++ b/src/fleet_member_replicas.cpp
@@ -14,7 +14,7 @@
     const bool coordinator = m_coordinator.isActive();
     if (m_replicaItemsChanged) {
         m_replicaItemsChanged = false;
-        m_replicaRecords.itemsRead(m_follower.ownItems(), configuration, coordinator, directory, now);
+        m_replicaRecords.itemsRead(m_follower.ownItems(), m_follower.era(), configuration, coordinator, directory, now);
     }
     if (!m_follower.reachable())
         return;
--- a/src/replica_record.cpp
+++ b/src/replica_record.cpp
@@ -106,7 +106,7 @@
     return servers;
 }
 
-size_t ReplicaRecords::itemsRead(const std::map<std::string, StoreItem>& items,
+size_t ReplicaRecords::itemsRead(const std::map<std::string, StoreItem>& items, uint64_t era,
     const GatewayConfiguration& configuration, bool coordinator, ServerDirectory& directory, Instant now)
 {
     for (auto& [service, record] : m_records)
@@ -119,9 +119,14 @@
         Record& record = m_records[service];
         record.present = true;
         record.absentSince.reset();
-        if (record.value == it->second.value)
+        if (record.value == it->second.value) {
+            if (!record.malformed) {
+                record.era = era;
+                record.revision = it->second.revision;
+            }
             continue;
-        apply(it->second, service, record, coordinator, directory, now);
+        }
+        apply(it->second, era, service, record, coordinator, directory, now);
         ++n;
     }
     for (auto it = m_records.begin(); it != m_records.end();) {
@@ -142,8 +147,8 @@
     return n;
 }
 
-void ReplicaRecords::apply(const StoreItem& item, const std::string& service, Record& record, bool coordinator,
-    ServerDirectory& directory, Instant now)
+void ReplicaRecords::apply(const StoreItem& item, uint64_t era, const std::string& service, Record& record,
+    bool coordinator, ServerDirectory& directory, Instant now)
 {
     record.value = item.value;
     std::vector<Replica> servers;
@@ -156,13 +161,13 @@
             { { "key", item.key }, { "revision", item.revision }, { "reason", error.what() } });
         return;
     }
-    // After the restoration of a copy the item may have a lower revision and lack servers that were added since.
-    if (!coordinator && item.revision > record.revision) {
+    if (!coordinator && era == record.era && item.revision > record.revision) {
         for (const Replica& replica : record.servers) {
             if (!contains(servers, replica.entry))
                 directory.noteSettled(replica.entry.id, replica.entry.startedUnixMs, now);
         }
     }
+    record.era = era;
     record.revision = item.revision;
     record.servers = std::move(servers);
     // The coordinator may have dropped a server between its write and the reading of it.
--- a/src/replica_record.h
+++ b/src/replica_record.h
@@ -40,10 +40,12 @@
     /// lapsed servers that an item no longer lists as settled, except on the coordinator. Malformed items are logged;
     /// those of services that are not configured are ignored.
     /// @param items All own items of the hosts, by key.
+    /// @param era Era of the store in which the items were read. The first record of a service in an era settles no
+    /// server: it may be based on a copy that lacks servers which were added before.
     /// @param coordinator Whether this host is the active coordinator.
     /// @return Number of items with a new value.
-    size_t itemsRead(const std::map<std::string, StoreItem>& items, const GatewayConfiguration&, bool coordinator,
-        ServerDirectory&, Instant now);
+    size_t itemsRead(const std::map<std::string, StoreItem>& items, uint64_t era, const GatewayConfiguration&,
+        bool coordinator, ServerDirectory&, Instant now);
 
     /// Returns the items to write now. Called on the active coordinator only, after itemsRead(). written() must be
     /// called with the outcome of each.
@@ -61,7 +63,8 @@
 private:
     struct Record {
         std::optional<std::string> value; ///< Last value that was read.
-        uint64_t revision = 0; ///< Revision of the last valid value.
+        uint64_t era = 0; ///< Era and revision of the last valid value.
+        uint64_t revision = 0;
         std::vector<Replica> servers; ///< Servers of the last valid value, in order of their ids.
         bool malformed = false; ///< The last value cannot be decoded.
         bool present = false; ///< The item exists.
@@ -73,7 +76,8 @@
         Instant ownWriteUntil; ///< Until then the outcome is expected to be read back.
     };
 
-    void apply(const StoreItem&, const std::string& service, Record&, bool coordinator, ServerDirectory&, Instant now);
+    void apply(const StoreItem&, uint64_t era, const std::string& service, Record&, bool coordinator, ServerDirectory&,
+        Instant now);
 
     Settings m_settings;
     std::map<std::string, Record> m_records; ///< By service.
--- a/tests/unit_replica_record.cpp
+++ b/tests/unit_replica_record.cpp
@@ -66,7 +66,7 @@
     /// Sets the item of the service as another host or the store would.
     void setItem(const std::string& value) { items[ordersKey] = { ordersKey, value, ++revision, false }; }
 
-    size_t read(bool coordinator) { return records.itemsRead(items, configuration, coordinator, directory, now); }
+    size_t read(bool coordinator) { return records.itemsRead(items, era, configuration, coordinator, directory, now); }
 
     std::vector<StoreWrite> due() { return records.due(items, configuration, directory, now); }
 
@@ -78,6 +78,7 @@
     ServerDirectory directory;
     std::map<std::string, StoreItem> items;
     uint64_t revision = 10;
+    uint64_t era = 1;
     ReplicaRecords records;
 };
 
@@ -603,3 +604,36 @@
     pass(fleet, seconds(5));
     BOOST_TEST(recordedIds(fleet) == (Ids { "p", "r1", "r2", "r3", "r4", "r5" }));
 }
+
+// A copy of the store counts its revisions anew, so a greater revision than before does not make its record newer.
+BOOST_FIXTURE_TEST_CASE(record_written_after_a_restore_settles_no_server, RecordsFixture)
+{
+    directory.registerServer(entryOf("a"));
+    setItem(recordOf({ entryOf("a"), entryOf("x") })); // Revision 11, era 1.
+    read(false);
+    BOOST_REQUIRE(lapsedIds(directory) == Ids { "x" });
+    // The copy lacks x. A coordinator that started after the restore does not know x and adds b.
+    directory.storeRestored(now);
+    ++era;
+    setItem(recordOf({ entryOf("a"), entryOf("b") })); // Revision 12, era 2.
+    read(false);
+    const Ids settled = settledIds(directory);
+    BOOST_TEST(settled.empty());
+    setItem(recordOf({ entryOf("a") })); // A decision of that coordinator.
+    read(false);
+    BOOST_TEST(settledIds(directory) == Ids { "b" });
+}
+
+// A coordinator that has read the record in a copy knows all of its servers, so what it drops afterwards is settled.
+BOOST_FIXTURE_TEST_CASE(record_in_a_restored_copy_is_compared_with_the_next_one, RecordsFixture)
+{
+    setItem(recordOf({ entryOf("a"), entryOf("x") }));
+    read(false);
+    revision -= 5;
+    ++era;
+    setItem(recordOf({ entryOf("a"), entryOf("x") }));
+    read(false);
+    setItem(recordOf({ entryOf("a") }));
+    read(false);
+    BOOST_TEST(settledIds(directory) == Ids { "x" });
+}
