Keep the running process when a restored copy lists the one before

Found in a review; no report of it. If a server had restarted within the seconds that a restored copy lacks, the copy's entry ended the running process on every host until the server wrote again, and took the lead from the confirmed primary if the process before it was one.

Cause: in a listing after a restore, an entry of another process counted as newer than what the host knew.

Such an entry is now deferred if its process is known to have ended, or started before the known one. A written entry counts at once; the store removes that of a process that has ended after three heartbeats; what is still listed after 5 s belongs to a running process, whose clock went back, and is registered then. For the same time, a recorded process of a lapsed id doesn't end the known one.

unit.server-directory, restored_copy_does_not_end_a_running_process, failed before.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -162,7 +162,7 @@
     const size_t before = m_directory.size();
     for (const std::string& id : m_directory.expire(m_clock()))
         logEvent(LogEvent::ServerRemoved, { { "server", id }, { "reason", "not registered again" } });
-    if (before != m_directory.size())
+    if (m_directory.registerDeferred(m_clock()) || before != m_directory.size())
         serversChanged();
     checkTimeouts();
     checkConnections();
--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -2,6 +2,7 @@
 #include "log_event.h"
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace plantainwall {
 
@@ -13,9 +14,13 @@
 std::vector<std::string> ServerDirectory::replaceAll(const std::vector<ServerEntry>& entries, Instant now)
 {
     std::set<std::string> listed;
+    m_deferred.clear();
     for (const ServerEntry& entry : entries) {
         listed.insert(entry.id);
-        registerServer(entry);
+        if (mayBeCopy(now) && isOfEarlierProcess(entry))
+            m_deferred[entry.id] = entry;
+        else
+            registerServer(entry);
     }
     std::vector<std::string> absent;
     for (const auto& [id, known] : m_servers) {
@@ -44,6 +49,7 @@
 
 void ServerDirectory::registerServer(const ServerEntry& entry)
 {
+    m_deferred.erase(entry.id);
     const uint64_t knownStart = runningStart(entry.id);
     if (entry.startedUnixMs == 0 && knownStart != 0) {
         ServerEntry completed = entry;
@@ -81,8 +87,32 @@
     }
 }
 
+bool ServerDirectory::mayBeCopy(Instant now) const
+{
+    return m_restoredAt && now - *m_restoredAt < m_settings.copyGrace;
+}
+
+bool ServerDirectory::isOfEarlierProcess(const ServerEntry& entry) const
+{
+    const auto lapsed = m_lapsed.find({ entry.id, entry.startedUnixMs });
+    if (lapsed != m_lapsed.end() && lapsed->second.ended)
+        return true;
+    return entry.startedUnixMs != 0 && entry.startedUnixMs < runningStart(entry.id);
+}
+
+bool ServerDirectory::registerDeferred(Instant now)
+{
+    if (m_deferred.empty() || m_storeUnreachable || mayBeCopy(now))
+        return false;
+    const std::map<std::string, ServerEntry> entries = std::exchange(m_deferred, {});
+    for (const auto& [id, entry] : entries)
+        registerServer(entry);
+    return true;
+}
+
 bool ServerDirectory::remove(const std::string& id, Instant now)
 {
+    m_deferred.erase(id);
     const auto it = m_servers.find(id);
     if (it == m_servers.end())
         return false;
@@ -112,6 +142,8 @@
 
 void ServerDirectory::storeRestored(Instant now)
 {
+    m_restoredAt = now;
+    m_deferred.clear();
     if (!m_storeUnreachable)
         m_storeReachableSince = now;
 }
@@ -179,7 +211,7 @@
         lapsed->second.ended = lapsed->second.ended || ended;
         return;
     }
-    ended = ended || registered != m_servers.end();
+    ended = ended || registered != m_servers.end() || (mayBeCopy(now) && runningStart(entry.id) != 0);
     if (!ended)
         markEnded(entry.id);
     lapse(entry, now, ended);
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -11,6 +11,9 @@
     /// again within about 2 s after it. A server whose registration ended is kept for this long, counted from the time
     /// at which the store is reachable again.
     Duration returnGrace = std::chrono::milliseconds(2500);
+    /// For this long after a restore of the store, a listed entry that contradicts what is known may be one of the
+    /// copy, of a process that has ended. The store removes such an entry after three heartbeats.
+    Duration copyGrace = std::chrono::seconds(5);
     /// A server that denied being primary is not used as primary for this long: one store round trip and the delay of
     /// a registration.
     Duration denialTime = std::chrono::milliseconds(300);
@@ -43,8 +46,9 @@
 public:
     explicit ServerDirectory(const DirectorySettings& = {});
 
-    /// Applies a complete listing. Servers that it lacks are handled as by remove(). Returns the ids that were removed
-    /// at once.
+    /// Applies a complete listing. Servers that it lacks are handled as by remove(). After a restore of the store an
+    /// entry of a process before the known one changes nothing until registerDeferred(). Returns the ids that were
+    /// removed at once.
     std::vector<std::string> replaceAll(const std::vector<ServerEntry>&, Instant now);
 
     /// Adds or updates a registered server, which ends its lapsed state. Another start time means that the process with
@@ -63,6 +67,10 @@
     /// Records that an older copy has replaced the store. The grace time of missing servers starts anew.
     void storeRestored(Instant now);
 
+    /// Registers the servers whose entries replaceAll() has deferred and that the store still has after copyGrace.
+    /// Returns whether there were any.
+    bool registerDeferred(Instant now);
+
     /// Makes servers lapsed whose grace time has expired and returns their ids.
     std::vector<std::string> expire(Instant now);
 
@@ -78,8 +86,8 @@
 
     /// Adds a lapsed server that is known from another source than its registration. Ignored if its process, or
     /// one with the id and an unknown start, is registered or in its grace time. Only one process of an id runs: the
-    /// registered one, else the one that was added last without having ended. Start times do not tell, because clocks
-    /// may go back.
+    /// registered one, else the one that was added last without having ended, or the one before after a restore of the
+    /// store. Start times do not tell, because clocks may go back.
     /// @param ended Whether the source knows that another process has the id now; also applied to a known process.
     void addLapsed(const ServerEntry&, Instant now, bool ended = false);
 
@@ -141,6 +149,10 @@
     };
 
     void lapse(const ServerEntry&, Instant since, bool ended);
+    /// Returns whether the store may still contain entries of a copy that nobody has written since.
+    bool mayBeCopy(Instant now) const;
+    /// Returns whether the entry's process is known to have ended, or started before the one that is known to run.
+    bool isOfEarlierProcess(const ServerEntry&) const;
     /// Returns the start of the registered or lapsed process of an id that has not ended; 0 if unknown.
     uint64_t runningStart(const std::string& id) const;
     /// Records that all lapsed processes of an id have ended.
@@ -152,6 +164,8 @@
     std::map<std::pair<std::string, uint64_t>, LapsedServer> m_lapsed;
     std::map<std::string, Leadership> m_leadership;
     Instant m_expiredAt; ///< Time of the last call of expire().
+    std::optional<Instant> m_restoredAt;
+    std::map<std::string, ServerEntry> m_deferred; ///< Entries of earlier processes in the last listing, by id.
     bool m_storeUnreachable = false;
     std::optional<Instant> m_storeReachableSince;
 };
--- a/tests/unit_restored_store.cpp
+++ b/tests/unit_restored_store.cpp
@@ -312,6 +312,37 @@
     }
 }
 
+// Guards against a copy with the entry of the process before the running one, which took the running one for ended.
+BOOST_AUTO_TEST_CASE(a_restarted_server_stays_the_running_one)
+{
+    const CerrCapture capture;
+    for (const size_t fleetSize : { smallFleet, largeFleet }) {
+        RestoredFleet fleet(fleetSize);
+        const auto hostsWhereStarted = [&](uint64_t start) {
+            return static_cast<size_t>(std::count_if(fleet.hosts.begin(), fleet.hosts.end(), [&](const auto& host) {
+                const ServerEntry* const entry = host->fixture.gateway.directory().find("r1");
+                return entry != nullptr && entry->startedUnixMs == start;
+            }));
+        };
+        fleet.store.put("s/r1", "replica 40 7");
+        fleet.pass(seconds(1));
+        fleet.store.snapshot();
+        fleet.store.put("s/r1", "replica 1 8");
+        fleet.pass(seconds(1));
+        BOOST_TEST(hostsWhereStarted(8) == fleetSize);
+        fleet.restoreStore();
+        for (int i = 0; i < 40; ++i) {
+            fleet.pass(milliseconds(100));
+            BOOST_TEST(hostsWhereStarted(8) == fleetSize);
+        }
+        // A server that keeps its entry alive runs, whatever its start is.
+        fleet.pass(seconds(4));
+        for (const auto& host : fleet.hosts)
+            host->fixture.gateway.tick();
+        BOOST_TEST(hostsWhereStarted(7) == fleetSize);
+    }
+}
+
 // Guards against changes that another host relayed before it knew of the restore, and that arrive after it.
 BOOST_AUTO_TEST_CASE(relayed_changes_of_the_earlier_history_are_ignored)
 {
--- a/tests/unit_server_directory.cpp
+++ b/tests/unit_server_directory.cpp
@@ -228,3 +228,107 @@
     BOOST_REQUIRE(directory.find("a") != nullptr);
     BOOST_TEST(directory.find("a")->startedUnixMs == 200U);
 }
+
+// A copy of the store contains the entry of the process before the running one.
+BOOST_AUTO_TEST_CASE(restored_copy_does_not_end_a_running_process)
+{
+    ServerDirectory directory;
+    ServerEntry entry = entryOf("a");
+    entry.startedUnixMs = 100;
+    entry.sequence = 9;
+    entry.primary = true;
+    directory.registerServer(entry);
+    ServerEntry restarted = entry;
+    restarted.startedUnixMs = 200;
+    restarted.sequence = 1;
+    restarted.primary = false;
+    directory.registerServer(restarted);
+    directory.notePrimary("orders", "b", 2);
+    directory.storeRestored(Instant(seconds(100)));
+    directory.replaceAll({ entry }, Instant(seconds(100)));
+    BOOST_TEST(directory.knownPrimary("orders") == "b");
+    for (const LapsedServer* const server : directory.lapsed("orders"))
+        BOOST_TEST(server->entry.startedUnixMs != 200U, "the running process counts as ended");
+}
+
+// A process that started before the known one, by a clock that went back, is not mistaken for one of a copy for good.
+BOOST_AUTO_TEST_CASE(earlier_process_in_a_restored_store_is_used_once_it_must_run)
+{
+    ServerEntry known = entryOf("a");
+    known.startedUnixMs = 200;
+    known.sequence = 9;
+    ServerEntry earlier = known;
+    earlier.startedUnixMs = 100;
+    earlier.sequence = 3;
+    Instant now { seconds(100) };
+    const auto restored = [&](bool lapsed) {
+        ServerDirectory directory;
+        directory.registerServer(known);
+        if (lapsed) {
+            directory.remove("a", now - seconds(10));
+            directory.expire(now - seconds(7));
+        }
+        directory.storeRestored(now);
+        directory.replaceAll({ earlier }, now);
+        directory.replaceAll({ earlier }, now + seconds(4));
+        BOOST_TEST(!directory.registerDeferred(now + seconds(4)));
+        BOOST_TEST((directory.find("a") == nullptr) == lapsed);
+        for (const LapsedServer* const server : directory.lapsed())
+            BOOST_TEST(!server->ended);
+        return directory;
+    };
+    const auto startOf = [](const ServerDirectory& directory) {
+        return directory.find("a") == nullptr ? 0 : directory.find("a")->startedUnixMs;
+    };
+    for (const bool lapsed : { false, true }) {
+        ServerDirectory written = restored(lapsed);
+        written.registerServer(earlier);
+        BOOST_TEST(startOf(written) == 100U);
+        BOOST_REQUIRE(lapsedIds(written) == Ids { "a" });
+        BOOST_TEST(written.lapsed().front()->ended);
+        ServerDirectory kept = restored(lapsed);
+        BOOST_TEST(kept.registerDeferred(now + seconds(5)));
+        BOOST_TEST(startOf(kept) == 100U);
+        BOOST_REQUIRE(lapsedIds(kept) == Ids { "a" });
+        BOOST_TEST(kept.lapsed().front()->ended);
+        ServerDirectory removed = restored(lapsed);
+        removed.remove("a", now + seconds(4));
+        BOOST_TEST(!removed.registerDeferred(now + seconds(5)));
+        removed.expire(now + seconds(7));
+        BOOST_REQUIRE(lapsedIds(removed) == Ids { "a" });
+        BOOST_TEST(!removed.lapsed().front()->ended);
+    }
+}
+
+// The copy's entry of an ended process, whose clock was ahead, does not replace the process that runs.
+BOOST_AUTO_TEST_CASE(restored_copy_does_not_bring_back_a_process_that_has_ended)
+{
+    ServerDirectory directory;
+    ServerEntry ended = entryOf("a");
+    ended.startedUnixMs = 200;
+    directory.registerServer(ended);
+    ServerEntry running = ended;
+    running.startedUnixMs = 100;
+    directory.registerServer(running);
+    directory.storeRestored(Instant(seconds(100)));
+    directory.replaceAll({ ended }, Instant(seconds(100)));
+    BOOST_REQUIRE(directory.find("a") != nullptr);
+    BOOST_TEST(directory.find("a")->startedUnixMs == 100U);
+}
+
+// The record in a copy may be older than a process that lapsed since.
+BOOST_AUTO_TEST_CASE(record_of_a_restored_copy_does_not_end_a_lapsed_process)
+{
+    ServerDirectory directory;
+    const Instant now { seconds(100) };
+    ServerEntry entry = entryOf("a");
+    entry.startedUnixMs = 200;
+    directory.addLapsed(entry, now);
+    directory.storeRestored(now);
+    entry.startedUnixMs = 100;
+    directory.addLapsed(entry, now);
+    const std::vector<const LapsedServer*> lapsed = directory.lapsed();
+    BOOST_REQUIRE(lapsed.size() == 2U);
+    BOOST_TEST(lapsed[0]->ended);
+    BOOST_TEST(!lapsed[1]->ended);
+}
