Keep a gone server lapsed when a restored copy lists it

Found in a review; no report of it. A copy of the store registered a server again that had been down and whose log was known not to be needed. That knowledge was dropped, and if the primary ended before the entry had expired again and the server had been silent for 5 s, nothing was promoted.

Cause: an entry of a copy counted as a sign of life.

After a restore, a listed entry of a lapsed process is deferred too unless its sequence number is higher than the last known one. The server stays lapsed and settled until it writes, or for 5 s if the store then still has the entry, as a running server may have nothing new to write.

--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -17,7 +17,7 @@
     m_deferred.clear();
     for (const ServerEntry& entry : entries) {
         listed.insert(entry.id);
-        if (mayBeCopy(now) && isOfEarlierProcess(entry))
+        if (mayBeCopy(now) && mayBeOutdated(entry))
             m_deferred[entry.id] = entry;
         else
             registerServer(entry);
@@ -92,12 +92,15 @@
     return m_restoredAt && now - *m_restoredAt < m_settings.copyGrace;
 }
 
-bool ServerDirectory::isOfEarlierProcess(const ServerEntry& entry) const
+bool ServerDirectory::mayBeOutdated(const ServerEntry& entry) const
 {
+    if (entry.startedUnixMs == 0)
+        return false;
     const auto lapsed = m_lapsed.find({ entry.id, entry.startedUnixMs });
-    if (lapsed != m_lapsed.end() && lapsed->second.ended)
-        return true;
-    return entry.startedUnixMs != 0 && entry.startedUnixMs < runningStart(entry.id);
+    if (lapsed == m_lapsed.end())
+        return entry.startedUnixMs < runningStart(entry.id);
+    const uint64_t sequence = lapsed->second.entry.sequence;
+    return lapsed->second.ended || sequence == 0 || entry.sequence <= sequence;
 }
 
 bool ServerDirectory::registerDeferred(Instant now)
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -11,8 +11,8 @@
     /// again within about 2 s after it. A server whose registration ended is kept for this long, counted from the time
     /// at which the store is reachable again.
     Duration returnGrace = std::chrono::milliseconds(2500);
-    /// For this long after a restore of the store, a listed entry that contradicts what is known may be one of the
-    /// copy, of a process that has ended. The store removes such an entry after three heartbeats.
+    /// For this long after a restore of the store, a listed entry that is not newer than what is known may be one of
+    /// the copy, of a process that has ended. The store removes such an entry after three heartbeats.
     Duration copyGrace = std::chrono::seconds(5);
     /// A server that denied being primary is not used as primary for this long: one store round trip and the delay of
     /// a registration.
@@ -47,8 +47,8 @@
     explicit ServerDirectory(const DirectorySettings& = {});
 
     /// Applies a complete listing. Servers that it lacks are handled as by remove(). After a restore of the store an
-    /// entry of a process before the known one changes nothing until registerDeferred(). Returns the ids that were
-    /// removed at once.
+    /// entry of a process before the known one, or one that is not newer than the last of a lapsed process, changes
+    /// nothing until registerDeferred(). Returns the ids that were removed at once.
     std::vector<std::string> replaceAll(const std::vector<ServerEntry>&, Instant now);
 
     /// Adds or updates a registered server, which ends its lapsed state. Another start time means that the process with
@@ -151,8 +151,9 @@
     void lapse(const ServerEntry&, Instant since, bool ended);
     /// Returns whether the store may still contain entries of a copy that nobody has written since.
     bool mayBeCopy(Instant now) const;
-    /// Returns whether the entry's process is known to have ended, or started before the one that is known to run.
-    bool isOfEarlierProcess(const ServerEntry&) const;
+    /// Returns whether the entry may be no sign of life: its process is known to have ended, or started before the one
+    /// that is known to run, or has lapsed and may not have written since.
+    bool mayBeOutdated(const ServerEntry&) const;
     /// Returns the start of the registered or lapsed process of an id that has not ended; 0 if unknown.
     uint64_t runningStart(const std::string& id) const;
     /// Records that all lapsed processes of an id have ended.
@@ -165,7 +166,7 @@
     std::map<std::string, Leadership> m_leadership;
     Instant m_expiredAt; ///< Time of the last call of expire().
     std::optional<Instant> m_restoredAt;
-    std::map<std::string, ServerEntry> m_deferred; ///< Entries of earlier processes in the last listing, by id.
+    std::map<std::string, ServerEntry> m_deferred; ///< Entries of the last listing that may be outdated, by id.
     bool m_storeUnreachable = false;
     std::optional<Instant> m_storeReachableSince;
 };
--- a/tests/unit_server_directory.cpp
+++ b/tests/unit_server_directory.cpp
@@ -332,3 +332,45 @@
     BOOST_TEST(lapsed[0]->ended);
     BOOST_TEST(!lapsed[1]->ended);
 }
+
+// A copy of the store lists a server that was down and not needed; taken for running, it blocked the next change.
+BOOST_AUTO_TEST_CASE(gone_server_in_a_restored_copy_stays_settled)
+{
+    ServerEntry entry = entryOf("a");
+    entry.startedUnixMs = 200;
+    entry.sequence = 9;
+    ServerEntry newer = entry;
+    newer.sequence = 10;
+    const Instant now { seconds(100) };
+    for (const bool recorded : { false, true }) {
+        ServerDirectory directory;
+        if (recorded) {
+            ServerEntry unsequenced = entry;
+            unsequenced.sequence = 0;
+            directory.addLapsed(unsequenced, now - seconds(7));
+        } else {
+            directory.registerServer(entry);
+            directory.remove("a", now - seconds(10));
+            directory.expire(now - seconds(7));
+        }
+        directory.noteSettled("a", 200, now - seconds(1));
+        directory.storeRestored(now);
+        directory.replaceAll({ entry }, now);
+        BOOST_TEST(directory.find("a") == nullptr);
+        BOOST_REQUIRE(lapsedIds(directory) == Ids { "a" });
+        BOOST_TEST(directory.lapsed().front()->settledAt.has_value());
+        ServerDirectory kept = directory;
+        BOOST_TEST(kept.registerDeferred(now + seconds(5)));
+        BOOST_TEST(kept.find("a") != nullptr);
+        ServerDirectory removed = directory;
+        removed.remove("a", now + seconds(2));
+        BOOST_TEST(!removed.registerDeferred(now + seconds(5)));
+        BOOST_TEST(removed.find("a") == nullptr);
+        ServerDirectory written = directory;
+        written.registerServer(newer);
+        BOOST_TEST(written.find("a") != nullptr);
+        BOOST_TEST(!written.registerDeferred(now + seconds(5)));
+        directory.replaceAll({ newer }, now + seconds(1));
+        BOOST_TEST((directory.find("a") == nullptr) == recorded);
+    }
+}
