--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -1,6 +1,8 @@
 #include "server_directory.h"
+#include "log_event.h"
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace plantainwall {
 
@@ -12,9 +14,13 @@
 std::vector<std::string> ServerDirectory::replaceAll(const std::vector<ServerEntry>& entries, Instant now)
 {
     std::set<std::string> listed;
+    m_deferred.clear();
     for (const ServerEntry& entry : entries) {
         listed.insert(entry.id);
-        registerServer(entry);
+        if (mayBeCopy(now) && mayBeOutdated(entry))
+            m_deferred[entry.id] = entry;
+        else
+            registerServer(entry);
     }
     std::vector<std::string> absent;
     for (const auto& [id, known] : m_servers) {
@@ -29,8 +35,28 @@
     return removed;
 }
 
+uint64_t ServerDirectory::runningStart(const std::string& id) const
+{
+    const auto registered = m_servers.find(id);
+    if (registered != m_servers.end())
+        return registered->second.entry.startedUnixMs;
+    for (auto it = m_lapsed.lower_bound({ id, 0 }); it != m_lapsed.end() && it->first.first == id; ++it) {
+        if (!it->second.ended)
+            return it->first.second;
+    }
+    return 0;
+}
+
 void ServerDirectory::registerServer(const ServerEntry& entry)
 {
+    m_deferred.erase(entry.id);
+    const uint64_t knownStart = runningStart(entry.id);
+    if (entry.startedUnixMs == 0 && knownStart != 0) {
+        ServerEntry completed = entry;
+        completed.startedUnixMs = knownStart;
+        registerServer(completed);
+        return;
+    }
     KnownServer& known = m_servers[entry.id];
     const bool sameStart = entry.startedUnixMs != 0 && known.entry.startedUnixMs == entry.startedUnixMs;
     if (sameStart && entry.sequence != 0 && entry.sequence < known.entry.sequence) {
@@ -51,8 +77,7 @@
         lapse(known.entry, m_expiredAt, true);
     known.entry = entry;
     known.missingSince.reset();
-    for (auto& [process, server] : m_lapsed)
-        server.ended = server.ended || process.first == entry.id;
+    markEnded(entry.id);
     m_lapsed.erase({ entry.id, entry.startedUnixMs });
     Leadership& leadership = m_leadership[entry.service];
     if (becamePrimary) {
@@ -62,8 +87,35 @@
     }
 }
 
+bool ServerDirectory::mayBeCopy(Instant now) const
+{
+    return m_restoredAt && now - *m_restoredAt < m_settings.copyGrace;
+}
+
+bool ServerDirectory::mayBeOutdated(const ServerEntry& entry) const
+{
+    if (entry.startedUnixMs == 0)
+        return false;
+    const auto lapsed = m_lapsed.find({ entry.id, entry.startedUnixMs });
+    if (lapsed == m_lapsed.end())
+        return entry.startedUnixMs < runningStart(entry.id);
+    const uint64_t sequence = lapsed->second.entry.sequence;
+    return lapsed->second.ended || sequence == 0 || entry.sequence <= sequence;
+}
+
+bool ServerDirectory::registerDeferred(Instant now)
+{
+    if (m_deferred.empty() || m_storeUnreachable || mayBeCopy(now))
+        return false;
+    const std::map<std::string, ServerEntry> entries = std::exchange(m_deferred, {});
+    for (const auto& [id, entry] : entries)
+        registerServer(entry);
+    return true;
+}
+
 bool ServerDirectory::remove(const std::string& id, Instant now)
 {
+    m_deferred.erase(id);
     const auto it = m_servers.find(id);
     if (it == m_servers.end())
         return false;
@@ -93,6 +145,8 @@
 
 void ServerDirectory::storeRestored(Instant now)
 {
+    m_restoredAt = now;
+    m_deferred.clear();
     if (!m_storeUnreachable)
         m_storeReachableSince = now;
 }
@@ -118,17 +172,25 @@
 void ServerDirectory::lapse(const ServerEntry& entry, Instant since, bool ended)
 {
     m_lapsed[{ entry.id, entry.startedUnixMs }] = { entry, since, ended, {} };
+    const auto goesFirst = [](const LapsedServer& a, const LapsedServer& b) {
+        return std::make_tuple(!a.settledAt, a.since) < std::make_tuple(!b.settledAt, b.since);
+    };
     size_t n = 0;
-    auto oldest = m_lapsed.end();
+    auto first = m_lapsed.end();
     for (auto it = m_lapsed.begin(); it != m_lapsed.end(); ++it) {
         if (it->second.entry.service != entry.service)
             continue;
         ++n;
-        if (oldest == m_lapsed.end() || it->second.since < oldest->second.since)
-            oldest = it;
+        if (first == m_lapsed.end() || goesFirst(it->second, first->second))
+            first = it;
     }
-    if (n > m_settings.maxLapsedPerService)
-        m_lapsed.erase(oldest);
+    if (n <= m_settings.maxLapsedPerService)
+        return;
+    if (!first->second.settledAt)
+        logEvent(LogEvent::ServerRemoved,
+            { { "service", entry.service }, { "server", first->first.first }, { "started", first->first.second },
+                { "reason", "too many lapsed servers; its log may be needed" } });
+    m_lapsed.erase(first);
 }
 
 std::vector<const LapsedServer*> ServerDirectory::lapsed(const std::string& service) const
@@ -141,13 +203,27 @@
     return result;
 }
 
-void ServerDirectory::addLapsed(const ServerEntry& entry, Instant now)
+void ServerDirectory::addLapsed(const ServerEntry& entry, Instant now, bool ended)
 {
     const auto registered = m_servers.find(entry.id);
     const uint64_t registeredStart = registered == m_servers.end() ? 0 : registered->second.entry.startedUnixMs;
-    const bool known = registered != m_servers.end() && entry.startedUnixMs >= registeredStart;
-    if (!known && m_lapsed.count({ entry.id, entry.startedUnixMs }) == 0)
-        lapse(entry, now, registered != m_servers.end());
+    if (registered != m_servers.end() && (registeredStart == 0 || registeredStart == entry.startedUnixMs))
+        return;
+    const auto lapsed = m_lapsed.find({ entry.id, entry.startedUnixMs });
+    if (lapsed != m_lapsed.end()) {
+        lapsed->second.ended = lapsed->second.ended || ended;
+        return;
+    }
+    ended = ended || registered != m_servers.end() || (mayBeCopy(now) && runningStart(entry.id) != 0);
+    if (!ended)
+        markEnded(entry.id);
+    lapse(entry, now, ended);
+}
+
+void ServerDirectory::markEnded(const std::string& id)
+{
+    for (auto it = m_lapsed.lower_bound({ id, 0 }); it != m_lapsed.end() && it->first.first == id; ++it)
+        it->second.ended = true;
 }
 
 std::vector<const LapsedServer*> ServerDirectory::lapsed() const
@@ -158,18 +234,18 @@
     return result;
 }
 
-std::map<std::string, std::vector<const ServerEntry*>> ServerDirectory::replicas() const
+std::map<std::string, std::vector<Replica>> ServerDirectory::replicas() const
 {
-    std::map<std::string, std::vector<const ServerEntry*>> result;
+    std::map<std::string, std::vector<Replica>> result;
     for (const auto& [id, known] : m_servers)
-        result[known.entry.service].push_back(&known.entry);
+        result[known.entry.service].push_back({ known.entry, false });
     for (const auto& [process, server] : m_lapsed) {
         if (!server.settledAt)
-            result[server.entry.service].push_back(&server.entry);
+            result[server.entry.service].push_back({ server.entry, server.ended });
     }
     for (auto& [service, servers] : result)
-        std::sort(servers.begin(), servers.end(), [](const ServerEntry* a, const ServerEntry* b) {
-            return std::tie(a->id, a->startedUnixMs) < std::tie(b->id, b->startedUnixMs);
+        std::sort(servers.begin(), servers.end(), [](const Replica& a, const Replica& b) {
+            return std::tie(a.entry.id, a.entry.startedUnixMs) < std::tie(b.entry.id, b.entry.startedUnixMs);
         });
     return result;
 }
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -11,11 +11,14 @@
     /// again within about 2 s after it. A server whose registration ended is kept for this long, counted from the time
     /// at which the store is reachable again.
     Duration returnGrace = std::chrono::milliseconds(2500);
+    /// For this long after a restore of the store, a listed entry that is not newer than what is known may be one of
+    /// the copy, of a process that has ended. The store removes such an entry after three heartbeats.
+    Duration copyGrace = std::chrono::seconds(5);
     /// A server that denied being primary is not used as primary for this long: one store round trip and the delay of
     /// a registration.
     Duration denialTime = std::chrono::milliseconds(300);
-    /// Lapsed servers that are kept per service; the oldest are dropped. A service has a few servers, and restarts of
-    /// them are minutes apart, so more than this many have not been needed for long.
+    /// Lapsed servers that are kept per service. Above it the oldest settled one is dropped, and only without any the
+    /// oldest of the others, with a log line. A service has a few servers, and restarts of them are minutes apart.
     size_t maxLapsedPerService = 16;
     /// A lapsed server that is down may start again without reaching the store; it is kept for this long in case it
     /// answers again.
@@ -26,10 +29,16 @@
 struct LapsedServer {
     ServerEntry entry;
     Instant since; ///< When the registration ended, or when this host learned of the server.
-    bool ended = false; ///< The id was registered again by a process that started later.
+    bool ended = false; ///< Another process has the id now.
     std::optional<Instant> settledAt; ///< Since when it has been known to be down and not needed.
 };
 
+/// A server that may hold acknowledged commits.
+struct Replica {
+    ServerEntry entry;
+    bool ended = false; ///< As in LapsedServer.
+};
+
 /// Lists the servers of each service and determines its primary, from the servers' registrations and their replies. A
 /// server stays known as lapsed after its registration: it gets no statements, and find(), members(), primary() and
 /// size() leave it out. A decision object.
@@ -37,13 +46,15 @@
 public:
     explicit ServerDirectory(const DirectorySettings& = {});
 
-    /// Applies a complete listing. Servers that it lacks are handled as by remove(). Returns the ids that were removed
-    /// at once.
+    /// Applies a complete listing. Servers that it lacks are handled as by remove(). After a restore of the store an
+    /// entry of a process before the known one, or one that is not newer than the last of a lapsed process, changes
+    /// nothing until registerDeferred(). Returns the ids that were removed at once.
     std::vector<std::string> replaceAll(const std::vector<ServerEntry>&, Instant now);
 
     /// Adds or updates a registered server, which ends its lapsed state. Another start time means that the process with
     /// the id before has ended; it is kept as lapsed. An entry of the same start with a lower sequence number than the
-    /// known one comes from a copy of the store: it keeps the server registered and changes nothing else.
+    /// known one comes from a copy of the store: it keeps the server registered and changes nothing else. An entry
+    /// without a start is taken as one of the process that is known to run.
     void registerServer(const ServerEntry&);
 
     /// Records that a registration was removed. A draining server lapses at once, any other after the grace time.
@@ -56,6 +67,10 @@
     /// Records that an older copy has replaced the store. The grace time of missing servers starts anew.
     void storeRestored(Instant now);
 
+    /// Registers the servers whose entries replaceAll() has deferred and that the store still has after copyGrace.
+    /// Returns whether there were any.
+    bool registerDeferred(Instant now);
+
     /// Makes servers lapsed whose grace time has expired and returns their ids.
     std::vector<std::string> expire(Instant now);
 
@@ -66,13 +81,15 @@
     std::vector<const LapsedServer*> lapsed() const;
 
     /// Returns the servers of each service that may hold acknowledged commits, in order of id and start: those that are
-    /// registered or in their grace time, and lapsed ones that are not settled. The pointers are valid until the next
-    /// change of this directory.
-    std::map<std::string, std::vector<const ServerEntry*>> replicas() const;
+    /// registered or in their grace time, and lapsed ones that are not settled.
+    std::map<std::string, std::vector<Replica>> replicas() const;
 
-    /// Adds a lapsed server that is known from another source than its registration. Ignored if its process, or an
-    /// earlier one with the id, is registered, in its grace time or lapsed.
-    void addLapsed(const ServerEntry&, Instant now);
+    /// Adds a lapsed server that is known from another source than its registration. Ignored if its process, or
+    /// one with the id and an unknown start, is registered or in its grace time. Only one process of an id runs: the
+    /// registered one, else the one that was added last without having ended, or the one before after a restore of the
+    /// store. Start times do not tell, because clocks may go back.
+    /// @param ended Whether the source knows that another process has the id now; also applied to a known process.
+    void addLapsed(const ServerEntry&, Instant now, bool ended = false);
 
     /// Records which lapsed servers of a service (id and start, Unix milliseconds) are down and not needed. Servers
     /// that have been for forgetAfter, and processes that have ended, are dropped. Returns what was dropped.
@@ -133,6 +150,15 @@
     };
 
     void lapse(const ServerEntry&, Instant since, bool ended);
+    /// Returns whether the store may still contain entries of a copy that nobody has written since.
+    bool mayBeCopy(Instant now) const;
+    /// Returns whether the entry may be no sign of life: its process is known to have ended, or started before the one
+    /// that is known to run, or has lapsed and may not have written since.
+    bool mayBeOutdated(const ServerEntry&) const;
+    /// Returns the start of the registered or lapsed process of an id that has not ended; 0 if unknown.
+    uint64_t runningStart(const std::string& id) const;
+    /// Records that all lapsed processes of an id have ended.
+    void markEnded(const std::string& id);
 
     DirectorySettings m_settings;
     std::map<std::string, KnownServer> m_servers;
@@ -140,6 +166,8 @@
     std::map<std::pair<std::string, uint64_t>, LapsedServer> m_lapsed;
     std::map<std::string, Leadership> m_leadership;
     Instant m_expiredAt; ///< Time of the last call of expire().
+    std::optional<Instant> m_restoredAt;
+    std::map<std::string, ServerEntry> m_deferred; ///< Entries of the last listing that may be outdated, by id.
     bool m_storeUnreachable = false;
     std::optional<Instant> m_storeReachableSince;
 };
--- a/tests/unit_replica_record.cpp
+++ b/tests/unit_replica_record.cpp
@@ -26,11 +26,11 @@
 
 std::string recordOf(const std::vector<ServerEntry>& servers)
 {
-    std::vector<const ServerEntry*> pointers;
-    pointers.reserve(servers.size());
+    std::vector<Replica> replicas;
+    replicas.reserve(servers.size());
     for (const ServerEntry& entry : servers)
-        pointers.push_back(&entry);
-    return encodeReplicaRecord(pointers);
+        replicas.push_back({ entry, false });
+    return encodeReplicaRecord(replicas);
 }
 
 Ids lapsedIds(const ServerDirectory& directory, const std::string& service = "orders")
@@ -54,8 +54,8 @@
 Ids recordedIds(const std::string& value)
 {
     Ids ids;
-    for (const ServerEntry& entry : decodeReplicaRecord("orders", value))
-        ids.push_back(entry.id);
+    for (const Replica& replica : decodeReplicaRecord("orders", value))
+        ids.push_back(replica.entry.id);
     return ids;
 }
 
@@ -66,7 +66,7 @@
     /// Sets the item of the service as another host or the store would.
     void setItem(const std::string& value) { items[ordersKey] = { ordersKey, value, ++revision, false }; }
 
-    size_t read(bool coordinator) { return records.itemsRead(items, configuration, coordinator, directory, now); }
+    size_t read(bool coordinator) { return records.itemsRead(items, era, configuration, coordinator, directory, now); }
 
     std::vector<StoreWrite> due() { return records.due(items, configuration, directory, now); }
 
@@ -78,6 +78,7 @@
     ServerDirectory directory;
     std::map<std::string, StoreItem> items;
     uint64_t revision = 10;
+    uint64_t era = 1;
     ReplicaRecords records;
 };
 
@@ -90,17 +91,22 @@
     ServerEntry second = entryOf("i-2");
     second.draining = true;
     second.startedUnixMs = 0;
-    const std::vector<ServerEntry> decoded = decodeReplicaRecord("orders", recordOf({ second, entryOf("i-1") }));
+    const std::vector<Replica> decoded = decodeReplicaRecord("orders", recordOf({ second, entryOf("i-1") }));
     BOOST_REQUIRE(decoded.size() == 2U);
-    BOOST_TEST(decoded[0].id == "i-1");
-    BOOST_TEST(decoded[0].service == "orders");
-    BOOST_TEST(decoded[0].address == "127.0.0.1:7");
-    BOOST_TEST(decoded[0].dataCentre == "north-1");
-    BOOST_TEST(decoded[0].slots == 6U);
-    BOOST_TEST(decoded[0].startedUnixMs == 1760000000123U);
-    BOOST_TEST(!decoded[0].draining);
-    BOOST_TEST(decoded[1].draining);
-    BOOST_TEST(decoded[1].startedUnixMs == 0U);
+    BOOST_TEST(decoded[0].entry.id == "i-1");
+    BOOST_TEST(decoded[0].entry.service == "orders");
+    BOOST_TEST(decoded[0].entry.address == "127.0.0.1:7");
+    BOOST_TEST(decoded[0].entry.dataCentre == "north-1");
+    BOOST_TEST(decoded[0].entry.slots == 6U);
+    BOOST_TEST(decoded[0].entry.startedUnixMs == 1760000000123U);
+    BOOST_TEST(!decoded[0].entry.draining);
+    BOOST_TEST(decoded[1].entry.draining);
+    BOOST_TEST(decoded[1].entry.startedUnixMs == 0U);
+    BOOST_TEST(!decoded[0].ended);
+    const std::vector<Replica> ended
+        = decodeReplicaRecord("orders", encodeReplicaRecord(std::vector<Replica> { { second, true } }));
+    BOOST_REQUIRE(ended.size() == 1U);
+    BOOST_TEST(ended[0].ended);
     BOOST_TEST(decodeReplicaRecord("orders", recordOf({})).empty());
 }
 
@@ -116,7 +122,8 @@
               R"({"id":"a","address":"b","data_centre":"c","started":1.5,"slots":2})",
               R"({"id":"a","address":"b","data_centre":"c","started":"1","slots":2})",
               R"({"id":"a","address":"b","data_centre":"c","started":1,"slots":4294967296})",
-              R"({"id":"a","address":"b","data_centre":"c","started":1,"slots":2,"draining":1})" };
+              R"({"id":"a","address":"b","data_centre":"c","started":1,"slots":2,"draining":1})",
+              R"({"id":"a","address":"b","data_centre":"c","started":1,"slots":2,"ended":1})" };
     for (const std::string& entry : entries)
         BOOST_CHECK_THROW(decodeReplicaRecord("orders", "{\"servers\":[" + entry + "]}"), std::exception);
     for (const char* const value : { "", "{", "[]", "{}", R"({"servers":{}})", R"({"servers":null})", "\xff\xfe" })
@@ -298,6 +305,34 @@
     BOOST_TEST(lapsedIds(other.directory).empty());
 }
 
+// A new host took both recorded processes of an unregistered id as running, and the log of the ended one was not noted.
+// Start times do not tell which process has ended, because clocks may go back.
+BOOST_AUTO_TEST_CASE(ended_process_of_an_unregistered_server_is_recorded)
+{
+    for (const bool clockWentBack : { false, true }) {
+        ServerEntry restarted = entryOf("a");
+        restarted.startedUnixMs += clockWentBack ? -5000 : 5000;
+        RecordsFixture it;
+        it.directory.registerServer(entryOf("a"));
+        it.directory.registerServer(restarted);
+        it.directory.remove("a", it.now);
+        it.directory.expire(it.now + seconds(3));
+        const std::vector<StoreWrite> writes = it.due();
+        BOOST_REQUIRE(writes.size() == 1U);
+        // The other host knows the first process as running, or neither.
+        for (const bool known : { false, true }) {
+            RecordsFixture other;
+            if (known)
+                other.directory.addLapsed(entryOf("a"), other.now);
+            other.setItem(writes[0].value);
+            other.read(false);
+            BOOST_REQUIRE(lapsedIds(other.directory) == (Ids { "a", "a" }));
+            for (const LapsedServer* const server : other.directory.lapsed())
+                BOOST_TEST(server->ended == (server->entry.startedUnixMs == entryOf("a").startedUnixMs));
+        }
+    }
+}
+
 // The copy from which a store was restored is older than the record that was read last.
 BOOST_AUTO_TEST_CASE(item_of_a_restored_copy_drops_no_server)
 {
@@ -573,3 +608,36 @@
     pass(fleet, seconds(5));
     BOOST_TEST(recordedIds(fleet) == (Ids { "p", "r1", "r2", "r3", "r4", "r5" }));
 }
+
+// A copy of the store counts its revisions anew, so a greater revision than before does not make its record newer.
+BOOST_FIXTURE_TEST_CASE(record_written_after_a_restore_settles_no_server, RecordsFixture)
+{
+    directory.registerServer(entryOf("a"));
+    setItem(recordOf({ entryOf("a"), entryOf("x") })); // Revision 11, era 1.
+    read(false);
+    BOOST_REQUIRE(lapsedIds(directory) == Ids { "x" });
+    // The copy lacks x. A coordinator that started after the restore does not know x and adds b.
+    directory.storeRestored(now);
+    ++era;
+    setItem(recordOf({ entryOf("a"), entryOf("b") })); // Revision 12, era 2.
+    read(false);
+    const Ids settled = settledIds(directory);
+    BOOST_TEST(settled.empty());
+    setItem(recordOf({ entryOf("a") })); // A decision of that coordinator.
+    read(false);
+    BOOST_TEST(settledIds(directory) == Ids { "b" });
+}
+
+// A coordinator that has read the record in a copy knows all of its servers, so what it drops afterwards is settled.
+BOOST_FIXTURE_TEST_CASE(record_in_a_restored_copy_is_compared_with_the_next_one, RecordsFixture)
+{
+    setItem(recordOf({ entryOf("a"), entryOf("x") }));
+    read(false);
+    revision -= 5;
+    ++era;
+    setItem(recordOf({ entryOf("a"), entryOf("x") }));
+    read(false);
+    setItem(recordOf({ entryOf("a") }));
+    read(false);
+    BOOST_TEST(settledIds(directory) == Ids { "x" });
+}
--- a/tests/unit_server_directory.cpp
+++ b/tests/unit_server_directory.cpp
@@ -1,4 +1,6 @@
 #include "server_directory.h"
+#include "support_log_capture.h"
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 using namespace plantainwall;
@@ -93,17 +95,29 @@
     BOOST_TEST(directory.size() == 2U);
 }
 
-BOOST_AUTO_TEST_CASE(oldest_lapsed_servers_of_a_service_are_dropped)
+// A log that may be needed was forgotten silently when many servers had lapsed.
+BOOST_AUTO_TEST_CASE(lapsed_servers_of_a_service_are_bounded_and_needed_ones_dropped_last)
 {
     DirectorySettings settings;
     settings.maxLapsedPerService = 3;
     ServerDirectory directory(settings);
     const Instant now { seconds(100) };
+    const CerrCapture capture;
+    const auto add = [&](const char* id, int passed) { directory.addLapsed(entryOf(id), now + seconds(passed)); };
     directory.addLapsed(entryOf("a", "invoices"), now);
-    int passed = 0;
-    for (const char* const id : { "e", "d", "c", "b" })
-        directory.addLapsed(entryOf(id), now + seconds(++passed));
-    BOOST_TEST(lapsedIds(directory) == (Ids { "b", "c", "d" }));
+    add("e", 1);
+    add("d", 2);
+    add("c", 3);
+    directory.noteSettled("c", 0, now + seconds(3));
+    directory.noteSettled("d", 0, now + seconds(4));
+    add("b", 4);
+    BOOST_TEST(lapsedIds(directory) == (Ids { "b", "c", "e" }));
+    add("f", 5);
+    BOOST_TEST(lapsedIds(directory) == (Ids { "b", "e", "f" }));
+    BOOST_TEST(capture.text.str().empty());
+    add("g", 6);
+    BOOST_TEST(lapsedIds(directory) == (Ids { "b", "f", "g" }));
+    BOOST_TEST(capture.text.str().find(R"("server":"e")") != std::string::npos);
     BOOST_TEST(lapsedIds(directory, "invoices") == Ids { "a" });
 }
 
@@ -145,3 +159,218 @@
     BOOST_TEST(!directory.noteReportedPrimary("orders", "a", 2));
     BOOST_TEST(directory.primary("orders", now) == "b");
 }
+
+// A record does not say which of two processes with an id has ended.
+BOOST_AUTO_TEST_CASE(recorded_process_before_a_lapsed_one_has_ended)
+{
+    ServerDirectory directory;
+    const Instant now { seconds(100) };
+    ServerEntry entry = entryOf("a");
+    entry.startedUnixMs = 200;
+    directory.addLapsed(entry, now);
+    entry.startedUnixMs = 300;
+    directory.addLapsed(entry, now);
+    const std::vector<const LapsedServer*> lapsed = directory.lapsed("orders");
+    BOOST_REQUIRE(lapsed.size() == 2U);
+    BOOST_TEST(lapsed[0]->entry.startedUnixMs == 200U);
+    BOOST_TEST(lapsed[0]->ended);
+    BOOST_TEST(!lapsed[1]->ended);
+}
+
+// The clock of a server's machine went back between two starts.
+BOOST_AUTO_TEST_CASE(recorded_process_with_a_later_start_than_the_registered_one)
+{
+    ServerDirectory directory;
+    ServerEntry entry = entryOf("a");
+    entry.startedUnixMs = 150;
+    directory.registerServer(entry);
+    entry.startedUnixMs = 200;
+    directory.addLapsed(entry, Instant(seconds(100)));
+    BOOST_REQUIRE(lapsedIds(directory) == Ids { "a" });
+    BOOST_TEST(directory.lapsed().front()->ended);
+}
+
+// Servers that are not needed take no place of one that is.
+BOOST_AUTO_TEST_CASE(needed_lapsed_server_is_kept_before_settled_ones)
+{
+    DirectorySettings settings;
+    settings.maxLapsedPerService = 3;
+    ServerDirectory directory(settings);
+    Instant now { seconds(100) };
+    directory.addLapsed(entryOf("needed"), now);
+    for (const char* const id : { "b", "c", "d" }) {
+        now += seconds(1);
+        directory.addLapsed(entryOf(id), now);
+        directory.noteSettled(id, 0, now);
+    }
+    const Ids ids = lapsedIds(directory);
+    BOOST_TEST(std::count(ids.begin(), ids.end(), "needed") == 1);
+}
+
+// An entry without a start, as another writer's may be, says nothing about the process that runs.
+BOOST_AUTO_TEST_CASE(entry_without_a_start_ends_no_process)
+{
+    ServerDirectory directory;
+    ServerEntry entry = entryOf("a");
+    entry.startedUnixMs = 200;
+    entry.sequence = 5;
+    directory.registerServer(entry);
+    entry.startedUnixMs = 0;
+    entry.sequence = 0;
+    directory.registerServer(entry);
+    BOOST_TEST(directory.lapsed().empty());
+    BOOST_REQUIRE(directory.find("a") != nullptr);
+    BOOST_TEST(directory.find("a")->startedUnixMs == 200U);
+    directory.remove("a", Instant(seconds(100)));
+    directory.expire(Instant(seconds(103)));
+    directory.registerServer(entry); // As the first entry of a lapsed server.
+    BOOST_TEST(directory.lapsed().empty());
+    BOOST_REQUIRE(directory.find("a") != nullptr);
+    BOOST_TEST(directory.find("a")->startedUnixMs == 200U);
+}
+
+// A copy of the store contains the entry of the process before the running one.
+BOOST_AUTO_TEST_CASE(restored_copy_does_not_end_a_running_process)
+{
+    ServerDirectory directory;
+    ServerEntry entry = entryOf("a");
+    entry.startedUnixMs = 100;
+    entry.sequence = 9;
+    entry.primary = true;
+    directory.registerServer(entry);
+    ServerEntry restarted = entry;
+    restarted.startedUnixMs = 200;
+    restarted.sequence = 1;
+    restarted.primary = false;
+    directory.registerServer(restarted);
+    directory.notePrimary("orders", "b", 2);
+    directory.storeRestored(Instant(seconds(100)));
+    directory.replaceAll({ entry }, Instant(seconds(100)));
+    BOOST_TEST(directory.knownPrimary("orders") == "b");
+    for (const LapsedServer* const server : directory.lapsed("orders"))
+        BOOST_TEST(server->entry.startedUnixMs != 200U, "the running process counts as ended");
+}
+
+// A process that started before the known one, by a clock that went back, is not mistaken for one of a copy for good.
+BOOST_AUTO_TEST_CASE(earlier_process_in_a_restored_store_is_used_once_it_must_run)
+{
+    ServerEntry known = entryOf("a");
+    known.startedUnixMs = 200;
+    known.sequence = 9;
+    ServerEntry earlier = known;
+    earlier.startedUnixMs = 100;
+    earlier.sequence = 3;
+    Instant now { seconds(100) };
+    const auto restored = [&](bool lapsed) {
+        ServerDirectory directory;
+        directory.registerServer(known);
+        if (lapsed) {
+            directory.remove("a", now - seconds(10));
+            directory.expire(now - seconds(7));
+        }
+        directory.storeRestored(now);
+        directory.replaceAll({ earlier }, now);
+        directory.replaceAll({ earlier }, now + seconds(4));
+        BOOST_TEST(!directory.registerDeferred(now + seconds(4)));
+        BOOST_TEST((directory.find("a") == nullptr) == lapsed);
+        for (const LapsedServer* const server : directory.lapsed())
+            BOOST_TEST(!server->ended);
+        return directory;
+    };
+    const auto startOf = [](const ServerDirectory& directory) {
+        return directory.find("a") == nullptr ? 0 : directory.find("a")->startedUnixMs;
+    };
+    for (const bool lapsed : { false, true }) {
+        ServerDirectory written = restored(lapsed);
+        written.registerServer(earlier);
+        BOOST_TEST(startOf(written) == 100U);
+        BOOST_REQUIRE(lapsedIds(written) == Ids { "a" });
+        BOOST_TEST(written.lapsed().front()->ended);
+        ServerDirectory kept = restored(lapsed);
+        BOOST_TEST(kept.registerDeferred(now + seconds(5)));
+        BOOST_TEST(startOf(kept) == 100U);
+        BOOST_REQUIRE(lapsedIds(kept) == Ids { "a" });
+        BOOST_TEST(kept.lapsed().front()->ended);
+        ServerDirectory removed = restored(lapsed);
+        removed.remove("a", now + seconds(4));
+        BOOST_TEST(!removed.registerDeferred(now + seconds(5)));
+        removed.expire(now + seconds(7));
+        BOOST_REQUIRE(lapsedIds(removed) == Ids { "a" });
+        BOOST_TEST(!removed.lapsed().front()->ended);
+    }
+}
+
+// The copy's entry of an ended process, whose clock was ahead, does not replace the process that runs.
+BOOST_AUTO_TEST_CASE(restored_copy_does_not_bring_back_a_process_that_has_ended)
+{
+    ServerDirectory directory;
+    ServerEntry ended = entryOf("a");
+    ended.startedUnixMs = 200;
+    directory.registerServer(ended);
+    ServerEntry running = ended;
+    running.startedUnixMs = 100;
+    directory.registerServer(running);
+    directory.storeRestored(Instant(seconds(100)));
+    directory.replaceAll({ ended }, Instant(seconds(100)));
+    BOOST_REQUIRE(directory.find("a") != nullptr);
+    BOOST_TEST(directory.find("a")->startedUnixMs == 100U);
+}
+
+// The record in a copy may be older than a process that lapsed since.
+BOOST_AUTO_TEST_CASE(record_of_a_restored_copy_does_not_end_a_lapsed_process)
+{
+    ServerDirectory directory;
+    const Instant now { seconds(100) };
+    ServerEntry entry = entryOf("a");
+    entry.startedUnixMs = 200;
+    directory.addLapsed(entry, now);
+    directory.storeRestored(now);
+    entry.startedUnixMs = 100;
+    directory.addLapsed(entry, now);
+    const std::vector<const LapsedServer*> lapsed = directory.lapsed();
+    BOOST_REQUIRE(lapsed.size() == 2U);
+    BOOST_TEST(lapsed[0]->ended);
+    BOOST_TEST(!lapsed[1]->ended);
+}
+
+// A copy of the store lists a server that was down and not needed; taken for running, it blocked the next change.
+BOOST_AUTO_TEST_CASE(gone_server_in_a_restored_copy_stays_settled)
+{
+    ServerEntry entry = entryOf("a");
+    entry.startedUnixMs = 200;
+    entry.sequence = 9;
+    ServerEntry newer = entry;
+    newer.sequence = 10;
+    const Instant now { seconds(100) };
+    for (const bool recorded : { false, true }) {
+        ServerDirectory directory;
+        if (recorded) {
+            ServerEntry unsequenced = entry;
+            unsequenced.sequence = 0;
+            directory.addLapsed(unsequenced, now - seconds(7));
+        } else {
+            directory.registerServer(entry);
+            directory.remove("a", now - seconds(10));
+            directory.expire(now - seconds(7));
+        }
+        directory.noteSettled("a", 200, now - seconds(1));
+        directory.storeRestored(now);
+        directory.replaceAll({ entry }, now);
+        BOOST_TEST(directory.find("a") == nullptr);
+        BOOST_REQUIRE(lapsedIds(directory) == Ids { "a" });
+        BOOST_TEST(directory.lapsed().front()->settledAt.has_value());
+        ServerDirectory kept = directory;
+        BOOST_TEST(kept.registerDeferred(now + seconds(5)));
+        BOOST_TEST(kept.find("a") != nullptr);
+        ServerDirectory removed = directory;
+        removed.remove("a", now + seconds(2));
+        BOOST_TEST(!removed.registerDeferred(now + seconds(5)));
+        BOOST_TEST(removed.find("a") == nullptr);
+        ServerDirectory written = directory;
+        written.registerServer(newer);
+        BOOST_TEST(written.find("a") != nullptr);
+        BOOST_TEST(!written.registerDeferred(now + seconds(5)));
+        directory.replaceAll({ newer }, now + seconds(1));
+        BOOST_TEST((directory.find("a") == nullptr) == recorded);
+    }
+}
