Don't take an earlier refusal as proof that a server is still down

Callers lose acknowledged commits when a replica's process ends, so that the coordinator's connections are refused, and starts again without reaching the coordinator's host: it receives and confirms, but counts as down until it answers the coordinator. A lagging replica is then promoted without it.

Cause: FailoverMember::refused was kept over later attempts without an answer, and ReplicaLogs::isDown took it as a state. It is the same mistake as silence towards one host taken for an end: a refusal proves only that no process ran at that time.

An attempt without an answer, or a registration with another start, now ends `refused`. A registered server counts as down only while its latest attempt is refused. A lapsed one that refused before goes on counting as down, so that a machine that is switched off after a crash blocks nothing, until a host that probes it reaches it.

--- a/src/failover_member.h
+++ b/src/failover_member.h
@@ -23,9 +23,10 @@
     std::optional<ServerStatus> status; ///< Last status received.
     Instant requestedAt; ///< When the last status was requested.
     Instant answeredAt; ///< When the last status was received.
-    /// The last connection was refused because the process does not run; a server at its connection limit does not
-    /// count.
+    /// The last attempt to connect was refused because the process does not run; a server at its connection limit does
+    /// not count.
     bool refused = false;
+    std::optional<Instant> refusedAt; ///< Last refusal since it answered. It may have started again since.
     bool replaced = false; ///< Another server answers at its address.
     Instant heardAt; ///< When it last answered anything.
     std::optional<Instant> silentSince; ///< Time of the first unanswered request since the last answer.
--- a/src/promotion_coordinator.cpp
+++ b/src/promotion_coordinator.cpp
@@ -38,6 +38,7 @@
         report.heardAt = coordinator.m_clock();
         report.silentSince.reset();
         report.refused = false;
+        report.refusedAt.reset();
         report.replaced = false;
         if (!status)
             return;
@@ -55,6 +56,8 @@
     void backendClosed(BackendCloseReason reason) override
     {
         report.refused = reason == BackendCloseReason::Refused;
+        if (report.refused)
+            report.refusedAt = coordinator.m_clock();
         report.replaced = report.replaced || reason == BackendCloseReason::Misrouted;
         close(coordinator.m_clock());
     }
@@ -223,6 +226,10 @@
     member->service = entry.service;
     member->listedAt = now;
     member->report.address = entry.address;
+    if (member->report.startedUnixMs != entry.startedUnixMs) {
+        member->report.refused = false;
+        member->report.refusedAt.reset();
+    }
     member->report.startedUnixMs = entry.startedUnixMs;
     member->report.draining = entry.draining;
     if (!member->link) {
@@ -236,6 +243,7 @@
         = !member->open ? member->openedAt : (member->requestTimes.empty() ? now : member->requestTimes.front());
     if (now - waitingSince > m_settings.answerTimeout) {
         member->report.failedAt = waitingSince;
+        member->report.refused = false;
         if (!member->report.silentSince)
             member->report.silentSince = waitingSince;
     }
--- a/src/replica_logs.cpp
+++ b/src/replica_logs.cpp
@@ -8,7 +8,7 @@
 {
 }
 
-bool ReplicaLogs::isDown(Instant now, const FailoverMember& member) const
+bool ReplicaLogs::isDown(Instant now, const FailoverMember& member, bool wasDown) const
 {
     if (member.replaced)
         return true;
@@ -18,6 +18,8 @@
         return true;
     if (member.registered)
         return false;
+    if (member.refusedAt && member.probes.reachedAt.value_or(*member.refusedAt) <= *member.refusedAt)
+        return wasDown || !member.probes.pending;
     // Attempts of other hosts count, so that a new coordinator need not start from its own.
     Instant silentSince = *member.silentSince;
     if (member.probes.silentSince && !member.probes.pending)
@@ -108,7 +110,7 @@
     }
     const bool reachedSince = copy.down && member.probes.reachedAt && *member.probes.reachedAt > copy.down->since;
     const bool stillSettled = member.settled && copy.down && !member.status && !reachedSince;
-    if (!isDown(now, member) && !stillSettled)
+    if (!isDown(now, member, copy.down.has_value()) && !stillSettled)
         copy.down.reset();
     else if (!copy.down)
         copy.down = Coverage { now, {}, {}, {} };
--- a/src/replica_logs.h
+++ b/src/replica_logs.h
@@ -93,7 +93,8 @@
     void checkLogKept(Instant, const std::string& id, const ServerStatus&);
     /// Marks logs as covered that a later process at the server's address, or under its id, has kept.
     void checkSuccessors(Instant, const std::vector<FailoverMember>&);
-    bool isDown(Instant, const FailoverMember&) const;
+    /// @param wasDown Result of the last call.
+    bool isDown(Instant, const FailoverMember&, bool wasDown) const;
 
     ReplicaLogsSettings m_settings;
     std::map<std::string, Copy> m_copies; ///< By server id.
--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -374,6 +374,25 @@
     }
 }
 
+// The coordinator saw the replica's process end, but not its restart.
+BOOST_AUTO_TEST_CASE(restarted_replica_that_the_coordinator_does_not_reach_confirms)
+{
+    for (const bool registers : { false, true }) {
+        for (int phase = 0; phase < 1000; phase += 100) {
+            LaggingReplica it(3);
+            it.service.crash("r2");
+            it.service.pass(registers ? seconds(1) : lapseTime + seconds(3));
+            it.service.setStoreCut("r2", !registers);
+            it.service.setHostCut("r2", 0, true);
+            it.service.restart("r2");
+            it.service.pass(seconds(4) + milliseconds(phase));
+            it.service.crash("p");
+            BOOST_TEST(recoversWithHandOvers(it.service));
+            it.check(seconds(2));
+        }
+    }
+}
+
 // Without the reports of other hosts its own silence decides.
 BOOST_AUTO_TEST_CASE(gone_replica_does_not_block_a_coordinator_without_other_hosts)
 {
