--- a/src/failover_member.h
+++ b/src/failover_member.h
@@ -26,6 +26,7 @@
     /// The latest connection attempt was refused because the process does not run; a server at its connection limit
     /// does not count.
     bool refused = false;
+    std::optional<Instant> refusedAt; ///< Last refusal since it answered. It may have started again since.
     bool replaced = false; ///< Another server answers at its address.
     Instant heardAt; ///< When it last answered anything.
     std::optional<Instant> silentSince; ///< Time of the first unanswered request since the last answer.
