--- a/tests/support_replicated_service.cpp
+++ b/tests/support_replicated_service.cpp
@@ -524,7 +524,7 @@
     const bool active = host.coordinator != nullptr;
     if (host.itemsChanged) {
         host.itemsChanged = false;
-        host.records.itemsRead(host.items, configuration, active, directory, now);
+        host.records.itemsRead(host.items, 0, configuration, active, directory, now);
     }
     host.records.forgetUnlisted(configuration, active, directory, now);
     if (!active)
