Give refused hosts their peers' listing of a restored store

What callers saw: after the metadata store came back from a copy, hosts that it kept refusing (503, 429, reset, silence) while it served the others stayed at the configuration from before.

Cause: nothing of a new era is applied before a complete listing of it, and only the store gave listings. Relayed changes do not help such a host, as it has no revision to which they can be added.

Every host keeps the items of the store as it knows them (StoreFollower::items) and sends them as a listing to a host that requests the changes after revision 0 (ChangeExchange), compressed, in parts, packed once for all requests of 2 s. A host requests it if others have relayed state of an era that it has not listed for 0.7 s and the store sends it no pages. It applies the answer like a listing of its own (servers, own items, configuration by its version), drops calls in progress and goes on with relayed changes. Coordinator claims, promotions and forgetting servers still require a listing from the store itself (listedFromStore). listing_relayed logs it.

Tests: refused_hosts_follow_a_restored_store, ..._restored_twice, ..._despite_lost_datagrams and refused_hosts_know_hosts_that_start_after_a_restore of unit.restored-store failed before: of 5 and 60 hosts the refused two fifths got no version, server or new host after the restore, with each of the three ways of refusing.

--- a/src/change_exchange.cpp
+++ b/src/change_exchange.cpp
@@ -56,10 +56,11 @@
 
 } // namespace
 
-ChangeExchange::ChangeExchange(std::string host, PeerChannel& channel, Clock clock)
+ChangeExchange::ChangeExchange(std::string host, PeerChannel& channel, Clock clock, Listing listing)
     : m_host(std::move(host))
     , m_channel(channel)
     , m_clock(std::move(clock))
+    , m_listing(std::move(listing))
 {
 }
 
@@ -70,9 +71,8 @@
     m_era = era;
     m_kept.clear();
     m_keptBytes = 0;
-    m_packed.clear();
-    m_packedFrom = 0;
-    m_packedTo = 0;
+    m_packedChanges = {};
+    m_packedListing = {};
     m_requestHost.clear();
     m_parts.clear();
 }
@@ -96,6 +96,8 @@
 void ChangeExchange::tick(std::optional<uint64_t> missingAfter, const Sources& sources)
 {
     const Instant now = m_clock();
+    if (!m_packedListing.text.empty() && now - m_packedListing.packedAt >= m_settings.listingReuse)
+        m_packedListing = {};
     if (!missingAfter) {
         m_requestHost.clear();
         return;
@@ -147,13 +149,23 @@
     m_channel.send(m_requestAddress, request);
 }
 
-const std::string& ChangeExchange::changesAfter(uint64_t revision)
+const ChangeExchange::Packed& ChangeExchange::listing()
 {
-    static const std::string none;
+    if (!m_packedListing.text.empty())
+        return m_packedListing;
+    const StoreEvents all = m_listing();
+    if (all.to != 0 && all.era == m_era)
+        m_packedListing = { pack(encodeAllStoreEvents(all)), 0, all.to, m_clock() };
+    return m_packedListing;
+}
+
+const ChangeExchange::Packed& ChangeExchange::changesAfter(uint64_t revision)
+{
+    static const Packed none;
     if (m_kept.empty() || revision < m_kept.front().from || revision >= m_kept.back().to)
         return none;
-    if (m_packedFrom == revision && m_packedTo == m_kept.back().to)
-        return m_packed;
+    if (m_packedChanges.from == revision && m_packedChanges.to == m_kept.back().to)
+        return m_packedChanges;
     StoreEvents all;
     all.era = m_era;
     all.from = revision;
@@ -164,10 +176,8 @@
                 all.items.push_back(item);
         }
     }
-    m_packed = pack(encodeAllStoreEvents(all));
-    m_packedFrom = all.from;
-    m_packedTo = all.to;
-    return m_packed;
+    m_packedChanges = { pack(encodeAllStoreEvents(all)), all.from, all.to, m_clock() };
+    return m_packedChanges;
 }
 
 void ChangeExchange::answerRequest(const std::string& request, const AddressOf& addressOf)
@@ -182,13 +192,13 @@
     if (era != m_era)
         return;
     const std::string address = addressOf(host);
-    const std::string& packed = changesAfter(revision);
-    if (address.empty() || packed.empty())
+    const Packed& packed = revision == 0 ? listing() : changesAfter(revision);
+    if (address.empty() || packed.text.empty())
         return; // The requesting host will try another host.
-    const size_t count = (packed.size() + m_settings.partBytes - 1) / m_settings.partBytes;
+    const size_t count = (packed.text.size() + m_settings.partBytes - 1) / m_settings.partBytes;
     uint64_t knownTo = 0;
     std::set<size_t> missing;
-    if (text >> knownTo && knownTo == m_packedTo) {
+    if (text >> knownTo && knownTo == packed.to) {
         for (size_t index = 0; text >> index;)
             missing.insert(index);
     }
@@ -196,8 +206,8 @@
         if (!missing.empty() && missing.count(i) == 0)
             continue;
         std::ostringstream part;
-        part << partWord << number << ' ' << m_packedTo << ' ' << i << ' ' << count << ' ';
-        part << std::string_view(packed).substr(i * m_settings.partBytes, m_settings.partBytes);
+        part << partWord << number << ' ' << packed.to << ' ' << i << ' ' << count << ' ';
+        part << std::string_view(packed.text).substr(i * m_settings.partBytes, m_settings.partBytes);
         m_channel.send(address, part.str());
     }
 }
--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -28,7 +28,7 @@
     , m_random(seed)
     , m_follower(store, decoder, *this, m_after, m_clock, followerSettings())
     , m_positionExchange(settings.host, channel, m_clock, gateway)
-    , m_changeExchange(settings.host, channel, m_clock)
+    , m_changeExchange(settings.host, channel, m_clock, [this] { return m_follower.listing(); })
 {
     m_settings.coordinatorLease = std::max(m_settings.coordinatorLease, settings.storeMinLease);
 }
@@ -60,7 +60,7 @@
 
 void FleetMember::serversListed(const std::vector<ServerEntry>& servers)
 {
-    if (!m_listedAt)
+    if (!m_listedAt && m_follower.listedFromStore())
         m_listedAt = m_clock();
     for (const std::string& id : m_gateway.directory().replaceAll(servers, m_clock()))
         logEvent(LogEvent::ServerRemoved, { { "server", id }, { "reason", "not listed" } });
@@ -112,11 +112,10 @@
 {
     m_replicaItemsChanged = true;
     std::set<std::string> listed;
-    for (const auto& [key, item] : m_follower.ownItems()) {
-        if (key.rfind(hostsPrefix, 0) != 0)
-            continue;
+    const std::map<std::string, StoreItem>& items = m_follower.items();
+    for (auto it = items.lower_bound(hostsPrefix); it != items.end() && it->first.rfind(hostsPrefix, 0) == 0; ++it) {
         try {
-            const web::json::value value = web::json::value::parse(item.value);
+            const web::json::value value = web::json::value::parse(it->second.value);
             const std::string host = value.at("host").as_string();
             const auto incarnation = static_cast<uint64_t>(value.at("incarnation").as_number().to_int64());
             if (host == m_gatewaySettings.host)
@@ -131,7 +130,7 @@
                 peer.region = value.has_field("region") ? value.at("region").as_string() : std::string();
             }
         } catch (const std::exception& error) {
-            logEvent(LogEvent::StoreItemRejected, { { "key", key }, { "reason", error.what() } });
+            logEvent(LogEvent::StoreItemRejected, { { "key", it->first }, { "reason", error.what() } });
         }
     }
     for (auto& [host, peer] : m_peers)
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -190,7 +190,7 @@
     bool m_resigned = false;
     bool m_leaving = false;
     Instant m_claimAt;
-    std::optional<Instant> m_listedAt; ///< First listing of the newest era.
+    std::optional<Instant> m_listedAt; ///< First listing of the newest era that the store itself gave.
     Instant m_storeReachableSince;
     Instant m_noClaimBefore;
     Instant m_reportAt;
--- a/src/fleet_member_coordinator.cpp
+++ b/src/fleet_member_coordinator.cpp
@@ -34,15 +34,15 @@
 
 const StoreItem* FleetMember::coordinatorItem() const
 {
-    const auto it = m_follower.ownItems().find(coordinatorKey);
-    return it == m_follower.ownItems().end() ? nullptr : &it->second;
+    const auto it = m_follower.items().find(coordinatorKey);
+    return it == m_follower.items().end() ? nullptr : &it->second;
 }
 
 // A claim without an answer may be carried out later, and a copy of the store may contain an earlier claim. The item
 // then names this host under a lease that it does not hold and that may never end.
 bool FleetMember::claimable() const
 {
-    if (!m_follower.listed() || !m_follower.reachable() || m_coordinator.isActive() || m_claiming)
+    if (!m_follower.listedFromStore() || !m_follower.reachable() || m_coordinator.isActive() || m_claiming)
         return false;
     const StoreItem* const item = coordinatorItem();
     return item == nullptr || item->value == coordinatorValue();
--- a/src/fleet_member_relay.cpp
+++ b/src/fleet_member_relay.cpp
@@ -24,8 +24,9 @@
         [](const auto& peer) { return !peer.second.silent && !peer.second.storeReachable; });
     if (!largeFleet() && m_follower.reachable() && !refused)
         return StoreSource::Watch;
+    // A host knows others only after a complete listing.
     if (!largeFleet() && !m_follower.reachable())
-        return m_follower.listed() ? StoreSource::Relay : StoreSource::Watch;
+        return m_peers.empty() ? StoreSource::Watch : StoreSource::Relay;
     const std::vector<std::string> hosts = relays();
     if (std::find(hosts.begin(), hosts.end(), m_gatewaySettings.host) != hosts.end())
         return StoreSource::WatchForOthers;
--- a/src/fleet_member_replicas.cpp
+++ b/src/fleet_member_replicas.cpp
@@ -14,14 +14,14 @@
     const bool coordinator = m_coordinator.isActive();
     if (m_replicaItemsChanged) {
         m_replicaItemsChanged = false;
-        m_replicaRecords.itemsRead(m_follower.ownItems(), configuration, coordinator, directory, now);
+        m_replicaRecords.itemsRead(m_follower.items(), configuration, coordinator, directory, now);
     }
-    if (!m_follower.reachable())
+    if (!m_follower.reachable() || !m_follower.listedFromStore())
         return;
     m_replicaRecords.forgetUnlisted(configuration, coordinator, directory, now);
     if (!coordinator || now >= m_coordinatorUntil)
         return;
-    for (const StoreWrite& write : m_replicaRecords.due(m_follower.ownItems(), configuration, directory, now)) {
+    for (const StoreWrite& write : m_replicaRecords.due(m_follower.items(), configuration, directory, now)) {
         m_store.write(write, [this, key = write.key](const StoreResult& result) {
             m_replicaRecords.written(key, result.outcome, m_clock());
         });
--- a/src/fleet_member_reports.cpp
+++ b/src/fleet_member_reports.cpp
@@ -167,7 +167,9 @@
             return;
         std::optional<StoreEvents> changes;
         if (m_changeExchange.datagram(datagram, addressOf, changes)) {
-            if (changes)
+            if (changes && changes->from == 0)
+                m_follower.applyRelayedListing(*changes);
+            else if (changes)
                 m_follower.applyRelayed(*changes);
             return;
         }
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -74,6 +74,8 @@
             "Another host relayed changes of the store from a different era than the one known here." },
         { 56, "configuration_not_applied", LogLevel::Info,
             "A configuration was read from the store but not put in force; the field reason says why." },
+        { 57, "listing_relayed", LogLevel::Info,
+            "A complete listing of the store came from another host, because the store does not answer this one." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -68,27 +68,32 @@
         list();
         return;
     }
+    m_listingInProgress = false;
+    m_stateAsOf = std::max(m_stateAsOf, m_listingSentAt);
+    m_listedFromStore = true;
+    applyListing(std::exchange(m_listing, {}), m_listingRevision);
+    watch();
+}
+
+void StoreFollower::applyListing(const std::vector<StoreItem>& listing, uint64_t revision)
+{
     std::vector<ServerEntry> servers;
-    m_ownItems.clear();
-    for (const StoreItem& item : m_listing) {
+    m_items.clear();
+    for (const StoreItem& item : listing) {
+        m_items[item.key] = item;
         if (m_decoder.isConfiguration(item.key))
             decodeConfiguration(item);
         else if (m_decoder.isServer(item.key)) {
             const std::optional<ServerEntry> entry = decodeServer(item);
             if (entry)
                 servers.push_back(*entry);
-        } else if (item.key.rfind(ownPrefix, 0) == 0)
-            m_ownItems[item.key] = item;
+        }
     }
-    m_listing.clear();
-    m_listingInProgress = false;
-    m_revision = m_listingRevision;
-    m_stateAsOf = std::max(m_stateAsOf, m_listingSentAt);
+    m_revision = revision;
     m_listed = true;
     m_emptyWatches = 0;
     m_observer.serversListed(servers);
     m_observer.ownItemsChanged();
-    watch();
 }
 
 bool StoreFollower::acceptsRelayedState() const
@@ -189,8 +194,13 @@
     }
     if (events.era > m_era)
         noteEra(events.era, "relay");
-    if (events.era < m_era || !m_listed)
+    if (events.era < m_era)
         return;
+    if (!m_listed) {
+        if (!m_listingMissingSince)
+            m_listingMissingSince = now;
+        return;
+    }
     m_reportedRevision = std::max(m_reportedRevision, events.to);
     if (!m_listingInProgress && events.from <= m_revision && events.from < events.to)
         advance(events.items, events.to);
@@ -200,11 +210,46 @@
         m_stateAsOf = std::max(m_stateAsOf, now - events.age);
 }
 
+void StoreFollower::applyRelayedListing(const StoreEvents& events)
+{
+    if (events.era != m_era || m_listed || !m_listing.empty())
+        return;
+    logEvent(
+        LogEvent::ListingRelayed, { { "era", m_era }, { "revision", events.to }, { "items", events.items.size() } });
+    // The answer of a call in progress may be older.
+    ++m_sequence;
+    m_listingInProgress = false;
+    m_store.cancelReads();
+    applyListing(events.items, events.to);
+    schedule(m_settings.relayedRetryDelay, &StoreFollower::list);
+}
+
+StoreEvents StoreFollower::listing() const
+{
+    StoreEvents all;
+    all.era = m_era;
+    if (!m_listed)
+        return all;
+    all.to = m_revision;
+    all.items.reserve(m_items.size());
+    for (const auto& [key, item] : m_items)
+        all.items.push_back(item);
+    return all;
+}
+
 std::optional<uint64_t> StoreFollower::missingAfter() const
 {
-    const bool missing = m_source == StoreSource::Relay && m_listed && !m_listingInProgress && m_changesMissingSince
-        && m_reportedRevision > m_revision && m_clock() - *m_changesMissingSince >= m_settings.peerRequestDelay;
-    return missing ? std::optional<uint64_t>(m_revision) : std::nullopt;
+    const Instant now = m_clock();
+    if (m_source != StoreSource::Relay)
+        return std::nullopt;
+    if (!m_listed) {
+        const bool missing = m_listing.empty() && m_listingMissingSince
+            && now - *m_listingMissingSince >= m_settings.listingRequestDelay;
+        return missing ? std::make_optional<uint64_t>(0) : std::nullopt;
+    }
+    const bool missing = !m_listingInProgress && m_changesMissingSince && m_reportedRevision > m_revision
+        && now - *m_changesMissingSince >= m_settings.peerRequestDelay;
+    return missing ? std::make_optional(m_revision) : std::nullopt;
 }
 
 StoreEvents StoreFollower::knownState() const
@@ -214,6 +259,10 @@
 
 void StoreFollower::apply(const StoreItem& item)
 {
+    if (item.removed)
+        m_items.erase(item.key);
+    else
+        m_items[item.key] = item;
     if (m_decoder.isConfiguration(item.key)) {
         if (!item.removed)
             decodeConfiguration(item);
@@ -225,14 +274,7 @@
             m_observer.serverWritten(*entry);
         else
             m_observer.serverErased(m_decoder.serverId(item.key));
-        return;
     }
-    if (item.key.rfind(ownPrefix, 0) != 0)
-        return;
-    if (item.removed)
-        m_ownItems.erase(item.key);
-    else
-        m_ownItems[item.key] = item;
 }
 
 std::optional<ServerEntry> StoreFollower::decodeServer(const StoreItem& item) const
@@ -297,9 +339,11 @@
         m_listing.clear();
         m_listingInProgress = false;
         m_listed = false;
+        m_listedFromStore = false;
         m_revision = 0;
         m_reportedRevision = 0;
         m_changesMissingSince.reset();
+        m_listingMissingSince.reset();
         m_stateAsOf = Instant();
         m_retryDelay = m_settings.firstRetryDelay;
     }
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -18,7 +18,7 @@
     virtual void serversListed(const std::vector<ServerEntry>&) = 0;
     virtual void serverWritten(const ServerEntry&) = 0;
     virtual void serverErased(const std::string& id) = 0;
-    /// Called when the entry hosts' own items have changed; see StoreFollower::ownItems.
+    /// Called when the entry hosts' own items have changed; see StoreFollower::ownPrefix.
     virtual void ownItemsChanged() = 0;
     virtual void storeReachable(bool) = 0;
     /// Called with the first era of the store and with each newer one. restored: an older copy has replaced the store,
@@ -53,6 +53,9 @@
     /// once.
     Duration peerRequestDelay = std::chrono::milliseconds(40);
     Duration relayCheckInterval = std::chrono::milliseconds(100);
+    /// A host without a complete listing of an era that another host has reported requests that host's listing after
+    /// this time, in which the store normally answers it.
+    Duration listingRequestDelay = std::chrono::milliseconds(700);
     /// Pause before the next listing after a failed call while relayed state keeps this host up to date.
     Duration relayedRetryDelay = std::chrono::seconds(3);
     /// Pause before the listing of a new era that another host or another call has revealed. It differs between hosts,
@@ -74,7 +77,8 @@
 /// Follows the state of the store: reads one listing, then either watches the whole store or applies relayed changes of
 /// other hosts. After a failed call it lists again, with growing pauses between retries; if the store no longer has the
 /// history, it lists again at once. After the first sign of a newer era nothing is applied before a complete listing of
-/// it. Configurations are ordered by their versions, which do not go back with the revisions.
+/// it, which may be another host's if the store does not answer this one. Configurations are ordered by their versions,
+/// which do not go back with the revisions.
 class StoreFollower {
 public:
     static constexpr std::string_view ownPrefix = "plantainwall/";
@@ -90,14 +94,22 @@
     /// Applies changes and the age of the state that another host relayed.
     void applyRelayed(const StoreEvents&);
 
+    /// Applies another host's complete listing, unless this host has one of the newest era or is receiving its own.
+    void applyRelayedListing(const StoreEvents&);
+
     /// Returns the revision up to which all changes are known, with the age of that state and without items.
     StoreEvents knownState() const;
 
-    /// Returns the revision after which changes that another host has reported are missing; nothing if none are.
+    /// Returns all items known, as a listing for a host that the store refuses; without a revision before a complete
+    /// listing of the newest era.
+    StoreEvents listing() const;
+
+    /// Returns the revision after which changes that another host has reported are missing; nothing if none are. 0: a
+    /// complete listing is missing.
     std::optional<uint64_t> missingAfter() const;
 
-    /// Returns the entry hosts' own items by key.
-    const std::map<std::string, StoreItem>& ownItems() const { return m_ownItems; }
+    /// Returns the items of the store by key.
+    const std::map<std::string, StoreItem>& items() const { return m_items; }
 
     bool reachable() const { return m_reachable; }
 
@@ -107,14 +119,18 @@
     /// Notes the era in the result of another call of this host.
     void noteEra(uint64_t era, std::string_view call);
 
-    /// Returns whether a complete listing of the newest era has been read.
+    /// Returns whether a complete listing of the newest era has been applied.
     bool listed() const { return m_listed; }
 
+    /// Returns whether a complete listing of the newest era has been read from the store itself.
+    bool listedFromStore() const { return m_listedFromStore; }
+
 private:
     void list();
     void pageReceived(StoreItems);
     void watch();
     void watchAnswered(const StoreItems&, Instant sentAt, Duration wait);
+    void applyListing(const std::vector<StoreItem>&, uint64_t revision);
     bool acceptsRelayedState() const;
     void advance(const std::vector<StoreItem>&, uint64_t to);
     void storeCallFailed(StoreOutcome, std::string_view call);
@@ -139,8 +155,9 @@
     Instant m_stateAsOf; ///< Time as of which the store is known, through a call of this or another host.
     uint64_t m_reportedRevision = 0; ///< Newest revision that another host has reported.
     std::optional<Instant> m_changesMissingSince; ///< Time since when m_reportedRevision is newer than m_revision.
+    std::optional<Instant> m_listingMissingSince; ///< Another host has relayed state of an era that is not listed here.
     std::vector<StoreItem> m_listing;
-    std::map<std::string, StoreItem> m_ownItems;
+    std::map<std::string, StoreItem> m_items;
     Instant m_listingSentAt; ///< Time of the request for the first page.
     uint64_t m_listingRevision = 0;
     uint64_t m_revision = 0;
@@ -148,12 +165,14 @@
     uint64_t m_configurationRevision = 0;
     uint64_t m_configurationVersion = 0; ///< In force.
     uint64_t m_era = 0;
-    uint64_t m_sequence = 0; ///< Rises with each new era. Answers to earlier calls and earlier delays are dropped.
+    uint64_t m_sequence = 0; ///< Rises with each new era and each relayed listing. Answers to earlier calls and earlier
+                             ///< delays are dropped.
     uint64_t m_differingEra = 0; ///< Last era of a relay that was logged as different.
     Duration m_retryDelay;
     bool m_reachable = false;
     bool m_reachabilityReported = false; ///< The observer has been notified at least once.
     bool m_listed = false;
+    bool m_listedFromStore = false;
     unsigned m_emptyWatches = 0;
 };
 
--- a/src/store_relay.h
+++ b/src/store_relay.h
@@ -7,7 +7,8 @@
 
 /// Changes of the metadata store between two of its revisions, as entry hosts relay them to each other.
 struct StoreEvents {
-    /// The items are all changes after this revision. Equal to `to`: only reports the revision.
+    /// The items are all changes after this revision. Equal to `to`: only reports the revision. 0: the items are a
+    /// complete listing.
     uint64_t from = 0;
     uint64_t to = 0;
     Duration age { 0 }; ///< Time since the store was last known to have no change after `to`.
--- a/tests/support_fleet.cpp
+++ b/tests/support_fleet.cpp
@@ -9,6 +9,9 @@
     /// Time for a call of the store and its answer.
     constexpr Duration storeRoundTrip = std::chrono::milliseconds(8);
 
+    /// Time that a host waits for an answer of the store.
+    constexpr Duration callTimeout = std::chrono::milliseconds(1500);
+
     constexpr Duration step = std::chrono::milliseconds(20);
 
 } // namespace
@@ -27,6 +30,8 @@
     m_timers.add(m_now + storeRoundTrip, std::move(task));
 }
 
+void FakeFleetStore::afterTimeout(std::function<void()> task) { m_timers.add(m_now + callTimeout, std::move(task)); }
+
 StoreItems FakeFleetStore::since(uint64_t revision) const
 {
     StoreItems result;
@@ -152,6 +157,13 @@
     };
 }
 
+template <typename Result> bool FakeHostStore::ignoresCall(const std::function<void(Result)>& handler)
+{
+    if (ignores)
+        m_store.afterTimeout([handler] { handler(Result()); });
+    return ignores;
+}
+
 void FakeHostStore::cancelReads()
 {
     for (const std::shared_ptr<std::function<void(StoreItems)>>& read : m_reads) {
@@ -164,13 +176,17 @@
 
 void FakeHostStore::list(const std::string& prefix, const std::string& after, std::function<void(StoreItems)> handler)
 {
-    m_store.list(prefix, after, cancellable(std::move(handler)));
+    const std::function<void(StoreItems)> read = cancellable(std::move(handler));
+    if (!ignoresCall(read))
+        m_store.list(prefix, after, read);
 }
 
 void FakeHostStore::watch(
     const std::string& prefix, uint64_t after, Duration wait, std::function<void(StoreItems)> handler)
 {
-    m_store.watch(prefix, after, wait, cancellable(std::move(handler)));
+    const std::function<void(StoreItems)> read = cancellable(std::move(handler));
+    if (!ignoresCall(read))
+        m_store.watch(prefix, after, wait, read);
 }
 
 void FakeHostStore::write(const StoreWrite& write, std::function<void(StoreResult)> handler)
@@ -178,11 +194,14 @@
     if (beforeWrite)
         beforeWrite(write);
     checkLease(write.lease);
-    m_store.write(write, filter(std::move(handler)));
+    if (!ignoresCall(handler))
+        m_store.write(write, filter(std::move(handler)));
 }
 
 void FakeHostStore::createLease(Duration lifetime, std::function<void(StoreResult)> handler)
 {
+    if (ignoresCall(handler))
+        return;
     m_store.createLease(lifetime,
         filter(std::function<void(StoreResult)>([this, handler = std::move(handler)](const StoreResult& result) {
             if (result.outcome == StoreOutcome::Ok)
@@ -198,13 +217,14 @@
         m_store.keepLease(0, [handler = std::move(handler)](const StoreResult&) { handler({}); });
         return;
     }
-    m_store.keepLease(lease, filter(std::move(handler)));
+    if (!ignoresCall(handler))
+        m_store.keepLease(lease, filter(std::move(handler)));
 }
 
 void FakeHostStore::endLease(uint64_t lease, std::function<void(StoreResult)> handler)
 {
     checkLease(lease);
-    if (!refuses && !rejects)
+    if (!refuses && !rejects && !ignores)
         m_store.endLease(lease, std::move(handler));
 }
 
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -37,6 +37,9 @@
 
     void afterRoundTrip(std::function<void()>);
 
+    /// Runs a task after the time that a host waits for an answer.
+    void afterTimeout(std::function<void()>);
+
     /// Writes an item as a client outside the fleet does.
     void put(const std::string& key, const std::string& value, uint64_t lease = 0);
 
@@ -123,12 +126,15 @@
     bool refusesRenewals = false; ///< Fails every renewal of a lease of this host.
     std::function<void(const StoreWrite&)> beforeWrite; ///< Called before each write; may be empty.
     bool rejects = false; ///< Rejects every call of this host with an answer, which carries the era.
+    bool ignores = false; ///< Answers no call of this host.
     /// Renewals, ends and writes with a lease that was not granted to this host in the newest era that it was told.
     unsigned callsWithForeignLease = 0;
 
 private:
     template <typename Result> std::function<void(Result)> filter(std::function<void(Result)>);
     std::function<void(StoreItems)> cancellable(std::function<void(StoreItems)>);
+    /// Returns whether the call is ignored; the handler is then called without an answer after a timeout.
+    template <typename Result> bool ignoresCall(const std::function<void(Result)>&);
     void checkLease(uint64_t lease);
 
     FakeFleetStore& m_store;
--- a/tests/unit_change_exchange.cpp
+++ b/tests/unit_change_exchange.cpp
@@ -11,11 +11,19 @@
 /// A host that misses changes and one that has them; datagrams are delivered at once unless they are lost.
 struct Fixture {
     Fixture()
-        : source("teller", sourcePort, [this] { return now; })
-        , requester("asker", requesterPort, [this] { return now; })
+        : source(
+            "teller", sourcePort, [this] { return now; }, [this] { return readListing(); })
+        , requester(
+              "asker", requesterPort, [this] { return now; }, [] { return StoreEvents(); })
     {
     }
 
+    StoreEvents readListing()
+    {
+        ++listingsRead;
+        return listing;
+    }
+
     static std::string addressOf(const std::string& host) { return host; }
 
     void tick(std::optional<uint64_t> after)
@@ -44,6 +52,8 @@
     }
 
     Instant now { seconds(1000) };
+    StoreEvents listing; ///< Of the host that has the changes.
+    unsigned listingsRead = 0;
     FakePeerNetwork network;
     FakePeerNetwork::Port sourcePort { network, "teller" };
     FakePeerNetwork::Port requesterPort { network, "asker" };
@@ -149,6 +159,63 @@
     BOOST_TEST(!deliver().has_value());
 }
 
+// A listing is packed once for several hosts, although the store goes on changing, and only its lost parts are sent
+// again.
+BOOST_FIXTURE_TEST_CASE(a_listing_is_packed_once, Fixture)
+{
+    source.keep(change(41, 100));
+    listing = change(40, 20000);
+    listing.from = 0;
+    for (const bool partsLost : { true, false }) {
+        lost = [&](size_t n) { return partsLost && (n == 5 || n == 7); };
+        tick(0);
+        std::optional<StoreEvents> read = deliver();
+        if (partsLost) {
+            BOOST_TEST(!read.has_value());
+            listing.to = 41;
+            now += milliseconds(160);
+            tick(0);
+            network.sent.clear();
+            read = deliver();
+            BOOST_TEST(network.sent.size() == 2U);
+        }
+        BOOST_REQUIRE(read.has_value());
+        BOOST_TEST(read->from == 0U);
+        BOOST_TEST(read->to == 40U);
+        BOOST_TEST(read->items[0].value == listing.items[0].value);
+    }
+    BOOST_TEST(listingsRead == 1U);
+    now += seconds(3);
+    source.tick(std::nullopt, {});
+    tick(0);
+    const std::optional<StoreEvents> later = deliver();
+    BOOST_REQUIRE(later.has_value());
+    BOOST_TEST(later->to == 41U);
+}
+
+// Changes alone are no listing, and a listing of another era is none of this one.
+BOOST_FIXTURE_TEST_CASE(a_listing_of_another_era_is_not_sent, Fixture)
+{
+    source.keep(change(1, 100));
+    source.setEra(2);
+    requester.setEra(2);
+    tick(0);
+    BOOST_TEST(!deliver().has_value());
+    listing = change(40, 100);
+    listing.era = 1;
+    now += milliseconds(160);
+    tick(0);
+    BOOST_TEST(!deliver().has_value());
+    listing.era = 2;
+    now += milliseconds(160);
+    tick(0);
+    BOOST_TEST(deliver().has_value());
+    requester.setEra(3);
+    now += milliseconds(160);
+    tick(0);
+    BOOST_TEST(!deliver().has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(host_without_the_changes_gets_no_further_requests, Fixture)
 {
     for (int i = 0; i < 50; ++i) {
--- a/tests/unit_restored_store.cpp
+++ b/tests/unit_restored_store.cpp
@@ -114,6 +114,68 @@
     BOOST_TEST(fleet.hostsWith(3) == fleetSize);
 }
 
+using Refusal = bool FakeHostStore::*;
+
+/// The ways in which the store refuses hosts: a reset connection, an answer with the era, no answer.
+constexpr Refusal refusals[] = { &FakeHostStore::refuses, &FakeHostStore::rejects, &FakeHostStore::ignores };
+
+/// A fleet of which the store refuses two of five hosts.
+struct RefusedFleet : RestoredFleet {
+    RefusedFleet(size_t n, Refusal how)
+        : RestoredFleet(n)
+        , refusal(how)
+    {
+        store.snapshot();
+        store.put("config", "2");
+        pass(seconds(1));
+        setRefused(true);
+        pass(seconds(5));
+        store.put("config", largeConfiguration(3));
+        pass(configurationTime);
+        BOOST_TEST(hostsWith(3) == n);
+    }
+
+    static bool isRefused(size_t host) { return host % 5 == 1 || host % 5 == 3; }
+
+    void setRefused(bool value)
+    {
+        for (size_t i = 0; i < hosts.size(); ++i)
+            hosts[i]->store.*refusal = value && isRefused(i);
+    }
+
+    /// Returns the number of hosts that know a server, or know it as draining.
+    size_t hostsThatKnow(const std::string& id, bool draining = false) const
+    {
+        return static_cast<size_t>(std::count_if(hosts.begin(), hosts.end(), [&](const auto& host) {
+            const ServerEntry* const entry = host->fixture.gateway.directory().find(id);
+            return entry != nullptr && (!draining || entry->draining);
+        }));
+    }
+
+    /// Checks that versions and servers reach all hosts in time and that no host that is refused coordinates.
+    void checkChanges(uint64_t version)
+    {
+        const std::string server = "s/new" + std::to_string(version);
+        store.put(server, "replica");
+        store.put("config", std::to_string(version));
+        pass(configurationTime);
+        BOOST_TEST(hostsWith(version) == hosts.size());
+        BOOST_TEST(hostsThatKnow(server.substr(2)) == hosts.size());
+        store.put(server, "replica draining");
+        store.put("config", largeConfiguration(version + 1));
+        pass(configurationTime);
+        BOOST_TEST(hostsWith(version + 1) == hosts.size());
+        BOOST_TEST(hostsThatKnow(server.substr(2), true) == hosts.size());
+        store.erase(server);
+        pass(configurationTime);
+        BOOST_TEST(hostsThatKnow(server.substr(2)) == 0U);
+        for (size_t i = 0; i < hosts.size(); ++i)
+            BOOST_TEST(!(isRefused(i) && hosts[i]->coordinator.isActive()));
+    }
+
+    Refusal refusal;
+};
+
 } // namespace
 
 // Guards against a configuration that never comes into force because its revision is below that of an older version.
@@ -170,6 +232,90 @@
     }
 }
 
+// Guards against hosts that keep an old configuration because only the store, which refuses them, lists its new era.
+BOOST_AUTO_TEST_CASE(refused_hosts_follow_a_restored_store)
+{
+    const CerrCapture capture;
+    for (const size_t fleetSize : { smallFleet, largeFleet }) {
+        for (const Refusal refusal : refusals) {
+            RefusedFleet fleet(fleetSize, refusal);
+            fleet.restoreStore(); // The copy has version 1.
+            fleet.checkChanges(4);
+            BOOST_TEST(fleet.hostsWith(5) == fleetSize);
+            fleet.setRefused(false);
+            fleet.pass(seconds(8));
+            BOOST_TEST(fleet.registeredHosts() == fleetSize);
+            BOOST_TEST(fleet.callsWithForeignLease() == 0U);
+            fleet.checkChanges(6);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(refused_hosts_follow_a_store_restored_twice)
+{
+    const CerrCapture capture;
+    for (const size_t fleetSize : { smallFleet, largeFleet }) {
+        for (const Refusal refusal : refusals) {
+            RefusedFleet fleet(fleetSize, refusal);
+            fleet.restoreStore();
+            fleet.pass(milliseconds(300));
+            fleet.restoreStore();
+            fleet.checkChanges(4);
+            fleet.restoreStore();
+            BOOST_TEST(fleet.hostsWith(5) == fleetSize);
+            fleet.checkChanges(6);
+        }
+    }
+}
+
+// The requests for a listing and its parts are lost now and then.
+BOOST_AUTO_TEST_CASE(refused_hosts_follow_a_restored_store_despite_lost_datagrams)
+{
+    const CerrCapture capture;
+    for (const Refusal refusal : refusals) {
+        RefusedFleet fleet(largeFleet, refusal);
+        std::mt19937 random(3);
+        fleet.lost = [&random](const FakePeerNetwork::Datagram&) { return random() % 10 == 0; };
+        fleet.restoreStore();
+        fleet.store.put("config", largeConfiguration(4));
+        fleet.pass(configurationTime);
+        BOOST_TEST(fleet.hostsWith(4) == largeFleet);
+    }
+}
+
+// Hosts' own items follow too: a refused host knows hosts that start after the restore. The copy may be older than all
+// registrations.
+BOOST_AUTO_TEST_CASE(refused_hosts_know_hosts_that_start_after_a_restore)
+{
+    const CerrCapture capture;
+    for (const bool beforeRegistrations : { false, true }) {
+        RestoredFleet fleet(0);
+        fleet.store.snapshot();
+        const auto addHost = [&fleet] {
+            fleet.hosts.push_back(std::make_unique<FakeFleet::Host>(fleet, fleet.hosts.size(), 1, true));
+            fleet.hosts.back()->member.start();
+        };
+        for (size_t i = 0; i < smallFleet; ++i)
+            addHost();
+        fleet.pass(seconds(5));
+        if (!beforeRegistrations)
+            fleet.store.snapshot();
+        for (const size_t refused : { 1U, 3U })
+            fleet.hosts[refused]->store.rejects = true;
+        fleet.pass(seconds(5));
+        fleet.restoreStore();
+        fleet.pass(seconds(2));
+        addHost();
+        fleet.store.put("config", "4");
+        fleet.pass(configurationTime);
+        BOOST_TEST(fleet.hostsWith(4) == smallFleet + 1);
+        if (!beforeRegistrations) {
+            for (const size_t refused : { 1U, 3U })
+                BOOST_TEST(fleet.hosts[refused]->member.reachableHostCount() == smallFleet + 1);
+        }
+    }
+}
+
 // Guards against a host that lacks changes because the store has given out its revision again: such a watch is not told
 // that the history is lost.
 BOOST_AUTO_TEST_CASE(revisions_given_out_again_hide_no_change)
--- a/tests/unit_store_follower.cpp
+++ b/tests/unit_store_follower.cpp
@@ -133,3 +133,82 @@
     runDelayedTask();
     BOOST_TEST(store.watches.size() == 1U);
 }
+
+namespace {
+
+/// A follower that knows of era 2 from a call that the store refused, and is calling again.
+struct RefusedFixture : FollowerFixture {
+    RefusedFixture()
+    {
+        store.answer(StoreOutcome::Ok, { { "config", "7", 20, false }, { "s/a", "x", 3, false } }, 20, false, 1);
+        follower.setSource(StoreSource::Relay);
+        store.answer(StoreOutcome::Refused, {}, 0, false, 2);
+        runDelayedTask();
+        BOOST_TEST(store.lists.size() == 2U);
+    }
+};
+
+} // namespace
+
+// A host that the store refuses requests a listing only if another host has one, and if the store had time to answer.
+BOOST_FIXTURE_TEST_CASE(a_missing_listing_is_requested, RefusedFixture)
+{
+    now += StoreFollowerSettings().listingRequestDelay;
+    BOOST_TEST(!follower.missingAfter().has_value());
+    follower.applyRelayed({ 4, 5, Duration(0), { { "s/b", "x", 5, false } }, 2 });
+    BOOST_TEST(!follower.missingAfter().has_value());
+    BOOST_TEST(follower.listing().to == 0U);
+    now += StoreFollowerSettings().listingRequestDelay;
+    BOOST_TEST((follower.missingAfter() == std::optional<uint64_t>(0)));
+    store.answer(StoreOutcome::Ok, { { "config", "7", 2, false } }, 5, true, 2);
+    BOOST_TEST(!follower.missingAfter().has_value()); // The store serves this host.
+    follower.applyRelayedListing({ 0, 6, Duration(0), {}, 2 });
+    BOOST_TEST(!follower.listed());
+    store.answer(StoreOutcome::Ok, { { "s/b", "x", 5, false } }, 6, false, 2);
+    BOOST_TEST(follower.listedFromStore());
+    BOOST_TEST(follower.knownState().to == 5U);
+}
+
+// A listing of another host replaces all that was known; its changes follow it. An answer of the store that is older is
+// dropped.
+BOOST_FIXTURE_TEST_CASE(a_relayed_listing_is_applied, RefusedFixture)
+{
+    follower.applyRelayedListing({ 0, 6, Duration(0),
+        { { "config", "8", 4, false }, { "plantainwall/x", "x", 5, false }, { "s/b", "x", 6, false },
+            { "s/c", "x", 3, false } },
+        2 });
+    BOOST_TEST((versions == std::vector<uint64_t> { 7, 8 }));
+    BOOST_TEST(listed == 2U);
+    BOOST_TEST(follower.items().count("plantainwall/x") == 1U);
+    BOOST_TEST(follower.items().count("s/a") == 0U);
+    BOOST_TEST(follower.listed());
+    BOOST_TEST(!follower.listedFromStore());
+    BOOST_TEST(!follower.reachable());
+    store.answer(StoreOutcome::Ok, {}, 5, false, 2);
+    BOOST_TEST(follower.knownState().to == 6U);
+    follower.applyRelayed({ 6, 8, Duration(0), { { "plantainwall/x", "", 7, true }, { "s/d", "x", 8, false } }, 2 });
+    BOOST_TEST((written == std::vector<std::string> { "d" }));
+    const StoreEvents listing = follower.listing();
+    BOOST_TEST(listing.from == 0U);
+    BOOST_TEST(listing.to == 8U);
+    BOOST_TEST(listing.era == 2U);
+    BOOST_TEST(listing.items.size() == 4U);
+    runDelayedTask();
+    store.answer(StoreOutcome::Ok, { { "config", "9", 9, false } }, 9, false, 2);
+    BOOST_TEST(follower.listedFromStore());
+    BOOST_TEST(versions.back() == 9U);
+}
+
+// Only the first listing of the newest era is applied, and no configuration goes back with it.
+BOOST_FIXTURE_TEST_CASE(an_older_relayed_listing_changes_nothing, RefusedFixture)
+{
+    follower.applyRelayedListing({ 0, 30, Duration(0), { { "config", "9", 30, false } }, 1 });
+    BOOST_TEST(!follower.listed());
+    follower.applyRelayedListing({ 0, 6, Duration(0), { { "config", "6", 4, false } }, 2 });
+    BOOST_TEST(follower.listed());
+    follower.applyRelayed({ 6, 7, Duration(0), { { "s/b", "x", 7, false } }, 2 });
+    follower.applyRelayedListing({ 0, 6, Duration(0), { { "config", "8", 4, false } }, 2 });
+    BOOST_TEST((versions == std::vector<uint64_t> { 7 }));
+    BOOST_TEST(follower.knownState().to == 7U);
+    BOOST_TEST(follower.items().count("s/b") == 1U);
+}
