Request changes of hosts whose registrations a copy lacks

What callers saw: nothing yet; found by a test. A copy of the store may be older than the hosts' registrations. A host that the store refuses applied its peers' listing of such a copy, took no peer for registered any more, and had none left of which to request changes. It got those that were relayed without a loss, and after the first lost one nothing more.

Relays are now chosen among the hosts that report and say that they reach the store, registered or not. A host that has stopped reports no more, and one that leaves says so.

--- a/src/fleet_member_relay.cpp
+++ b/src/fleet_member_relay.cpp
@@ -12,7 +12,8 @@
     if (m_follower.reachable())
         candidates.push_back({ m_gatewaySettings.host, m_gatewaySettings.region });
     for (const auto& [host, peer] : m_peers) {
-        if (peer.registered && peer.storeReachable && !isUnreachable(peer))
+        // Registrations that a copy of the store lacks do not matter: the host reports that it reaches the store.
+        if (peer.storeReachable && !isUnreachable(peer))
             candidates.push_back({ host, peer.region });
     }
     return relaysOf(m_gatewaySettings.region, candidates, m_settings.relaysPerRegion);
--- a/tests/support_fleet.cpp
+++ b/tests/support_fleet.cpp
@@ -103,6 +103,16 @@
     m_watches.clear();
 }
 
+std::vector<std::string> FakeFleetStore::keysOf(const std::string& prefix) const
+{
+    std::vector<std::string> result;
+    for (const auto& [key, item] : m_items) {
+        if (!item.removed && key.rfind(prefix, 0) == 0)
+            result.push_back(key);
+    }
+    return result;
+}
+
 std::vector<uint64_t> FakeFleetStore::leasesOf(const std::string& prefix) const
 {
     std::vector<uint64_t> result;
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -55,6 +55,9 @@
     /// are given out again. Watches in progress are cut.
     void restore();
 
+    /// Returns the keys with a prefix.
+    std::vector<std::string> keysOf(const std::string& prefix) const;
+
     /// Returns the leases of the items whose keys have a prefix.
     std::vector<uint64_t> leasesOf(const std::string& prefix) const;
 
--- a/tests/unit_restored_store.cpp
+++ b/tests/unit_restored_store.cpp
@@ -283,6 +283,30 @@
     }
 }
 
+// The copy is older than all registrations, so that a listing of it names no host of which to request more.
+BOOST_AUTO_TEST_CASE(refused_hosts_follow_a_copy_without_registrations)
+{
+    const CerrCapture capture;
+    for (const size_t fleetSize : { smallFleet, largeFleet }) {
+        for (const Refusal refusal : refusals) {
+            RefusedFleet fleet(fleetSize, refusal);
+            FakeFleetStore& store = fleet.store;
+            for (const std::string& key : store.keysOf("plantainwall/"))
+                store.erase(key);
+            store.snapshot();
+            // Changes come only on request.
+            fleet.lost = [](const FakePeerNetwork::Datagram& datagram) {
+                if (!isStoreEvents(datagram.text))
+                    return false;
+                const StoreEvents events = decodeStoreEvents(datagram.text);
+                return events.from != events.to;
+            };
+            fleet.restoreStore();
+            fleet.checkChanges(4);
+        }
+    }
+}
+
 // Hosts' own items follow too: a refused host knows hosts that start after the restore. The copy may be older than all
 // registrations.
 BOOST_AUTO_TEST_CASE(refused_hosts_know_hosts_that_start_after_a_restore)
