Replace changes that no host has kept by a listing on refused hosts

What callers saw: nothing yet; found when looking for further effects of listings that only the store gives. The store is away for all hosts for 2 s and then goes on refusing some. The hosts that it serves list again, so none of them has read every change since the outage began. A refused host requested these changes in vain and applied no later one either, until the store served it: the same symptom as after a restore, within one era.

A host that does not reach the store now requests a listing if changes are missing for 2 s, more than a call without an answer, during which it applies none. It applies the listing if its revision is above its own. A host that reaches the store reads missing changes from there, as before.

Test: refused_hosts_receive_changes_after_an_outage of unit.fleet-member failed before: of 6 and 60 hosts the refused third got neither the server nor the configuration.

--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -90,6 +90,9 @@
         }
     }
     m_revision = revision;
+    m_changesMissingSince.reset();
+    if (m_reportedRevision > m_revision)
+        m_changesMissingSince = m_clock();
     m_listed = true;
     m_emptyWatches = 0;
     m_observer.serversListed(servers);
@@ -212,7 +215,7 @@
 
 void StoreFollower::applyRelayedListing(const StoreEvents& events)
 {
-    if (events.era != m_era || m_listed || !m_listing.empty())
+    if (events.era != m_era || events.to <= m_revision || !m_listing.empty())
         return;
     logEvent(
         LogEvent::ListingRelayed, { { "era", m_era }, { "revision", events.to }, { "items", events.items.size() } });
@@ -237,18 +240,23 @@
     return all;
 }
 
-std::optional<uint64_t> StoreFollower::missingAfter() const
+bool StoreFollower::listingMissing() const
 {
     const Instant now = m_clock();
+    if (!m_listed)
+        return m_listingMissingSince && now - *m_listingMissingSince >= m_settings.listingRequestDelay;
+    return !m_reachable && m_changesMissingSince && m_reportedRevision > m_revision
+        && now - *m_changesMissingSince >= m_settings.listingFallbackDelay;
+}
+
+std::optional<uint64_t> StoreFollower::missingAfter() const
+{
     if (m_source != StoreSource::Relay)
         return std::nullopt;
-    if (!m_listed) {
-        const bool missing = m_listing.empty() && m_listingMissingSince
-            && now - *m_listingMissingSince >= m_settings.listingRequestDelay;
-        return missing ? std::make_optional<uint64_t>(0) : std::nullopt;
-    }
-    const bool missing = !m_listingInProgress && m_changesMissingSince && m_reportedRevision > m_revision
-        && now - *m_changesMissingSince >= m_settings.peerRequestDelay;
+    if (listingMissing())
+        return m_listing.empty() ? std::make_optional<uint64_t>(0) : std::nullopt;
+    const bool missing = m_listed && !m_listingInProgress && m_changesMissingSince && m_reportedRevision > m_revision
+        && m_clock() - *m_changesMissingSince >= m_settings.peerRequestDelay;
     return missing ? std::make_optional(m_revision) : std::nullopt;
 }
 
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -56,6 +56,9 @@
     /// A host without a complete listing of an era that another host has reported requests that host's listing after
     /// this time, in which the store normally answers it.
     Duration listingRequestDelay = std::chrono::milliseconds(700);
+    /// A host that does not reach the store requests a listing if no host has sent the missing changes after this time.
+    /// It is longer than a call without an answer, during which no changes are applied.
+    Duration listingFallbackDelay = std::chrono::seconds(2);
     /// Pause before the next listing after a failed call while relayed state keeps this host up to date.
     Duration relayedRetryDelay = std::chrono::seconds(3);
     /// Pause before the listing of a new era that another host or another call has revealed. It differs between hosts,
@@ -94,7 +97,8 @@
     /// Applies changes and the age of the state that another host relayed.
     void applyRelayed(const StoreEvents&);
 
-    /// Applies another host's complete listing, unless this host has one of the newest era or is receiving its own.
+    /// Applies another host's complete listing, unless it is not newer than what is known or this host is receiving its
+    /// own.
     void applyRelayedListing(const StoreEvents&);
 
     /// Returns the revision up to which all changes are known, with the age of that state and without items.
@@ -132,6 +136,7 @@
     void watchAnswered(const StoreItems&, Instant sentAt, Duration wait);
     void applyListing(const std::vector<StoreItem>&, uint64_t revision);
     bool acceptsRelayedState() const;
+    bool listingMissing() const;
     void advance(const std::vector<StoreItem>&, uint64_t to);
     void storeCallFailed(StoreOutcome, std::string_view call);
     void storeCallSucceeded();
--- a/tests/unit_fleet_member.cpp
+++ b/tests/unit_fleet_member.cpp
@@ -296,3 +296,27 @@
     fleet.pass(seconds(4));
     BOOST_TEST(fleet.relays().empty());
 }
+
+// Guards against a refused host that lacks changes for good: the other hosts listed again after an outage, so that none
+// of them has read every change.
+BOOST_AUTO_TEST_CASE(refused_hosts_receive_changes_after_an_outage)
+{
+    for (const size_t n : { 6U, 60U }) {
+        FakeFleet fleet(n);
+        fleet.pass(seconds(10));
+        for (size_t i = 0; i < n; i += 3)
+            fleet.hosts[i]->store.refuses = true;
+        fleet.pass(seconds(5));
+        fleet.store.unavailable = true;
+        fleet.pass(seconds(2));
+        fleet.store.put("s/r3", "replica");
+        fleet.store.unavailable = false;
+        fleet.pass(seconds(1));
+        fleet.store.put("config", largeConfiguration(2));
+        fleet.pass(seconds(4));
+        for (size_t i = 0; i < n; ++i) {
+            BOOST_TEST(fleet.versionAt(i) == 2U);
+            BOOST_TEST(fleet.hosts[i]->fixture.gateway.directory().find("r3") != nullptr);
+        }
+    }
+}
--- a/tests/unit_store_follower.cpp
+++ b/tests/unit_store_follower.cpp
@@ -212,3 +212,27 @@
     BOOST_TEST(follower.knownState().to == 7U);
     BOOST_TEST(follower.items().count("s/b") == 1U);
 }
+
+// Changes that no host has kept are replaced by a listing on a host that does not reach the store.
+BOOST_FIXTURE_TEST_CASE(missing_changes_are_replaced_by_a_listing, FollowerFixture)
+{
+    const StoreFollowerSettings settings;
+    store.answer(StoreOutcome::Ok, { { "config", "7", 20, false } }, 20);
+    follower.setSource(StoreSource::Relay);
+    store.answer(StoreOutcome::Unreachable);
+    follower.applyRelayed({ 24, 25, Duration(0), { { "s/b", "x", 25, false } } });
+    now += settings.listingFallbackDelay - settings.peerRequestDelay;
+    BOOST_TEST((follower.missingAfter() == std::optional<uint64_t>(20)));
+    now += settings.peerRequestDelay;
+    BOOST_TEST((follower.missingAfter() == std::optional<uint64_t>(0)));
+    follower.applyRelayedListing({ 0, 20, Duration(0), { { "s/c", "x", 25, false } } });
+    BOOST_TEST(listed == 0U);
+    follower.applyRelayedListing({ 0, 24, Duration(0), { { "config", "8", 22, false }, { "s/a", "x", 24, false } } });
+    BOOST_TEST((versions == std::vector<uint64_t> { 7, 8 }));
+    BOOST_TEST(listed == 1U);
+    BOOST_TEST(!follower.missingAfter().has_value());
+    now += settings.peerRequestDelay;
+    BOOST_TEST((follower.missingAfter() == std::optional<uint64_t>(24)));
+    follower.applyRelayed({ 24, 25, Duration(0), { { "s/b", "x", 25, false } } });
+    BOOST_TEST((written == std::vector<std::string> { "b" }));
+}
