Relay the store's state to regions of which it refuses every host

Cause: hosts relay, and answer requests for changes, within their region only. A region without any host that reaches the store had no relays, also without a restore.

The relays of such a region are the first of all hosts that reach the store. Changes are not relayed unrequested between regions, because those links are narrow.

Test: a_refused_region_receives_changes_from_another of unit.fleet-member failed before: of 6 and 60 hosts the half in the refused region got neither server nor configuration, before and after a restore.

--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -226,7 +226,7 @@
         m_relayAt = now + m_settings.relayInterval;
         chooseSource();
         if (m_source == StoreSource::WatchForOthers && m_follower.reachable() && m_follower.listed())
-            relay(m_follower.knownState());
+            relayState();
     }
     m_positionExchange.tick([this] { return watchingHosts(); });
     m_changeExchange.tick(m_follower.missingAfter(), [this] { return watchingHosts(); });
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -160,9 +160,11 @@
     // fleet_member_relay.cpp
     StoreSource storeSource() const;
     void chooseSource();
-    std::vector<std::string> relays() const;
+    std::vector<RelayCandidate> relayCandidates() const;
+    std::vector<std::string> relays(const std::string& region) const;
     std::vector<std::pair<std::string, std::string>> watchingHosts() const;
     void relay(const StoreEvents&);
+    void relayState();
 
     GatewaySettings m_gatewaySettings;
     Settings m_settings;
--- a/src/fleet_member_relay.cpp
+++ b/src/fleet_member_relay.cpp
@@ -6,7 +6,7 @@
 
 namespace plantainwall {
 
-std::vector<std::string> FleetMember::relays() const
+std::vector<RelayCandidate> FleetMember::relayCandidates() const
 {
     std::vector<RelayCandidate> candidates;
     if (m_follower.reachable())
@@ -16,7 +16,20 @@
         if (peer.storeReachable && !isUnreachable(peer))
             candidates.push_back({ host, peer.region });
     }
-    return relaysOf(m_gatewaySettings.region, candidates, m_settings.relaysPerRegion);
+    return candidates;
+}
+
+// The relays of a region without hosts that reach the store are the first of all regions, which are also the first of
+// their own.
+std::vector<std::string> FleetMember::relays(const std::string& region) const
+{
+    std::vector<RelayCandidate> candidates = relayCandidates();
+    const auto isOfRegion = [&region](const RelayCandidate& it) { return it.region == region; };
+    if (std::none_of(candidates.begin(), candidates.end(), isOfRegion)) {
+        for (RelayCandidate& candidate : candidates)
+            candidate.region = region;
+    }
+    return relaysOf(region, candidates, m_settings.relaysPerRegion);
 }
 
 StoreSource FleetMember::storeSource() const
@@ -28,7 +41,7 @@
     // A host knows others only after a complete listing.
     if (!largeFleet() && !m_follower.reachable())
         return m_peers.empty() ? StoreSource::Watch : StoreSource::Relay;
-    const std::vector<std::string> hosts = relays();
+    const std::vector<std::string> hosts = relays(m_gatewaySettings.region);
     if (std::find(hosts.begin(), hosts.end(), m_gatewaySettings.host) != hosts.end())
         return StoreSource::WatchForOthers;
     // Promotions must not be based on relayed state.
@@ -53,7 +66,7 @@
     std::vector<std::pair<std::string, std::string>> sources;
     if (m_source != StoreSource::Relay)
         return sources;
-    for (const std::string& host : relays()) {
+    for (const std::string& host : relays(m_gatewaySettings.region)) {
         const auto it = m_peers.find(host);
         if (it != m_peers.end() && !it->second.address.empty())
             sources.emplace_back(host, it->second.address);
@@ -75,6 +88,29 @@
     }
 }
 
+// Between regions only the revision is relayed, and changes are sent on request, several at once and compressed: those
+// links are narrow.
+void FleetMember::relayState()
+{
+    const StoreEvents state = m_follower.knownState();
+    relay(state);
+    std::set<std::string> uncovered;
+    for (const auto& [host, peer] : m_peers)
+        uncovered.insert(peer.region);
+    for (const RelayCandidate& candidate : relayCandidates())
+        uncovered.erase(candidate.region);
+    if (uncovered.empty())
+        return;
+    const std::vector<std::string> hosts = relays(*uncovered.begin());
+    if (std::find(hosts.begin(), hosts.end(), m_gatewaySettings.host) == hosts.end())
+        return;
+    const std::string datagram = encodeStoreEvents(state).front();
+    for (const auto& [host, peer] : m_peers) {
+        if (uncovered.count(peer.region) != 0 && !peer.address.empty() && !isUnreachable(peer))
+            m_channel.send(peer.address, datagram);
+    }
+}
+
 void FleetMember::eventsRead(const StoreEvents& events)
 {
     // A host that loses the store also needs the changes from before the other hosts detect it and relay to it.
--- a/tests/unit_fleet_member.cpp
+++ b/tests/unit_fleet_member.cpp
@@ -320,3 +320,37 @@
         }
     }
 }
+
+// Guards against a region whose hosts receive no changes because the store refuses all of them.
+BOOST_AUTO_TEST_CASE(a_refused_region_receives_changes_from_another)
+{
+    for (const size_t n : { 6U, 60U }) {
+        FakeFleet fleet(n, 2);
+        fleet.pass(seconds(10));
+        fleet.store.snapshot();
+        for (size_t i = 1; i < n; i += 2)
+            fleet.hosts[i]->store.rejects = true;
+        fleet.pass(seconds(5));
+        const auto checkChange = [&](uint64_t version) {
+            const std::string server = "new" + std::to_string(version);
+            fleet.store.put("s/" + server, "replica");
+            fleet.store.put("config", largeConfiguration(version));
+            fleet.pass(seconds(4));
+            for (size_t i = 0; i < n; ++i) {
+                BOOST_TEST(fleet.versionAt(i) == version);
+                BOOST_TEST(fleet.hosts[i]->fixture.gateway.directory().find(server) != nullptr);
+            }
+        };
+        checkChange(2);
+        fleet.store.unavailable = true;
+        fleet.pass(seconds(2));
+        fleet.store.restore();
+        fleet.store.unavailable = false;
+        checkChange(3);
+        // Changes cross the link between the regions on request only.
+        for (const FakePeerNetwork::Datagram& datagram : fleet.channel.sent) {
+            if (isStoreEvents(datagram.text) && std::stoul(datagram.from) % 2 != std::stoul(datagram.to) % 2)
+                BOOST_TEST(decodeStoreEvents(datagram.text).items.empty());
+        }
+    }
+}
