Drop late listings and those that no kept changes follow

What callers saw: nothing; found by review. A part of a listing that arrived after the store had begun to serve the host could still be applied, which ended the host's own watch for 3 s. A listing that was packed before a host listed again was sent on for up to 2 s, although the host no longer had the changes after it; the receiver then waited 2 s for another.

A listing is applied only while one is missing, and a packed one is dropped when the kept changes no longer follow it.

Tests: an_older_relayed_listing_changes_nothing (unit.store-follower, a late listing of revision 8 was applied) and a_listing_before_a_gap_is_not_sent_again (unit.change-exchange, 40 instead of 50) failed with the parent's sources.

--- a/src/change_exchange.cpp
+++ b/src/change_exchange.cpp
@@ -84,6 +84,7 @@
     if (!m_kept.empty() && m_kept.back().to != events.from) {
         m_kept.clear();
         m_keptBytes = 0;
+        m_packedListing = {}; // The changes that follow it are not kept any more.
     }
     m_kept.push_back(events);
     m_keptBytes += bytesOf(events);
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -215,7 +215,7 @@
 
 void StoreFollower::applyRelayedListing(const StoreEvents& events)
 {
-    if (events.era != m_era || events.to <= m_revision || !m_listing.empty())
+    if (events.era != m_era || events.to <= m_revision || missingAfter() != std::optional<uint64_t>(0))
         return;
     logEvent(
         LogEvent::ListingRelayed, { { "era", m_era }, { "revision", events.to }, { "items", events.items.size() } });
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -97,8 +97,8 @@
     /// Applies changes and the age of the state that another host relayed.
     void applyRelayed(const StoreEvents&);
 
-    /// Applies another host's complete listing, unless it is not newer than what is known or this host is receiving its
-    /// own.
+    /// Applies another host's complete listing if one is missing and it is newer than what is known; see
+    /// missingAfter().
     void applyRelayedListing(const StoreEvents&);
 
     /// Returns the revision up to which all changes are known, with the age of that state and without items.
--- a/tests/unit_change_exchange.cpp
+++ b/tests/unit_change_exchange.cpp
@@ -193,6 +193,19 @@
     BOOST_TEST(later->to == 41U);
 }
 
+// Guards against a listing whose following changes no host can send.
+BOOST_FIXTURE_TEST_CASE(a_listing_before_a_gap_is_not_sent_again, Fixture)
+{
+    source.keep(change(41, 100));
+    listing = change(40, 100);
+    tick(0);
+    BOOST_TEST(deliver().value_or(StoreEvents()).to == 40U);
+    listing = change(50, 100);
+    source.keep(change(51, 100));
+    tick(0);
+    BOOST_TEST(deliver().value_or(StoreEvents()).to == 50U);
+}
+
 // Changes alone are no listing, and a listing of another era is none of this one.
 BOOST_FIXTURE_TEST_CASE(a_listing_of_another_era_is_not_sent, Fixture)
 {
--- a/tests/unit_store_follower.cpp
+++ b/tests/unit_store_follower.cpp
@@ -146,6 +146,13 @@
         runDelayedTask();
         BOOST_TEST(store.lists.size() == 2U);
     }
+
+    /// Passes the time after which a listing is requested because another host has one.
+    void missListing()
+    {
+        follower.applyRelayed({ 4, 5, Duration(0), {}, 2 });
+        now += StoreFollowerSettings().listingRequestDelay;
+    }
 };
 
 } // namespace
@@ -173,6 +180,7 @@
 // dropped.
 BOOST_FIXTURE_TEST_CASE(a_relayed_listing_is_applied, RefusedFixture)
 {
+    missListing();
     follower.applyRelayedListing({ 0, 6, Duration(0),
         { { "config", "8", 4, false }, { "plantainwall/x", "x", 5, false }, { "s/b", "x", 6, false },
             { "s/c", "x", 3, false } },
@@ -202,12 +210,14 @@
 // Only the first listing of the newest era is applied, and no configuration goes back with it.
 BOOST_FIXTURE_TEST_CASE(an_older_relayed_listing_changes_nothing, RefusedFixture)
 {
+    missListing();
     follower.applyRelayedListing({ 0, 30, Duration(0), { { "config", "9", 30, false } }, 1 });
     BOOST_TEST(!follower.listed());
     follower.applyRelayedListing({ 0, 6, Duration(0), { { "config", "6", 4, false } }, 2 });
     BOOST_TEST(follower.listed());
     follower.applyRelayed({ 6, 7, Duration(0), { { "s/b", "x", 7, false } }, 2 });
     follower.applyRelayedListing({ 0, 6, Duration(0), { { "config", "8", 4, false } }, 2 });
+    follower.applyRelayedListing({ 0, 8, Duration(0), { { "config", "8", 8, false } }, 2 }); // None is missing.
     BOOST_TEST((versions == std::vector<uint64_t> { 7 }));
     BOOST_TEST(follower.knownState().to == 7U);
     BOOST_TEST(follower.items().count("s/b") == 1U);
