--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -163,9 +163,11 @@
     // fleet_member_relay.cpp
     StoreSource storeSource() const;
     void chooseSource();
-    std::vector<std::string> relays() const;
+    std::vector<RelayCandidate> relayCandidates() const;
+    std::vector<std::string> relays(const std::string& region) const;
     std::vector<std::pair<std::string, std::string>> watchingHosts() const;
     void relay(const StoreEvents&);
+    void relayState();
 
     GatewaySettings m_gatewaySettings;
     Settings m_settings;
@@ -194,7 +196,7 @@
     bool m_resigned = false;
     bool m_leaving = false;
     Instant m_claimAt;
-    std::optional<Instant> m_listedAt; ///< First listing of the newest era.
+    std::optional<Instant> m_listedAt; ///< First listing of the newest era that the store itself gave.
     Instant m_storeReachableSince;
     Instant m_noClaimBefore;
     Instant m_reportAt;
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -69,6 +69,7 @@
     RelayEraDiffers,
     ConfigurationNotApplied,
     ServerProbed,
+    ListingRelayed,
     Count
 };
 
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -76,8 +76,9 @@
             "A configuration was read from the store but not put in force; the field reason says why." },
         { 57, "server_probed", LogLevel::Warn,
             "Other hosts have probed a server without a registration that does not answer the promotion coordinator; "
-            "the "
-            "fields name those that it answers and those that it does not." },
+            "the fields name those that it answers and those that it does not." },
+        { 58, "listing_relayed", LogLevel::Info,
+            "A complete listing of the store came from another host, because the store does not answer this one." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/tests/unit_fleet_member.cpp
+++ b/tests/unit_fleet_member.cpp
@@ -297,6 +297,64 @@
     BOOST_TEST(fleet.relays().empty());
 }
 
+// Guards against a refused host that lacks changes for good: the other hosts listed again after an outage, so that none
+// of them has read every change.
+BOOST_AUTO_TEST_CASE(refused_hosts_receive_changes_after_an_outage)
+{
+    for (const size_t n : { 6U, 60U }) {
+        FakeFleet fleet(n);
+        fleet.pass(seconds(10));
+        for (size_t i = 0; i < n; i += 3)
+            fleet.hosts[i]->store.refuses = true;
+        fleet.pass(seconds(5));
+        fleet.store.unavailable = true;
+        fleet.pass(seconds(2));
+        fleet.store.put("s/r3", "replica");
+        fleet.store.unavailable = false;
+        fleet.pass(seconds(1));
+        fleet.store.put("config", largeConfiguration(2));
+        fleet.pass(seconds(4));
+        for (size_t i = 0; i < n; ++i) {
+            BOOST_TEST(fleet.versionAt(i) == 2U);
+            BOOST_TEST(fleet.hosts[i]->fixture.gateway.directory().find("r3") != nullptr);
+        }
+    }
+}
+
+// Guards against a region whose hosts receive no changes because the store refuses all of them.
+BOOST_AUTO_TEST_CASE(a_refused_region_receives_changes_from_another)
+{
+    for (const size_t n : { 6U, 60U }) {
+        FakeFleet fleet(n, 2);
+        fleet.pass(seconds(10));
+        fleet.store.snapshot();
+        for (size_t i = 1; i < n; i += 2)
+            fleet.hosts[i]->store.rejects = true;
+        fleet.pass(seconds(5));
+        const auto checkChange = [&](uint64_t version) {
+            const std::string server = "new" + std::to_string(version);
+            fleet.store.put("s/" + server, "replica");
+            fleet.store.put("config", largeConfiguration(version));
+            fleet.pass(seconds(4));
+            for (size_t i = 0; i < n; ++i) {
+                BOOST_TEST(fleet.versionAt(i) == version);
+                BOOST_TEST(fleet.hosts[i]->fixture.gateway.directory().find(server) != nullptr);
+            }
+        };
+        checkChange(2);
+        fleet.store.unavailable = true;
+        fleet.pass(seconds(2));
+        fleet.store.restore();
+        fleet.store.unavailable = false;
+        checkChange(3);
+        // Changes cross the link between the regions on request only.
+        for (const FakePeerNetwork::Datagram& datagram : fleet.channel.sent) {
+            if (isStoreEvents(datagram.text) && std::stoul(datagram.from) % 2 != std::stoul(datagram.to) % 2)
+                BOOST_TEST(decodeStoreEvents(datagram.text).items.empty());
+        }
+    }
+}
+
 namespace {
 
 /// Removes the registration of r2 after it has announced that it leaves, so that it lapses at once.
