Don't claim over an item that was written while the claim waited for its lease

What callers saw: nothing traced to it yet. Two hosts were active as promotion coordinator at once, which may order promotions in turn within one lease. Seen in a trial of unit.restored-store with 60 hosts and a store answer of 8 ms; a slow store makes it likely.

Cause: a host found the role free, asked for a lease, and took the item's revision only when the lease was granted. A claim of another host that had succeeded meanwhile was then the expected revision, and was replaced.

Change: the claim expects the revision of the item that was found claimable, so it conflicts with any newer one.

Test: unit.fleet-member, a_claim_does_not_replace_a_newer_one, with leases that take 300 ms: 99 failed checks before (two active coordinators), none with the change.

--- a/src/fleet_member_coordinator.cpp
+++ b/src/fleet_member_coordinator.cpp
@@ -79,7 +79,10 @@
     m_claiming = true;
     const Instant sentAt = m_clock();
     const uint64_t claim = ++m_coordination;
-    m_store.createLease(m_settings.coordinatorLease, [this, sentAt, claim](const StoreResult& lease) {
+    // Only the item that was found claimable may be replaced.
+    const StoreItem* const item = coordinatorItem();
+    const uint64_t revision = item == nullptr ? 0 : item->revision;
+    m_store.createLease(m_settings.coordinatorLease, [this, sentAt, claim, revision](const StoreResult& lease) {
         const bool newestEra = isOfNewestEra(lease, "lease");
         if (claim != m_coordination)
             return;
@@ -87,11 +90,10 @@
             m_claiming = false;
             return;
         }
-        const StoreItem* const item = coordinatorItem();
         StoreWrite write;
         write.key = coordinatorKey;
         write.value = coordinatorValue();
-        write.expectedRevision = item == nullptr ? 0 : item->revision;
+        write.expectedRevision = revision;
         write.lease = lease.number;
         m_store.write(write, [this, sentAt, claim, lease](const StoreResult& result) {
             isOfNewestEra(result, "write");
--- a/tests/support_fleet.cpp
+++ b/tests/support_fleet.cpp
@@ -22,10 +22,9 @@
     }
 }
 
-void FakeFleetStore::afterRoundTrip(std::function<void()> task)
-{
-    m_timers.add(m_now + storeRoundTrip, std::move(task));
-}
+void FakeFleetStore::after(Duration delay, std::function<void()> task) { m_timers.add(m_now + delay, std::move(task)); }
+
+void FakeFleetStore::afterRoundTrip(std::function<void()> task) { after(storeRoundTrip, std::move(task)); }
 
 StoreItems FakeFleetStore::since(uint64_t revision) const
 {
@@ -183,12 +182,15 @@
 
 void FakeHostStore::createLease(Duration lifetime, std::function<void(StoreResult)> handler)
 {
-    m_store.createLease(lifetime,
-        filter(std::function<void(StoreResult)>([this, handler = std::move(handler)](const StoreResult& result) {
-            if (result.outcome == StoreOutcome::Ok)
-                m_eraOfLease[result.number] = result.era;
-            handler(result);
-        })));
+    const std::function<void(StoreResult)> answered
+        = filter(std::function<void(StoreResult)>([this, handler = std::move(handler)](const StoreResult& result) {
+              if (result.outcome == StoreOutcome::Ok)
+                  m_eraOfLease[result.number] = result.era;
+              handler(result);
+          }));
+    m_store.createLease(lifetime, [this, answered](const StoreResult& result) {
+        m_store.after(leaseDelay, [answered, result] { answered(result); });
+    });
 }
 
 void FakeHostStore::keepLease(uint64_t lease, std::function<void(StoreResult)> handler)
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -35,6 +35,7 @@
     void endLease(uint64_t, std::function<void(StoreResult)>) override;
     void cancelReads() override { }
 
+    void after(Duration, std::function<void()>);
     void afterRoundTrip(std::function<void()>);
 
     /// Writes an item as a client outside the fleet does.
@@ -122,6 +123,7 @@
     bool refusesReads = false; ///< Fails every listing and watch of this host.
     bool refusesRenewals = false; ///< Fails every renewal of a lease of this host.
     std::function<void(const StoreWrite&)> beforeWrite; ///< Called before each write; may be empty.
+    Duration leaseDelay { 0 }; ///< Delay of the answers to this host's requests for leases.
     bool rejects = false; ///< Rejects every call of this host with an answer, which carries the era.
     /// Renewals, ends and writes with a lease that was not granted to this host in the newest era that it was told.
     unsigned callsWithForeignLease = 0;
--- a/tests/unit_fleet_member.cpp
+++ b/tests/unit_fleet_member.cpp
@@ -112,6 +112,23 @@
     }
 }
 
+// Guards against two coordinators at once: a host that waits for its lease while another one's claim succeeds.
+BOOST_AUTO_TEST_CASE(a_claim_does_not_replace_a_newer_one)
+{
+    for (const size_t n : { 5U, 60U }) {
+        FakeFleet fleet(n);
+        for (const std::unique_ptr<FakeFleet::Host>& host : fleet.hosts)
+            host->store.leaseDelay = milliseconds(300);
+        bool coordinated = false;
+        for (int i = 0; i < 1500; ++i) { // The coordinator hands the role over several times.
+            fleet.pass(milliseconds(20));
+            BOOST_TEST(fleet.activeCoordinators() <= 1U);
+            coordinated = coordinated || fleet.activeCoordinators() == 1;
+        }
+        BOOST_TEST(coordinated);
+    }
+}
+
 // Hosts of another region receive fewer reports, but do not count as silent because of that.
 BOOST_AUTO_TEST_CASE(other_regions_receive_fewer_reports)
 {
