Replace claims of the coordinator role that were made in an earlier era

What callers saw: nothing traced to it yet; listed as open in the postmortem. After a restore of the store the item of the coordinator role could name a host that is gone or never knew of it, under a lease id that by then was another host's registration. The item lived as long as that host renewed its lease, and no service got a new primary.

Cause: only the host that an item names replaced it. A claim that is carried out late, or that the copy contains, is under a lease of the earlier era, whose id is given out again.

Change: a claim names the era in which it was made. If that is older than the store's, its host cannot act: it has given the role up with the first answer of the new era, or its lease of the earlier era runs out by itself. Every host replaces such an item by compare-and-swap after it has read it unchanged for the time of a lease, so the next coordinator never begins within the lease of one whose item a late claim has replaced. No decision rests on reports of other hosts. The event duty_claim_outdated names the claim. A coordinator is no longer ended by the item that it has just replaced.

Tests: unit.restored-store, with 5 and 60 hosts: a late claim of a host that has ended or lacks the store, a claim in the copy, also with half of the datagrams lost, and a late claim over an active coordinator. The case of the replaced item fails without the comparison of revisions.

--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -103,6 +103,7 @@
     m_claiming = false;
     m_claimAt = Instant();
     coordinationEnded();
+    m_outdatedClaim.reset();
     // Registrations of the copy may be incomplete.
     m_listedAt.reset();
     m_gateway.directory().storeRestored(m_clock());
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -111,6 +111,11 @@
         bool probeFailed = false; ///< Silent because it did not answer a probe.
         uint64_t firstReportIncarnation = 0; ///< Incarnation to which the first report was sent.
     };
+    /// Coordinator item that was claimed in an earlier era.
+    struct OutdatedClaim {
+        uint64_t revision = 0;
+        Instant readAt;
+    };
     StoreFollowerSettings followerSettings();
     Duration restoredDelay();
 
@@ -125,6 +130,7 @@
 
     // fleet_member_coordinator.cpp
     void coordinatorItemRead();
+    void noteOutdatedClaim(const StoreItem*);
     void tickCoordinator();
     void claimCoordination();
     void renewCoordination();
@@ -184,6 +190,8 @@
     uint64_t m_registrationLease = 0; ///< Granted in the newest era; 0: none.
     uint64_t m_registrationAttempt = 0; ///< Answers to earlier attempts are dropped.
     uint64_t m_coordinatorLease = 0;
+    uint64_t m_coordinatorRevision = 0; ///< Revision of this host's last claim that succeeded.
+    std::optional<OutdatedClaim> m_outdatedClaim;
     uint64_t m_coordination = 0; ///< Number of the role or claim; answers to earlier ones are dropped.
     Instant m_coordinatorUntil;
     bool m_claiming = false;
--- a/src/fleet_member_coordinator.cpp
+++ b/src/fleet_member_coordinator.cpp
@@ -1,5 +1,7 @@
 #include "fleet_member.h"
+#include "log_event.h"
 #include <algorithm>
+#include <sstream>
 #include <xxhash.h>
 
 // Coordinator lease: claiming, renewing and handing it over.
@@ -25,11 +27,21 @@
 
     uint64_t fencingToken(uint64_t era, uint64_t revision) { return (era << revisionBits) + revision; }
 
+    /// Returns the era in which a claim was made, or nothing if its value names none.
+    std::optional<uint64_t> eraOfClaim(const std::string& value)
+    {
+        std::istringstream words(value);
+        std::string host;
+        uint64_t incarnation = 0;
+        uint64_t era = 0;
+        return words >> host >> incarnation >> era ? std::make_optional(era) : std::nullopt;
+    }
+
 } // namespace
 
 std::string FleetMember::coordinatorValue() const
 {
-    return m_gatewaySettings.host + " " + std::to_string(m_incarnation);
+    return m_gatewaySettings.host + " " + std::to_string(m_incarnation) + " " + std::to_string(m_follower.era());
 }
 
 const StoreItem* FleetMember::coordinatorItem() const
@@ -38,20 +50,40 @@
     return it == m_follower.ownItems().end() ? nullptr : &it->second;
 }
 
-// A claim without an answer may be carried out later, and a copy of the store may contain an earlier claim. The item
-// then names this host under a lease that it does not hold and that may never end.
+// A claim without an answer may be carried out later, and the item then names this host under a lease that it does not
+// hold. A claim of an earlier era may be under another host's lease, which may never end.
 bool FleetMember::claimable() const
 {
     if (!m_follower.listed() || !m_follower.reachable() || m_coordinator.isActive() || m_claiming)
         return false;
     const StoreItem* const item = coordinatorItem();
-    return item == nullptr || item->value == coordinatorValue();
+    return item == nullptr || item->value == coordinatorValue()
+        || (m_outdatedClaim && m_clock() - m_outdatedClaim->readAt >= m_settings.coordinatorLease);
+}
+
+// A host that claimed in an earlier era stops by the end of its lease of that era, and so does a coordinator whose item
+// a late claim has replaced. So the role is free when an outdated claim is as old as the lease.
+void FleetMember::noteOutdatedClaim(const StoreItem* item)
+{
+    const std::optional<uint64_t> era = item == nullptr ? std::nullopt : eraOfClaim(item->value);
+    if (!era || *era >= m_follower.era()) {
+        m_outdatedClaim.reset();
+        return;
+    }
+    if (m_outdatedClaim && m_outdatedClaim->revision == item->revision)
+        return;
+    m_outdatedClaim = OutdatedClaim { item->revision, m_clock() };
+    logEvent(LogEvent::DutyClaimOutdated,
+        { { "claim", item->value }, { "revision", item->revision }, { "era", m_follower.era() } });
 }
 
 void FleetMember::coordinatorItemRead()
 {
     const StoreItem* const item = coordinatorItem();
-    if (m_coordinator.isActive() && item != nullptr && item->value != coordinatorValue())
+    noteOutdatedClaim(item);
+    // The item may not have been read since this host replaced it.
+    if (m_coordinator.isActive() && item != nullptr && item->revision > m_coordinatorRevision
+        && item->value != coordinatorValue())
         coordinationEnded();
     if (item == nullptr && !m_coordinator.isActive() && m_claimAt == Instant())
         m_claimAt = m_clock() + claimDelay(Duration(0));
@@ -105,6 +137,7 @@
                 return;
             }
             m_coordinatorLease = lease.number;
+            m_coordinatorRevision = result.number;
             m_coordinatorUntil = sentAt + m_settings.coordinatorLease - m_settings.coordinatorMargin;
             m_coordinator.setActive(true, fencingToken(m_follower.era(), result.number));
             m_after(m_settings.coordinatorRenewal, [this, claim] {
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -68,6 +68,7 @@
     StoreRestored,
     RelayEraDiffers,
     ConfigurationNotApplied,
+    DutyClaimOutdated,
     Count
 };
 
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -74,6 +74,9 @@
             "Another host relayed changes of the store from a different era than the one known here." },
         { 56, "configuration_not_applied", LogLevel::Info,
             "A configuration was read from the store but not put in force; the field reason says why." },
+        { 57, "duty_claim_outdated", LogLevel::Warn,
+            "The promotion coordinator's item is a claim from an earlier era of the store; it is replaced after a "
+            "lease." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/tests/support_fleet.cpp
+++ b/tests/support_fleet.cpp
@@ -230,6 +230,12 @@
     return it == m_items.end() || it->second.removed ? std::nullopt : std::make_optional(it->second.value);
 }
 
+uint64_t FakeFleetStore::revisionOf(const std::string& key) const
+{
+    const auto it = m_items.find(key);
+    return it == m_items.end() || it->second.removed ? 0 : it->second.revision;
+}
+
 void FakeFleetStore::notifyWatches()
 {
     const std::vector<std::shared_ptr<Watch>> watches = std::move(m_watches);
@@ -246,10 +252,8 @@
 {
     StoreResult result;
     result.era = unavailable ? 0 : m_era;
-    const auto it = m_items.find(write.key);
-    const uint64_t revision = it == m_items.end() || it->second.removed ? 0 : it->second.revision;
     result.outcome = unavailable ? StoreOutcome::Unreachable : StoreOutcome::Conflict;
-    if (!unavailable && revision == write.expectedRevision) {
+    if (!unavailable && revisionOf(write.key) == write.expectedRevision) {
         put(write.key, write.value, write.lease);
         result = { StoreOutcome::Ok, m_revision, m_era };
     }
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -46,6 +46,10 @@
 
     /// Returns the value of an item, or nothing if it does not exist.
     std::optional<std::string> valueOf(const std::string& key) const;
+
+    /// Returns the revision of an item, or 0 if it does not exist.
+    uint64_t revisionOf(const std::string& key) const;
+
     /// Copies the items, revisions and leases.
     void snapshot();
 
--- a/tests/unit_restored_store.cpp
+++ b/tests/unit_restored_store.cpp
@@ -19,6 +19,14 @@
 /// Servers register again within about 2 s after the store is back.
 constexpr Duration registrationTime = seconds(2);
 
+const std::string coordinatorKey = "plantainwall/promotions";
+
+/// Lease of the coordinator role.
+constexpr Duration coordinatorLease = seconds(2);
+
+/// A role that nobody exercises is taken over within this time: its lease, and the claims of several hosts in turn.
+constexpr Duration takeoverTime = coordinatorLease + seconds(1);
+
 constexpr size_t smallFleet = 5;
 constexpr size_t largeFleet = 60;
 
@@ -36,6 +44,75 @@
             store.put("s/r2", "replica");
     }
 
+    /// Adds hosts that start now.
+    void addHosts(size_t n)
+    {
+        for (size_t i = hosts.size(); n > 0; ++i, --n) {
+            hosts.push_back(std::make_unique<Host>(*this, i, 1, true));
+            hosts.back()->member.start();
+        }
+    }
+
+    /// Waits for a claim of the coordinator role and returns the claimant with what it sent.
+    std::pair<size_t, StoreWrite> nextClaim()
+    {
+        std::optional<std::pair<size_t, StoreWrite>> claim;
+        for (size_t i = 0; i < hosts.size(); ++i) {
+            hosts[i]->store.beforeWrite = [&claim, i](const StoreWrite& write) {
+                if (write.key == coordinatorKey)
+                    claim.emplace(i, write);
+            };
+        }
+        for (int i = 0; i < 1000 && !claim; ++i)
+            pass(milliseconds(20));
+        for (const std::unique_ptr<Host>& host : hosts)
+            host->store.beforeWrite = nullptr;
+        return claim.value();
+    }
+
+    /// Waits for a registration in the present era and returns its lease.
+    uint64_t nextRegistrationLease()
+    {
+        for (int i = 0; i < 100 && store.leasesOf("plantainwall/hosts/").empty(); ++i)
+            pass(milliseconds(20));
+        return store.leasesOf("plantainwall/hosts/").at(0);
+    }
+
+    /// Carries out a late claim whose condition holds again. Its lease belongs to a registration by now.
+    void carryOut(StoreWrite claim, uint64_t expectedRevision)
+    {
+        claim.expectedRevision = expectedRevision;
+        claim.lease = nextRegistrationLease();
+        bool done = false;
+        store.write(claim, [&done](const StoreResult& result) { done = result.outcome == StoreOutcome::Ok; });
+        pass(milliseconds(20));
+        BOOST_TEST(done);
+    }
+
+    /// Returns the hosts that are active as coordinator, except some that have stopped or lack the store.
+    std::vector<size_t> coordinatorsExcept(const std::set<size_t>& excepted) const
+    {
+        std::vector<size_t> result;
+        for (size_t i = 0; i < hosts.size(); ++i) {
+            if (excepted.count(i) == 0 && hosts[i]->coordinator.isActive())
+                result.push_back(i);
+        }
+        return result;
+    }
+
+    /// Returns the time until a host becomes active as coordinator, or nothing if none does within the limit.
+    std::optional<Duration> timeToCoordinator(Duration limit, const std::set<size_t>& excepted)
+    {
+        for (Duration passed {}; passed <= limit; passed += milliseconds(20)) {
+            const std::vector<size_t> coordinators = coordinatorsExcept(excepted);
+            BOOST_TEST(coordinators.size() <= 1U);
+            if (!coordinators.empty())
+                return passed;
+            pass(milliseconds(20));
+        }
+        return std::nullopt;
+    }
+
     void restoreStore()
     {
         store.unavailable = true;
@@ -207,10 +284,7 @@
         for (const bool beforeRegistrations : { true, false }) {
             RestoredFleet fleet(0);
             fleet.store.snapshot();
-            for (size_t i = 0; i < fleetSize; ++i) {
-                fleet.hosts.push_back(std::make_unique<FakeFleet::Host>(fleet, i, 1, true));
-                fleet.hosts.back()->member.start();
-            }
+            fleet.addHosts(fleetSize);
             fleet.pass(seconds(5));
             if (!beforeRegistrations)
                 fleet.store.snapshot();
@@ -283,6 +357,127 @@
     }
 }
 
+// Guards against a role that nobody exercises as long as another host renews the lease: a claim that is carried out
+// after the restore, by a host that has ended or no longer reaches the store.
+BOOST_AUTO_TEST_CASE(a_late_claim_of_the_earlier_history_does_not_keep_the_role)
+{
+    CerrCapture capture;
+    for (const size_t fleetSize : { smallFleet, largeFleet }) {
+        for (const bool claimantRuns : { false, true }) {
+            capture.clear();
+            RestoredFleet fleet(0);
+            fleet.store.snapshot();
+            fleet.addHosts(fleetSize);
+            const auto [claimant, claim] = fleet.nextClaim();
+            fleet.pass(seconds(1));
+            if (claimantRuns)
+                fleet.hosts[claimant]->store.refuses = true;
+            else
+                fleet.dead.insert(claimant);
+            fleet.restoreStore();
+            fleet.carryOut(claim, 0);
+            BOOST_TEST((fleet.store.valueOf(coordinatorKey) == claim.value));
+            BOOST_TEST(fleet.timeToCoordinator(takeoverTime, { claimant }).has_value());
+            fleet.hosts[claimant]->store.refuses = false;
+            fleet.pass(milliseconds(700)); // One renewal.
+            for (int i = 0; i < 300; ++i) {
+                fleet.pass(milliseconds(20));
+                BOOST_TEST(fleet.coordinatorsExcept(fleet.dead).size() <= 1U);
+            }
+            BOOST_TEST(fleet.callsWithForeignLease() == 0U);
+            const std::vector<uint64_t> tokens = coordinatorTokens(capture.text.str());
+            BOOST_TEST(std::is_sorted(tokens.begin(), tokens.end(), std::less_equal<uint64_t>()));
+        }
+    }
+}
+
+// The copy contains the item, and its lease is given out again to another host's registration.
+BOOST_AUTO_TEST_CASE(a_claim_in_the_copy_does_not_keep_the_role)
+{
+    const CerrCapture capture;
+    for (const size_t fleetSize : { smallFleet, largeFleet }) {
+        for (const bool partitioned : { false, true }) {
+            RestoredFleet fleet(0);
+            fleet.store.snapshot();
+            fleet.addHosts(fleetSize);
+            const auto [claimant, claim] = fleet.nextClaim();
+            fleet.pass(seconds(1));
+            fleet.dead.insert(claimant);
+            if (partitioned)
+                fleet.lost = [](const FakePeerNetwork::Datagram& datagram) {
+                    return std::stoul(datagram.from) % 2 != std::stoul(datagram.to) % 2;
+                };
+            fleet.store.unavailable = true;
+            fleet.pass(outage);
+            fleet.store.restore();
+            fleet.store.put(coordinatorKey, claim.value, fleet.store.leases + 1);
+            fleet.store.unavailable = false;
+            BOOST_TEST(fleet.nextRegistrationLease() == fleet.store.leasesOf(coordinatorKey).at(0));
+            BOOST_TEST(fleet.timeToCoordinator(takeoverTime, { claimant }).has_value());
+            for (int i = 0; i < 300; ++i) {
+                fleet.pass(milliseconds(20));
+                BOOST_TEST(fleet.coordinatorsExcept({ claimant }).size() <= 1U);
+            }
+        }
+    }
+}
+
+// A late claim replaces the one of an active coordinator, which may have ordered a promotion just before. The next one
+// must not begin within its lease.
+BOOST_AUTO_TEST_CASE(a_late_claim_over_an_active_coordinator_frees_the_role_after_its_lease)
+{
+    CerrCapture capture;
+    for (const size_t fleetSize : { smallFleet, largeFleet }) {
+        capture.clear();
+        RestoredFleet fleet(0);
+        fleet.store.snapshot();
+        fleet.addHosts(fleetSize);
+        const auto [claimant, claim] = fleet.nextClaim();
+        fleet.pass(seconds(1));
+        fleet.dead.insert(claimant);
+        fleet.restoreStore();
+        BOOST_TEST(fleet.timeToCoordinator(seconds(3), fleet.dead).has_value());
+        const size_t coordinator = fleet.coordinatorsExcept(fleet.dead).at(0);
+        fleet.carryOut(claim, fleet.store.revisionOf(coordinatorKey));
+        fleet.pass(milliseconds(200)); // The coordinator reads the change.
+        BOOST_TEST(!fleet.hosts[coordinator]->coordinator.isActive());
+        const std::optional<Duration> time = fleet.timeToCoordinator(takeoverTime, fleet.dead);
+        BOOST_REQUIRE(time.has_value());
+        BOOST_TEST(time->count() >= Duration(coordinatorLease - milliseconds(200)).count());
+        const std::vector<uint64_t> tokens = coordinatorTokens(capture.text.str());
+        BOOST_TEST(std::is_sorted(tokens.begin(), tokens.end(), std::less_equal<uint64_t>()));
+    }
+}
+
+// Guards against a coordinator that gives up because it reads the claim that it has just replaced.
+BOOST_AUTO_TEST_CASE(a_coordinator_is_not_ended_by_the_claim_that_it_replaced)
+{
+    const CerrCapture capture;
+    RestoredFleet fleet(0);
+    fleet.store.snapshot();
+    fleet.addHosts(smallFleet);
+    const auto [claimant, claim] = fleet.nextClaim();
+    fleet.pass(seconds(1));
+    fleet.dead.insert(claimant);
+    fleet.restoreStore();
+    fleet.carryOut(claim, 0);
+    // Frequent changes are read in batches, so no host reads the new claim at once.
+    for (int i = 0; i < 200 && fleet.coordinatorsExcept(fleet.dead).empty(); ++i) {
+        fleet.store.put("s/r1", "replica");
+        fleet.pass(milliseconds(20));
+    }
+    BOOST_REQUIRE(fleet.coordinatorsExcept(fleet.dead).size() == 1U);
+    FakeFleet::Host& coordinator = *fleet.hosts[fleet.coordinatorsExcept(fleet.dead).at(0)];
+    const uint64_t before = fleet.store.revisionOf(coordinatorKey) - 1;
+    const StoreEvents events { 0, before, Duration(0), { { "plantainwall/replicas/none", "", before, false } },
+        fleet.store.era() };
+    for (const std::string& datagram : encodeStoreEvents(events))
+        coordinator.member.peerDatagram(datagram);
+    BOOST_TEST(coordinator.coordinator.isActive());
+    fleet.pass(seconds(1));
+    BOOST_TEST(coordinator.coordinator.isActive());
+}
+
 // Guards against statements to a draining server whose entry in the copy is older than its notice.
 BOOST_AUTO_TEST_CASE(a_draining_server_stays_draining)
 {
