Don't take an earlier process in a restored copy for the running one

What callers saw: nothing traced to it yet. After a database had started again under its id and the store then went back to a copy from before that, every host took the copy's entry for a new process: the running one counted as ended, a draining one as ready, and an earlier primary replaced the confirmed one until the database wrote its entry again, up to about 2 s later. Both starts then counted as lost logs for promotions.

Cause: any other start time meant a newer process. Only entries of the same start were compared by sequence numbers.

Change: in the grace time after a restore an entry of an earlier start than that of a known process with the id keeps the server registered and changes nothing else. Later the entry is used as before, as clocks of servers may be set back.

--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -29,8 +29,26 @@
     return removed;
 }
 
+// Start times come from the servers' clocks, which may have been set back, so they order the processes of an id only
+// while the copy's registrations are not renewed yet.
+bool ServerDirectory::isEarlierProcess(const ServerEntry& entry) const
+{
+    if (entry.startedUnixMs == 0 || !m_restoredAt || m_expiredAt - *m_restoredAt >= m_settings.returnGrace)
+        return false;
+    const auto registered = m_servers.find(entry.id);
+    const auto lapsed = m_lapsed.upper_bound({ entry.id, entry.startedUnixMs });
+    return (registered != m_servers.end() && entry.startedUnixMs < registered->second.entry.startedUnixMs)
+        || (lapsed != m_lapsed.end() && lapsed->first.first == entry.id);
+}
+
 void ServerDirectory::registerServer(const ServerEntry& entry)
 {
+    if (isEarlierProcess(entry)) {
+        const auto registered = m_servers.find(entry.id);
+        if (registered != m_servers.end())
+            registered->second.missingSince.reset();
+        return;
+    }
     KnownServer& known = m_servers[entry.id];
     const bool sameStart = entry.startedUnixMs != 0 && known.entry.startedUnixMs == entry.startedUnixMs;
     if (sameStart && entry.sequence != 0 && entry.sequence < known.entry.sequence) {
@@ -93,6 +111,7 @@
 
 void ServerDirectory::storeRestored(Instant now)
 {
+    m_restoredAt = now;
     if (!m_storeUnreachable)
         m_storeReachableSince = now;
 }
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -43,7 +43,8 @@
 
     /// Adds or updates a registered server, which ends its lapsed state. Another start time means that the process with
     /// the id before has ended; it is kept as lapsed. An entry of the same start with a lower sequence number than the
-    /// known one comes from a copy of the store: it keeps the server registered and changes nothing else.
+    /// known one comes from a copy of the store: it keeps the server registered and changes nothing else. So does, in
+    /// the grace time after storeRestored(), an entry of an earlier start than that of a known process with the id.
     void registerServer(const ServerEntry&);
 
     /// Records that a registration was removed. A draining server lapses at once, any other after the grace time.
@@ -132,6 +133,7 @@
     };
 
     void lapse(const ServerEntry&, Instant since, bool ended);
+    bool isEarlierProcess(const ServerEntry&) const;
 
     DirectorySettings m_settings;
     std::map<std::string, KnownServer> m_servers;
@@ -139,6 +141,7 @@
     std::map<std::pair<std::string, uint64_t>, LapsedServer> m_lapsed;
     std::map<std::string, Leadership> m_leadership;
     Instant m_expiredAt; ///< Time of the last call of expire().
+    std::optional<Instant> m_restoredAt; ///< Last call of storeRestored().
     bool m_storeUnreachable = false;
     std::optional<Instant> m_storeReachableSince;
 };
--- a/tests/unit_server_directory.cpp
+++ b/tests/unit_server_directory.cpp
@@ -130,6 +130,52 @@
     BOOST_TEST(!directory.find("a")->draining);
 }
 
+// A copy of the store lists the process that a server had before it started again. The running one must not count as
+// ended, nor the earlier one as primary.
+BOOST_AUTO_TEST_CASE(earlier_process_in_a_restored_copy_changes_nothing)
+{
+    for (const bool registered : { true, false }) {
+        for (const uint64_t sequence : { 7U, 8U }) {
+            ServerDirectory directory;
+            Instant now { seconds(100) };
+            ServerEntry earlier = entryOf("a");
+            earlier.startedUnixMs = 1760000000123;
+            earlier.primary = true;
+            earlier.sequence = 8;
+            directory.registerServer(earlier);
+            ServerEntry running = entryOf("a");
+            running.startedUnixMs = earlier.startedUnixMs + 9000;
+            running.draining = true;
+            running.sequence = 2;
+            directory.registerServer(running);
+            directory.registerServer(entryOf("b"));
+            BOOST_TEST(directory.notePrimary("orders", "b", 3));
+            if (!registered)
+                BOOST_TEST(directory.remove("a", now));
+            directory.expire(now);
+            directory.storeRestored(now);
+            earlier.sequence = sequence;
+            now += milliseconds(400);
+            directory.expire(now);
+            BOOST_TEST(directory.replaceAll({ earlier, entryOf("b") }, now).empty());
+            BOOST_TEST(directory.primary("orders", now) == "b");
+            BOOST_TEST(directory.provenPrimary("orders").second == 3U);
+            BOOST_TEST((directory.find("a") != nullptr) == registered);
+            if (registered)
+                BOOST_TEST(directory.find("a")->draining);
+            for (const LapsedServer* const server : directory.lapsed())
+                BOOST_TEST(server->ended == (server->entry.startedUnixMs == earlier.startedUnixMs));
+            BOOST_TEST(directory.lapsed().size() == (registered ? 1U : 2U));
+            // Registrations of the copy have been renewed or have ended by then.
+            now += milliseconds(2500);
+            directory.expire(now);
+            directory.registerServer(earlier);
+            BOOST_REQUIRE(directory.find("a") != nullptr);
+            BOOST_TEST(directory.find("a")->startedUnixMs == earlier.startedUnixMs);
+        }
+    }
+}
+
 // Without a known primary, a guess prevented that the primary reported by another host was used.
 BOOST_AUTO_TEST_CASE(reported_primary_replaces_a_guess)
 {
