Remove a host's own items instead of ending leases by their ids

What callers saw: nothing traced to it yet. A host that had not heard of a restore of the store and left, or handed the coordinator role over, ended a lease that was another host's by then: that host's registration, or the role, vanished from the store. A call to end a lease that is carried out late has the same effect.

Cause: lease ids are given out again after a restore, and ending a lease has no condition.

Change: a host removes its registration and its claim by compare-and-swap on their revisions. The key of a registration names era and lease, so it can be no other host's; for the claim the revision has to be the same too. Leases that are not used any more expire. The store's interface has no call to end a lease any more. Answers to removals and to writes of replica records reveal a newer era as all others do.

Test: unit.restored-store, a_leaving_host_removes_only_its_own_items: 5 failed checks before (a registration of another host was gone in 4 of 5 fleets, the role in one), none with the change. The fake store woke its watches at the end of a lease without items, as no store does; with that corrected the bound of unit.fleet-member on watches holds as before.

--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -97,6 +97,7 @@
         return;
     // Leases of the earlier era are neither renewed nor ended: their ids may be given out again.
     m_registrationLease = 0;
+    m_registrationRevision = 0;
     ++m_registrationAttempt;
     afterRegistration(restoredDelay(), &FleetMember::registerHost);
     ++m_coordination;
@@ -148,6 +149,16 @@
     return result.era == 0 || result.era == m_follower.era();
 }
 
+// An item with another revision is not this host's, so nothing happens to it.
+void FleetMember::removeItem(const std::string& key, uint64_t revision)
+{
+    StoreWrite write;
+    write.key = key;
+    write.expectedRevision = revision;
+    write.removes = true;
+    m_store.write(write, [this](const StoreResult& result) { isOfNewestEra(result, "write"); });
+}
+
 void FleetMember::afterRegistration(Duration delay, void (FleetMember::*next)())
 {
     m_after(delay, [this, next, attempt = m_registrationAttempt] {
@@ -186,14 +197,17 @@
         + std::to_string(lease.era) + "-" + std::to_string(lease.number);
     write.value = value.serialize();
     write.lease = lease.number;
+    m_registrationKey = write.key;
+    m_registrationRevision = 0;
     m_store.write(write, [this, attempt = m_registrationAttempt](const StoreResult& result) {
         isOfNewestEra(result, "write");
         if (attempt != m_registrationAttempt)
             return;
         // After a conflict the item belongs to an unknown lease, so the host registers with a new one.
-        if (result.outcome == StoreOutcome::Ok)
+        if (result.outcome == StoreOutcome::Ok) {
+            m_registrationRevision = result.number;
             afterRegistration(m_settings.registrationRenewal, &FleetMember::renewRegistration);
-        else
+        } else
             afterRegistration(registrationRetryDelay, &FleetMember::registerHost);
     });
 }
@@ -296,8 +310,8 @@
     for (const auto& [host, peer] : m_peers)
         m_channel.send(peer.address, report(ReportKind::Leaving, {}));
     resignCoordination();
-    if (m_registrationLease != 0)
-        m_store.endLease(m_registrationLease, [](const StoreResult&) {});
+    if (m_registrationRevision != 0)
+        removeItem(m_registrationKey, m_registrationRevision);
 }
 
 } // namespace plantainwall
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -85,7 +85,7 @@
     /// Resigns as coordinator permanently: this process makes no further claim.
     void resignCoordination();
 
-    /// Sends a leave notice to all hosts and ends this host's leases.
+    /// Sends a leave notice to all hosts and removes this host's items from the store.
     void leave();
 
     void configurationRead(std::shared_ptr<const GatewayConfiguration>) override;
@@ -125,6 +125,7 @@
     void registerHost();
     void registrationLeaseGranted(const StoreResult&);
     void renewRegistration();
+    void removeItem(const std::string& key, uint64_t revision);
     void afterRegistration(Duration, void (FleetMember::*next)());
     void fleetChanged();
 
@@ -188,6 +189,8 @@
     bool m_replicaItemsChanged = false; ///< The own items or the configured services have changed since the last tick.
     std::map<std::string, Peer> m_peers; ///< Registered hosts other than this one, by name.
     uint64_t m_registrationLease = 0; ///< Granted in the newest era; 0: none.
+    std::string m_registrationKey;
+    uint64_t m_registrationRevision = 0; ///< Revision of this host's last registration; 0: none in the newest era.
     uint64_t m_registrationAttempt = 0; ///< Answers to earlier attempts are dropped.
     uint64_t m_coordinatorLease = 0;
     uint64_t m_coordinatorRevision = 0; ///< Revision of this host's last claim that succeeded.
--- a/src/fleet_member_coordinator.cpp
+++ b/src/fleet_member_coordinator.cpp
@@ -132,8 +132,10 @@
             if (claim != m_coordination)
                 return;
             m_claiming = false;
-            if (result.outcome != StoreOutcome::Ok || m_resigned) {
-                m_store.endLease(lease.number, [](const StoreResult&) {});
+            if (result.outcome != StoreOutcome::Ok)
+                return;
+            if (m_resigned) {
+                removeItem(coordinatorKey, result.number);
                 return;
             }
             m_coordinatorLease = lease.number;
@@ -211,7 +213,7 @@
         return;
     m_noClaimBefore = m_clock() + m_settings.coordinatorPause;
     m_coordinator.setActive(false, 0);
-    m_store.endLease(m_coordinatorLease, [](const StoreResult&) {});
+    removeItem(coordinatorKey, m_coordinatorRevision);
 }
 
 void FleetMember::resignCoordination()
--- a/src/fleet_member_replicas.cpp
+++ b/src/fleet_member_replicas.cpp
@@ -23,6 +23,7 @@
         return;
     for (const StoreWrite& write : m_replicaRecords.due(m_follower.ownItems(), configuration, directory, now)) {
         m_store.write(write, [this, key = write.key](const StoreResult& result) {
+            isOfNewestEra(result, "write");
             m_replicaRecords.written(key, result.outcome, m_clock());
         });
     }
--- a/src/gateway_ports.h
+++ b/src/gateway_ports.h
@@ -153,6 +153,7 @@
     std::string value;
     uint64_t expectedRevision = 0; ///< 0: the key must not exist.
     uint64_t lease = 0;
+    bool removes = false; ///< Removes the item; value and lease are not used.
 };
 
 struct StoreResult {
@@ -164,7 +165,8 @@
 /// The metadata store. Each callback is called once, never from within the function that it is passed to.
 ///
 /// The store may be replaced by an older copy of itself. Its era then rises; revisions and lease ids go back and are
-/// given out again, so that they are comparable within one era only. Results of failed calls carry the era too; it is 0
+/// given out again, so that they are comparable within one era only. Leases end by expiry alone: by its id a host could
+/// end a lease that is another host's since. Results of failed calls carry the era too; it is 0
 /// if there was no answer or the store does not report it.
 class MetadataStore {
 public:
@@ -174,7 +176,6 @@
     virtual void write(const StoreWrite&, std::function<void(StoreResult)>) = 0;
     virtual void createLease(Duration lifetime, std::function<void(StoreResult)>) = 0;
     virtual void keepLease(uint64_t lease, std::function<void(StoreResult)>) = 0;
-    virtual void endLease(uint64_t lease, std::function<void(StoreResult)>) = 0;
     /// Ends all lists and watches in progress; their callbacks get StoreOutcome::Unreachable.
     virtual void cancelReads() = 0;
 };
--- a/tests/support_fleet.cpp
+++ b/tests/support_fleet.cpp
@@ -203,13 +203,6 @@
     m_store.keepLease(lease, filter(std::move(handler)));
 }
 
-void FakeHostStore::endLease(uint64_t lease, std::function<void(StoreResult)> handler)
-{
-    checkLease(lease);
-    if (!refuses && !rejects)
-        m_store.endLease(lease, std::move(handler));
-}
-
 void FakeFleetStore::put(const std::string& key, const std::string& value, uint64_t lease)
 {
     m_items[key] = { key, value, ++m_revision, false };
@@ -254,7 +247,10 @@
     result.era = unavailable ? 0 : m_era;
     result.outcome = unavailable ? StoreOutcome::Unreachable : StoreOutcome::Conflict;
     if (!unavailable && revisionOf(write.key) == write.expectedRevision) {
-        put(write.key, write.value, write.lease);
+        if (write.removes)
+            erase(write.key);
+        else
+            put(write.key, write.value, write.lease);
         result = { StoreOutcome::Ok, m_revision, m_era };
     }
     afterRoundTrip([result, handler = std::move(handler)] { handler(result); });
@@ -282,12 +278,6 @@
     afterRoundTrip([result, handler = std::move(handler)] { handler(result); });
 }
 
-void FakeFleetStore::endLease(uint64_t lease, std::function<void(StoreResult)>)
-{
-    if (!unavailable)
-        removeItemsOf(lease);
-}
-
 void FakeFleetStore::scheduleLeaseEnd(uint64_t lease)
 {
     m_timers.add(m_leases[lease].endsAt, [this, lease] {
@@ -304,13 +294,16 @@
 void FakeFleetStore::removeItemsOf(uint64_t lease)
 {
     m_leases.erase(lease);
+    bool changed = false;
     for (auto& [key, item] : m_items) {
         if (item.removed || m_leaseOf[key] != lease)
             continue;
         item.removed = true;
         item.revision = ++m_revision;
+        changed = true;
     }
-    notifyWatches();
+    if (changed)
+        notifyWatches();
 }
 
 std::shared_ptr<const GatewayConfiguration> FakeFleetDecoder::configuration(const StoreItem& item) const
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -32,7 +32,6 @@
     void write(const StoreWrite&, std::function<void(StoreResult)>) override;
     void createLease(Duration, std::function<void(StoreResult)>) override;
     void keepLease(uint64_t, std::function<void(StoreResult)>) override;
-    void endLease(uint64_t, std::function<void(StoreResult)>) override;
     void cancelReads() override { }
 
     void after(Duration, std::function<void()>);
@@ -117,7 +116,6 @@
     void write(const StoreWrite&, std::function<void(StoreResult)>) override;
     void createLease(Duration, std::function<void(StoreResult)>) override;
     void keepLease(uint64_t, std::function<void(StoreResult)>) override;
-    void endLease(uint64_t, std::function<void(StoreResult)>) override;
     void cancelReads() override;
 
     /// Returns whether a lease was granted to this host in the present era.
@@ -129,7 +127,7 @@
     std::function<void(const StoreWrite&)> beforeWrite; ///< Called before each write; may be empty.
     Duration leaseDelay { 0 }; ///< Delay of the answers to this host's requests for leases.
     bool rejects = false; ///< Rejects every call of this host with an answer, which carries the era.
-    /// Renewals, ends and writes with a lease that was not granted to this host in the newest era that it was told.
+    /// Renewals and writes with a lease that was not granted to this host in the newest era that it was told.
     unsigned callsWithForeignLease = 0;
 
 private:
--- a/tests/support_store_follower.h
+++ b/tests/support_store_follower.h
@@ -19,7 +19,6 @@
     void write(const StoreWrite&, std::function<void(StoreResult)>) override { }
     void createLease(Duration, std::function<void(StoreResult)>) override { }
     void keepLease(uint64_t, std::function<void(StoreResult)>) override { }
-    void endLease(uint64_t, std::function<void(StoreResult)>) override { }
     void cancelReads() override { }
 
     void answer(
--- a/tests/unit_restored_store.cpp
+++ b/tests/unit_restored_store.cpp
@@ -305,6 +305,34 @@
     }
 }
 
+// Guards against a leaving host that ends another host's lease: it was cut off and does not know of the restore.
+BOOST_AUTO_TEST_CASE(a_leaving_host_removes_only_its_own_items)
+{
+    const CerrCapture capture;
+    for (size_t leaving = 0; leaving < smallFleet; ++leaving) {
+        RestoredFleet fleet(0);
+        fleet.store.snapshot();
+        fleet.addHosts(smallFleet);
+        fleet.nextClaim();
+        fleet.pass(seconds(1));
+        FakeFleet::Host& host = *fleet.hosts[leaving];
+        host.store.refuses = true;
+        fleet.lost
+            = [leaving](const FakePeerNetwork::Datagram& datagram) { return datagram.to == std::to_string(leaving); };
+        fleet.restoreStore();
+        fleet.pass(registrationTime);
+        BOOST_REQUIRE(fleet.timeToCoordinator(takeoverTime, { leaving }).has_value());
+        BOOST_REQUIRE(fleet.registeredHosts() == smallFleet - 1);
+        const std::optional<std::string> claim = fleet.store.valueOf(coordinatorKey);
+        host.store.refuses = false;
+        host.member.leave();
+        fleet.dead.insert(leaving);
+        fleet.pass(milliseconds(100));
+        BOOST_TEST(fleet.registeredHosts() == smallFleet - 1);
+        BOOST_TEST((fleet.store.valueOf(coordinatorKey) == claim));
+    }
+}
+
 // Guards against two coordinators and against fencing tokens that go back with the revisions.
 BOOST_AUTO_TEST_CASE(one_coordinator_with_a_rising_token)
 {
