Compare revisions of replica records within one era only

What callers saw: nothing traced to it yet. After a restore of the store a host could read the record of a service at a higher revision than before, though it was older or written by a coordinator that did not know all servers. The servers that it lacked then counted as settled, so that a later promotion would not have waited for their logs.

Cause: a higher revision was taken for a newer record, also across a restore.

Change: the first value of a record after a restore settles no server; later ones of the same era do.

Test: unit.replica-record, first_item_after_a_restore_settles_no_server: 3 failed checks without the reset at a restore, none with it.

--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -105,6 +105,7 @@
     m_claimAt = Instant();
     coordinationEnded();
     m_outdatedClaim.reset();
+    m_replicaRecords.storeRestored();
     // Registrations of the copy may be incomplete.
     m_listedAt.reset();
     m_gateway.directory().storeRestored(m_clock());
--- a/src/replica_record.cpp
+++ b/src/replica_record.cpp
@@ -111,8 +111,10 @@
         Record& record = m_records[service];
         record.present = true;
         record.absentSince.reset();
-        if (record.value == it->second.value)
+        if (record.value == it->second.value) {
+            record.revision = record.malformed ? record.revision : it->second.revision;
             continue;
+        }
         apply(it->second, service, record, coordinator, directory, now);
         ++n;
     }
@@ -148,8 +150,8 @@
             { { "key", item.key }, { "revision", item.revision }, { "reason", error.what() } });
         return;
     }
-    // After the restoration of a copy the item may have a lower revision and lack servers that were added since.
-    if (!coordinator && item.revision > record.revision) {
+    // After the restoration of a copy the item may lack servers that were added since.
+    if (!coordinator && record.revision && item.revision > *record.revision) {
         for (const ServerEntry& entry : record.servers) {
             if (!contains(servers, entry))
                 directory.noteSettled(entry.id, entry.startedUnixMs, now);
@@ -164,6 +166,12 @@
         directory.addLapsed(entry, now);
 }
 
+void ReplicaRecords::storeRestored()
+{
+    for (auto& [service, record] : m_records)
+        record.revision.reset();
+}
+
 std::vector<StoreWrite> ReplicaRecords::due(const std::map<std::string, StoreItem>& items,
     const GatewayConfiguration& configuration, const ServerDirectory& directory, Instant now)
 {
--- a/src/replica_record.h
+++ b/src/replica_record.h
@@ -45,6 +45,9 @@
     size_t itemsRead(const std::map<std::string, StoreItem>& items, const GatewayConfiguration&, bool coordinator,
         ServerDirectory&, Instant now);
 
+    /// Records that an older copy has replaced the store: the next value of an item settles no server.
+    void storeRestored();
+
     /// Returns the items to write now. Called on the active coordinator only, after itemsRead(). written() must be
     /// called with the outcome of each.
     /// @param items As passed to itemsRead() last.
@@ -61,7 +64,7 @@
 private:
     struct Record {
         std::optional<std::string> value; ///< Last value that was read.
-        uint64_t revision = 0; ///< Revision of the last valid value.
+        std::optional<uint64_t> revision; ///< Revision of the last valid value; none before the first of an era.
         std::vector<ServerEntry> servers; ///< Servers of the last valid value, in order of their ids.
         bool malformed = false; ///< The last value cannot be decoded.
         bool present = false; ///< The item exists.
--- a/tests/unit_replica_record.cpp
+++ b/tests/unit_replica_record.cpp
@@ -311,6 +311,30 @@
     BOOST_TEST(recordedIds(writes[0].value) == (Ids { "a", "b" }));
 }
 
+// Revisions of two eras say nothing about which record is newer: one that lacks a server may be an older one that was
+// written again.
+BOOST_AUTO_TEST_CASE(first_item_after_a_restore_settles_no_server)
+{
+    RecordsFixture it;
+    it.setItem(recordOf({ entryOf("a"), entryOf("b"), entryOf("c") }));
+    it.read(false);
+    it.records.storeRestored();
+    it.setItem(recordOf({ entryOf("a"), entryOf("b") }));
+    BOOST_TEST(it.read(false) == 1U);
+    BOOST_TEST(lapsedIds(it.directory) == (Ids { "a", "b", "c" }));
+    BOOST_TEST(settledIds(it.directory).empty());
+    it.setItem(recordOf({ entryOf("a") }));
+    it.read(false);
+    BOOST_TEST(settledIds(it.directory) == Ids { "b" });
+    // An unchanged item is the first of its era too.
+    it.records.storeRestored();
+    it.setItem(recordOf({ entryOf("a") }));
+    it.read(false);
+    it.setItem(recordOf({}));
+    it.read(false);
+    BOOST_TEST(settledIds(it.directory) == (Ids { "a", "b" }));
+}
+
 BOOST_AUTO_TEST_CASE(malformed_item_drops_nothing_and_is_overwritten)
 {
     RecordsFixture it;
