Test a restore from a copy without any item

The copy is older than the first configuration and all registrations, while a host starts and another leaves, with 5 and 60 hosts: configuration, servers, registrations and the coordinator role are in order in the stated times. It passed on the code as it was, so nothing is changed.

--- a/tests/unit_restored_store.cpp
+++ b/tests/unit_restored_store.cpp
@@ -333,6 +333,45 @@
     }
 }
 
+// The copy is older than the first configuration and all registrations. Hosts also start and leave meanwhile.
+BOOST_AUTO_TEST_CASE(a_copy_without_any_item)
+{
+    const CerrCapture capture;
+    for (const size_t fleetSize : { smallFleet, largeFleet }) {
+        RestoredFleet fleet(fleetSize);
+        const auto hostsThatKnow = [&](const std::string& id) {
+            return static_cast<size_t>(std::count_if(fleet.hosts.begin(), fleet.hosts.end(), [&](const auto& host) {
+                host->fixture.gateway.tick();
+                return host->fixture.gateway.directory().find(id) != nullptr;
+            }));
+        };
+        fleet.store.unavailable = true;
+        fleet.pass(outage);
+        fleet.addHosts(1);
+        fleet.hosts[0]->member.leave();
+        fleet.store.restore();
+        fleet.store.unavailable = false;
+        for (int i = 0; i < 19; ++i) {
+            fleet.pass(milliseconds(100));
+            BOOST_TEST(fleet.hostsWith(1) == fleetSize + 1); // A host of this fake starts with version 1.
+            BOOST_TEST(hostsThatKnow("p") >= fleetSize);
+        }
+        for (const char* id : { "p", "r1" })
+            fleet.store.put(std::string("s/") + id, id[0] == 'p' ? "primary" : "replica");
+        fleet.store.put("config", "2");
+        fleet.pass(configurationTime);
+        BOOST_TEST(fleet.hostsWith(2) == fleetSize + 1);
+        BOOST_TEST(hostsThatKnow("p") == fleetSize + 1);
+        BOOST_TEST(hostsThatKnow("r1") == fleetSize + 1);
+        BOOST_TEST(hostsThatKnow("r2") == 0U);
+        BOOST_TEST(fleet.registeredHosts() == fleetSize); // One has left.
+        BOOST_TEST(fleet.callsWithForeignLease() == 0U);
+        fleet.dead.insert(0);
+        fleet.pass(seconds(1));
+        BOOST_TEST(fleet.timeToCoordinator(takeoverTime, fleet.dead).has_value());
+    }
+}
+
 // Guards against two coordinators and against fencing tokens that go back with the revisions.
 BOOST_AUTO_TEST_CASE(one_coordinator_with_a_rising_token)
 {
