Let registrations of an earlier era end after their lease

What callers saw: nothing traced to it yet. A registration that was carried out after a restore of the store was under a lease that by then was another host's, and lived as long as that host. If the registered host was gone, every other host kept a fraction of every customer's rate reserved for it, and counted it in the size of the fleet.

Cause: an item in the store was taken for a host that renews its lease.

Change: a registration whose key names an earlier era counts for the time of a registration lease after the first listing of the newest era. A host that runs has registered again by then.

--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -1,6 +1,7 @@
 #include "fleet_member.h"
 #include "log_event.h"
 #include <algorithm>
+#include <charconv>
 #include <cpprest/json.h>
 
 namespace plantainwall {
@@ -11,6 +12,17 @@
 
     constexpr Duration registrationRetryDelay = std::chrono::seconds(1);
 
+    /// Returns the era in which a registration was made, according to its key; 0 if the key names none.
+    uint64_t eraOfRegistration(const std::string& key)
+    {
+        const size_t begin = key.rfind('/') + 1;
+        const size_t end = key.find('-', begin);
+        uint64_t era = 0;
+        if (end != std::string::npos)
+            std::from_chars(key.data() + begin, key.data() + end, era);
+        return era;
+    }
+
 } // namespace
 
 FleetMember::FleetMember(const GatewaySettings& settings, Gateway& gateway, QuotaExchange& quota,
@@ -115,9 +127,17 @@
 {
     m_replicaItemsChanged = true;
     std::set<std::string> listed;
+    bool outdated = false;
     for (const auto& [key, item] : m_follower.ownItems()) {
         if (key.rfind(hostsPrefix, 0) != 0)
             continue;
+        // A registration of an earlier era may be under another host's lease, which may never end.
+        const uint64_t era = eraOfRegistration(key);
+        if (era != 0 && era < m_follower.era() && m_listedAt) {
+            if (m_clock() - *m_listedAt >= m_settings.registrationLease)
+                continue;
+            outdated = true;
+        }
         try {
             const web::json::value value = web::json::value::parse(item.value);
             const std::string host = value.at("host").as_string();
@@ -137,6 +157,7 @@
             logEvent(LogEvent::StoreItemRejected, { { "key", key }, { "reason", error.what() } });
         }
     }
+    m_outdatedRegistrationsEnd = outdated ? *m_listedAt + m_settings.registrationLease : Instant();
     for (auto& [host, peer] : m_peers)
         peer.registered = listed.count(host) != 0;
     fleetChanged();
@@ -237,6 +258,8 @@
         sendReports();
     sendFirstReports();
     probe();
+    if (m_outdatedRegistrationsEnd != Instant() && now >= m_outdatedRegistrationsEnd)
+        ownItemsChanged();
     if (m_fleetChanged)
         fleetChanged();
     if (now >= m_relayAt) {
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -202,6 +202,8 @@
     bool m_leaving = false;
     Instant m_claimAt;
     std::optional<Instant> m_listedAt; ///< First listing of the newest era.
+    /// Registrations of earlier eras count until then; zero if there are none.
+    Instant m_outdatedRegistrationsEnd;
     Instant m_storeReachableSince;
     Instant m_noClaimBefore;
     Instant m_reportAt;
--- a/tests/unit_restored_store.cpp
+++ b/tests/unit_restored_store.cpp
@@ -305,6 +305,37 @@
     }
 }
 
+// Guards against a gone host that counts as a member, with its fraction of the rates, as long as another host renews
+// the lease: its registration was carried out late. The fleet is a large one only with the gone host.
+BOOST_AUTO_TEST_CASE(a_late_registration_of_a_gone_host_ends)
+{
+    const CerrCapture capture;
+    const size_t remaining = GatewaySettings().largeFleet - 1;
+    RestoredFleet fleet(0);
+    fleet.store.snapshot();
+    fleet.addHosts(remaining);
+    fleet.pass(seconds(5));
+    fleet.addHosts(1);
+    StoreWrite registration;
+    fleet.hosts.back()->store.beforeWrite = [&](const StoreWrite& write) {
+        if (write.key != coordinatorKey)
+            registration = write;
+    };
+    fleet.pass(seconds(2));
+    const auto largeFleets = [&] {
+        return static_cast<size_t>(std::count_if(fleet.hosts.begin(), fleet.hosts.end() - 1,
+            [](const std::unique_ptr<FakeFleet::Host>& host) { return host->member.largeFleet(); }));
+    };
+    BOOST_TEST(largeFleets() == remaining);
+    fleet.dead.insert(remaining);
+    fleet.restoreStore();
+    fleet.carryOut(registration, 0);
+    fleet.pass(seconds(35)); // Its lease, and the time for which its fraction of the rates is reserved.
+    BOOST_TEST(fleet.store.valueOf(registration.key).has_value());
+    BOOST_TEST(largeFleets() == 0U);
+    BOOST_TEST(fleet.registeredHosts() == remaining);
+}
+
 // Guards against a leaving host that ends another host's lease: it was cut off and does not know of the restore.
 BOOST_AUTO_TEST_CASE(a_leaving_host_removes_only_its_own_items)
 {
