--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -1,6 +1,7 @@
 #include "fleet_member.h"
 #include "log_event.h"
 #include <algorithm>
+#include <charconv>
 #include <cpprest/json.h>
 
 namespace plantainwall {
@@ -11,6 +12,17 @@
 
     constexpr Duration registrationRetryDelay = std::chrono::seconds(1);
 
+    /// Returns the era in which a registration was made, according to its key; 0 if the key names none.
+    uint64_t eraOfRegistration(const std::string& key)
+    {
+        const size_t begin = key.rfind('/') + 1;
+        const size_t end = key.find('-', begin);
+        uint64_t era = 0;
+        if (end != std::string::npos)
+            std::from_chars(key.data() + begin, key.data() + end, era);
+        return era;
+    }
+
 } // namespace
 
 FleetMember::FleetMember(const GatewaySettings& settings, Gateway& gateway, QuotaExchange& quota,
@@ -98,12 +110,14 @@
         return;
     // Leases of the earlier era are neither renewed nor ended: their ids may be given out again.
     m_registrationLease = 0;
+    m_registrationRevision = 0;
     ++m_registrationAttempt;
     afterRegistration(restoredDelay(), &FleetMember::registerHost);
     ++m_coordination;
     m_claiming = false;
     m_claimAt = Instant();
     coordinationEnded();
+    m_outdatedClaim.reset();
     // Registrations of the copy may be incomplete.
     m_listedAt.reset();
     m_gateway.directory().storeRestored(m_clock());
@@ -113,8 +127,16 @@
 {
     m_replicaItemsChanged = true;
     std::set<std::string> listed;
+    bool outdated = false;
     const std::map<std::string, StoreItem>& items = m_follower.items();
     for (auto it = items.lower_bound(hostsPrefix); it != items.end() && it->first.rfind(hostsPrefix, 0) == 0; ++it) {
+        // A registration of an earlier era may be under another host's lease, which may never end.
+        const uint64_t era = eraOfRegistration(it->first);
+        if (era != 0 && era < m_follower.era() && m_listedAt) {
+            if (m_clock() - *m_listedAt >= m_settings.registrationLease)
+                continue;
+            outdated = true;
+        }
         try {
             const web::json::value value = web::json::value::parse(it->second.value);
             const std::string host = value.at("host").as_string();
@@ -135,6 +157,7 @@
             logEvent(LogEvent::StoreItemRejected, { { "key", it->first }, { "reason", error.what() } });
         }
     }
+    m_outdatedRegistrationsEnd = outdated ? *m_listedAt + m_settings.registrationLease : Instant();
     for (auto& [host, peer] : m_peers)
         peer.registered = listed.count(host) != 0;
     fleetChanged();
@@ -148,6 +171,16 @@
     return result.era == 0 || result.era == m_follower.era();
 }
 
+// An item with another revision is not this host's, so nothing happens to it.
+void FleetMember::removeItem(const std::string& key, uint64_t revision)
+{
+    StoreWrite write;
+    write.key = key;
+    write.expectedRevision = revision;
+    write.removes = true;
+    m_store.write(write, [this](const StoreResult& result) { isOfNewestEra(result, "write"); });
+}
+
 void FleetMember::afterRegistration(Duration delay, void (FleetMember::*next)())
 {
     m_after(delay, [this, next, attempt = m_registrationAttempt] {
@@ -187,14 +220,17 @@
         + std::to_string(lease.era) + "-" + std::to_string(lease.number);
     write.value = value.serialize();
     write.lease = lease.number;
+    m_registrationKey = write.key;
+    m_registrationRevision = 0;
     m_store.write(write, [this, attempt = m_registrationAttempt](const StoreResult& result) {
         isOfNewestEra(result, "write");
         if (attempt != m_registrationAttempt)
             return;
         // After a conflict the item belongs to an unknown lease, so the host registers with a new one.
-        if (result.outcome == StoreOutcome::Ok)
+        if (result.outcome == StoreOutcome::Ok) {
+            m_registrationRevision = result.number;
             afterRegistration(m_settings.registrationRenewal, &FleetMember::renewRegistration);
-        else
+        } else
             afterRegistration(registrationRetryDelay, &FleetMember::registerHost);
     });
 }
@@ -223,6 +259,8 @@
         sendReports();
     sendFirstReports();
     probe();
+    if (m_outdatedRegistrationsEnd != Instant() && now >= m_outdatedRegistrationsEnd)
+        ownItemsChanged();
     if (m_fleetChanged)
         fleetChanged();
     if (now >= m_relayAt) {
@@ -298,8 +336,8 @@
     for (const auto& [host, peer] : m_peers)
         m_channel.send(peer.address, report(ReportKind::Leaving, {}));
     resignCoordination();
-    if (m_registrationLease != 0)
-        m_store.endLease(m_registrationLease, [](const StoreResult&) {});
+    if (m_registrationRevision != 0)
+        removeItem(m_registrationKey, m_registrationRevision);
 }
 
 } // namespace plantainwall
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -86,7 +86,7 @@
     /// Resigns as coordinator permanently: this process makes no further claim.
     void resignCoordination();
 
-    /// Sends a leave notice to all hosts and ends this host's leases.
+    /// Sends a leave notice to all hosts and removes this host's items from the store.
     void leave();
 
     void configurationRead(std::shared_ptr<const GatewayConfiguration>) override;
@@ -113,6 +113,11 @@
         bool probeFailed = false; ///< Silent because it did not answer a probe.
         uint64_t firstReportIncarnation = 0; ///< Incarnation to which the first report was sent.
     };
+    /// Coordinator item that was claimed in an earlier era.
+    struct OutdatedClaim {
+        uint64_t revision = 0;
+        Instant readAt;
+    };
     StoreFollowerSettings followerSettings();
     Duration restoredDelay();
 
@@ -122,11 +127,13 @@
     void registerHost();
     void registrationLeaseGranted(const StoreResult&);
     void renewRegistration();
+    void removeItem(const std::string& key, uint64_t revision);
     void afterRegistration(Duration, void (FleetMember::*next)());
     void fleetChanged();
 
     // fleet_member_coordinator.cpp
     void coordinatorItemRead();
+    void noteOutdatedClaim(const StoreItem*);
     void tickCoordinator();
     void claimCoordination();
     void renewCoordination();
@@ -188,8 +195,12 @@
     bool m_replicaItemsChanged = false; ///< The own items or the configured services have changed since the last tick.
     std::map<std::string, Peer> m_peers; ///< Registered hosts other than this one, by name.
     uint64_t m_registrationLease = 0; ///< Granted in the newest era; 0: none.
+    std::string m_registrationKey;
+    uint64_t m_registrationRevision = 0; ///< Revision of this host's last registration; 0: none in the newest era.
     uint64_t m_registrationAttempt = 0; ///< Answers to earlier attempts are dropped.
     uint64_t m_coordinatorLease = 0;
+    uint64_t m_coordinatorRevision = 0; ///< Revision of this host's last claim that succeeded.
+    std::optional<OutdatedClaim> m_outdatedClaim;
     uint64_t m_coordination = 0; ///< Number of the role or claim; answers to earlier ones are dropped.
     Instant m_coordinatorUntil;
     bool m_claiming = false;
@@ -197,6 +208,8 @@
     bool m_leaving = false;
     Instant m_claimAt;
     std::optional<Instant> m_listedAt; ///< First listing of the newest era that the store itself gave.
+    /// Registrations of earlier eras count until then; zero if there are none.
+    Instant m_outdatedRegistrationsEnd;
     Instant m_storeReachableSince;
     Instant m_noClaimBefore;
     Instant m_reportAt;
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -70,6 +70,7 @@
     ConfigurationNotApplied,
     ServerProbed,
     ListingRelayed,
+    DutyClaimOutdated,
     Count
 };
 
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -79,6 +79,9 @@
             "the fields name those that it answers and those that it does not." },
         { 58, "listing_relayed", LogLevel::Info,
             "A complete listing of the store came from another host, because the store does not answer this one." },
+        { 59, "duty_claim_outdated", LogLevel::Warn,
+            "The promotion coordinator's item is a claim from an earlier era of the store; it is replaced after a "
+            "lease." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/src/log_explain.cpp
+++ b/src/log_explain.cpp
@@ -46,7 +46,8 @@
         { LogEvent::SettingsReloaded, Scope::Host }, { LogEvent::LinesDropped, Scope::Host },
         { LogEvent::StoreItemRejected, Scope::Host }, { LogEvent::StoreRestored, Scope::Host },
         { LogEvent::RelayEraDiffers, Scope::Host }, { LogEvent::ConfigurationNotApplied, Scope::Host },
-        { LogEvent::ListingRelayed, Scope::Host }, { LogEvent::InternalFailure, Scope::Host } };
+        { LogEvent::ListingRelayed, Scope::Host }, { LogEvent::DutyClaimOutdated, Scope::Host },
+        { LogEvent::ServerProbed, Scope::Service }, { LogEvent::InternalFailure, Scope::Host } };
 
     Scope scopeOf(const std::optional<LogEvent>& event)
     {
--- a/tests/support_fleet.cpp
+++ b/tests/support_fleet.cpp
@@ -25,10 +25,9 @@
     }
 }
 
-void FakeFleetStore::afterRoundTrip(std::function<void()> task)
-{
-    m_timers.add(m_now + storeRoundTrip, std::move(task));
-}
+void FakeFleetStore::after(Duration delay, std::function<void()> task) { m_timers.add(m_now + delay, std::move(task)); }
+
+void FakeFleetStore::afterRoundTrip(std::function<void()> task) { after(storeRoundTrip, std::move(task)); }
 
 void FakeFleetStore::afterTimeout(std::function<void()> task) { m_timers.add(m_now + callTimeout, std::move(task)); }
 
@@ -212,12 +211,15 @@
 {
     if (ignoresCall(handler))
         return;
-    m_store.createLease(lifetime,
-        filter(std::function<void(StoreResult)>([this, handler = std::move(handler)](const StoreResult& result) {
-            if (result.outcome == StoreOutcome::Ok)
-                m_eraOfLease[result.number] = result.era;
-            handler(result);
-        })));
+    const std::function<void(StoreResult)> answered
+        = filter(std::function<void(StoreResult)>([this, handler = std::move(handler)](const StoreResult& result) {
+              if (result.outcome == StoreOutcome::Ok)
+                  m_eraOfLease[result.number] = result.era;
+              handler(result);
+          }));
+    m_store.createLease(lifetime, [this, answered](const StoreResult& result) {
+        m_store.after(leaseDelay, [answered, result] { answered(result); });
+    });
 }
 
 void FakeHostStore::keepLease(uint64_t lease, std::function<void(StoreResult)> handler)
@@ -231,13 +233,6 @@
         m_store.keepLease(lease, filter(std::move(handler)));
 }
 
-void FakeHostStore::endLease(uint64_t lease, std::function<void(StoreResult)> handler)
-{
-    checkLease(lease);
-    if (!refuses && !rejects && !ignores)
-        m_store.endLease(lease, std::move(handler));
-}
-
 void FakeFleetStore::put(const std::string& key, const std::string& value, uint64_t lease)
 {
     m_items[key] = { key, value, ++m_revision, false };
@@ -258,6 +253,12 @@
     return it == m_items.end() || it->second.removed ? std::nullopt : std::make_optional(it->second.value);
 }
 
+uint64_t FakeFleetStore::revisionOf(const std::string& key) const
+{
+    const auto it = m_items.find(key);
+    return it == m_items.end() || it->second.removed ? 0 : it->second.revision;
+}
+
 void FakeFleetStore::notifyWatches()
 {
     const std::vector<std::shared_ptr<Watch>> watches = std::move(m_watches);
@@ -274,11 +275,12 @@
 {
     StoreResult result;
     result.era = unavailable ? 0 : m_era;
-    const auto it = m_items.find(write.key);
-    const uint64_t revision = it == m_items.end() || it->second.removed ? 0 : it->second.revision;
     result.outcome = unavailable ? StoreOutcome::Unreachable : StoreOutcome::Conflict;
-    if (!unavailable && revision == write.expectedRevision) {
-        put(write.key, write.value, write.lease);
+    if (!unavailable && revisionOf(write.key) == write.expectedRevision) {
+        if (write.removes)
+            erase(write.key);
+        else
+            put(write.key, write.value, write.lease);
         result = { StoreOutcome::Ok, m_revision, m_era };
     }
     afterRoundTrip([result, handler = std::move(handler)] { handler(result); });
@@ -306,12 +308,6 @@
     afterRoundTrip([result, handler = std::move(handler)] { handler(result); });
 }
 
-void FakeFleetStore::endLease(uint64_t lease, std::function<void(StoreResult)>)
-{
-    if (!unavailable)
-        removeItemsOf(lease);
-}
-
 void FakeFleetStore::scheduleLeaseEnd(uint64_t lease)
 {
     m_timers.add(m_leases[lease].endsAt, [this, lease] {
@@ -328,13 +324,16 @@
 void FakeFleetStore::removeItemsOf(uint64_t lease)
 {
     m_leases.erase(lease);
+    bool changed = false;
     for (auto& [key, item] : m_items) {
         if (item.removed || m_leaseOf[key] != lease)
             continue;
         item.removed = true;
         item.revision = ++m_revision;
+        changed = true;
     }
-    notifyWatches();
+    if (changed)
+        notifyWatches();
 }
 
 std::shared_ptr<const GatewayConfiguration> FakeFleetDecoder::configuration(const StoreItem& item) const
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -32,9 +32,9 @@
     void write(const StoreWrite&, std::function<void(StoreResult)>) override;
     void createLease(Duration, std::function<void(StoreResult)>) override;
     void keepLease(uint64_t, std::function<void(StoreResult)>) override;
-    void endLease(uint64_t, std::function<void(StoreResult)>) override;
     void cancelReads() override { }
 
+    void after(Duration, std::function<void()>);
     void afterRoundTrip(std::function<void()>);
 
     /// Runs a task after the time that a host waits for an answer.
@@ -48,6 +48,10 @@
 
     /// Returns the value of an item, or nothing if it does not exist.
     std::optional<std::string> valueOf(const std::string& key) const;
+
+    /// Returns the revision of an item, or 0 if it does not exist.
+    uint64_t revisionOf(const std::string& key) const;
+
     /// Copies the items, revisions and leases.
     void snapshot();
 
@@ -118,7 +122,6 @@
     void write(const StoreWrite&, std::function<void(StoreResult)>) override;
     void createLease(Duration, std::function<void(StoreResult)>) override;
     void keepLease(uint64_t, std::function<void(StoreResult)>) override;
-    void endLease(uint64_t, std::function<void(StoreResult)>) override;
     void cancelReads() override;
 
     /// Returns whether a lease was granted to this host in the present era.
@@ -128,6 +131,7 @@
     bool refusesReads = false; ///< Fails every listing and watch of this host.
     bool refusesRenewals = false; ///< Fails every renewal of a lease of this host.
     std::function<void(const StoreWrite&)> beforeWrite; ///< Called before each write; may be empty.
+    Duration leaseDelay { 0 }; ///< Delay of the answers to this host's requests for leases.
     bool rejects = false; ///< Rejects every call of this host with an answer, which carries the era.
     bool ignores = false; ///< Answers no call of this host.
     /// Renewals, ends and writes with a lease that was not granted to this host in the newest era that it was told.
