Don't let a demoted primary stand in once a status shows a later term

The plan asked only for an entry of the later term. A demoted primary that has learned of the new term, but received none of its commits, still stood in, and acknowledged commits of the new primary could be lost.

unit.failover-plan, demoted_primary_does_not_stand_in_for_a_later_term, failed before with its second position.

--- a/src/failover_plan.cpp
+++ b/src/failover_plan.cpp
@@ -119,7 +119,8 @@
 bool FailoverPlan::isSuperseded(const std::vector<FailoverMember>& members) const
 {
     return std::any_of(members.begin(), members.end(), [&](const FailoverMember& member) {
-        return member.provenTerm > m_demotedTerm || (member.status && member.status->received.term > m_demotedTerm);
+        return member.provenTerm > m_demotedTerm
+            || (member.status && std::max(member.status->term, member.status->received.term) > m_demotedTerm);
     });
 }
 
--- a/tests/unit_failover_plan.cpp
+++ b/tests/unit_failover_plan.cpp
@@ -250,33 +250,35 @@
 // A demoted primary holds everything until the next term begins, which a promotion of another server may have done.
 BOOST_AUTO_TEST_CASE(demoted_primary_does_not_stand_in_for_a_later_term)
 {
-    Fleet fleet;
-    fleet.silence("r2");
-    fleet.step("p");
-    fleet.get("p").draining = true;
-    bool ordered = false;
-    for (int i = 0; i < 400; ++i) {
-        const FailoverPlan::Step step = fleet.step("p");
-        if (step.action == FailoverAction::Demote) {
-            fleet.get("p").status->primary = false;
+    for (const LogPosition& received : { LogPosition { 2, 21 }, LogPosition { 1, 20 } }) {
+        Fleet fleet;
+        fleet.silence("r2");
+        fleet.step("p");
+        fleet.get("p").draining = true;
+        bool ordered = false;
+        for (int i = 0; i < 400; ++i) {
+            const FailoverPlan::Step step = fleet.step("p");
+            if (step.action == FailoverAction::Demote) {
+                fleet.get("p").status->primary = false;
+                fleet.answer("p");
+            } else if (step.action == FailoverAction::StopReceiving && !ordered) {
+                fleet.stop("r1", step.term);
+            } else if (step.action == FailoverAction::Promote) {
+                BOOST_REQUIRE(!ordered);
+                BOOST_REQUIRE(step.servers.front() == "r1");
+                ordered = true;
+                // r1 leads, does not reach the coordinator, and r2 confirms a commit that p has not received.
+                fleet.plan.promoteAnswered(PromotionOutcome::Done, fleet.now);
+                fleet.silence("r1");
+                fleet.get("p").status->term = 2;
+                fleet.get("p").status->received = received;
+                fleet.term = 2;
+            }
+            fleet.now += std::chrono::milliseconds(50);
             fleet.answer("p");
-        } else if (step.action == FailoverAction::StopReceiving && !ordered) {
-            fleet.stop("r1", step.term);
-        } else if (step.action == FailoverAction::Promote) {
-            BOOST_REQUIRE(!ordered);
-            BOOST_REQUIRE(step.servers.front() == "r1");
-            ordered = true;
-            // r1 leads, does not reach the coordinator, and r2 confirms a commit that p has not received.
-            fleet.plan.promoteAnswered(PromotionOutcome::Done, fleet.now);
-            fleet.silence("r1");
-            fleet.get("p").status->term = 2;
-            fleet.get("p").status->received = { 2, 21 };
-            fleet.term = 2;
         }
-        fleet.now += std::chrono::milliseconds(50);
-        fleet.answer("p");
+        BOOST_TEST(ordered);
     }
-    BOOST_TEST(ordered);
 }
 
 // A wrongly assumed primary does not exclude any replica's log from the comparison.
