--- a/tests/support_random_faults.cpp
+++ b/tests/support_random_faults.cpp
@@ -118,7 +118,7 @@
 {
     const std::string id = anyServer();
     m_service.setDark(id, true);
-    healAfter(between(milliseconds(300), seconds(8)), [this, id] { m_service.setDark(id, false); });
+    healAfter(between(milliseconds(300), m_settings.longestSilence), [this, id] { m_service.setDark(id, false); });
 }
 
 void RandomFaults::loseStore()
@@ -132,8 +132,30 @@
 {
     const std::string id = anyServer();
     const size_t host = m_random() % m_service.hosts();
+    cutHost(id, host, between(milliseconds(300), m_settings.longestSilence));
+}
+
+void RandomFaults::cutHost(const std::string& id, size_t host, Duration duration)
+{
+    bool otherReaches = !m_settings.isolates;
+    for (size_t other = 0; other < m_service.hosts(); ++other)
+        otherReaches = otherReaches || (other != host && !m_service.isHostCut(id, other));
+    if (!otherReaches)
+        return;
     m_service.setHostCut(id, host, true);
-    healAfter(between(milliseconds(300), seconds(8)), [this, id, host] { m_service.setHostCut(id, host, false); });
+    healAfter(duration, [this, id, host] { m_service.setHostCut(id, host, false); });
+}
+
+void RandomFaults::loseStoreAndHosts()
+{
+    const std::string id = anyReplica();
+    const Duration duration = between(seconds(6), m_settings.longestSilence);
+    m_service.setStoreCut(id, true);
+    healAfter(duration, [this, id] { m_service.setStoreCut(id, false); });
+    for (size_t host = 0; host < m_service.hosts(); ++host) {
+        if (host == m_service.coordinator() || m_random() % 2 == 0)
+            cutHost(id, host, duration);
+    }
 }
 
 void RandomFaults::losePrimary()
@@ -176,7 +198,7 @@
 
 void RandomFaults::delayPromotions()
 {
-    if (!m_lateOrders)
+    if (!m_settings.lateOrders)
         return;
     m_service.setPromotionLateness(between(milliseconds(100), seconds(3)));
     healAfter(between(seconds(1), seconds(5)), [this] { m_service.setPromotionLateness(Duration(0)); });
@@ -198,9 +220,12 @@
               &RandomFaults::lagBehind, &RandomFaults::lagBehind, &RandomFaults::changeCoordinator,
               &RandomFaults::leave, &RandomFaults::losePromotionAnswers, &RandomFaults::delayPromotions };
     pass(warmUp);
-    const Instant end = m_service.now + faultsEnd - warmUp;
+    const Instant end = m_service.now + m_settings.faultsEnd - warmUp;
     while (m_service.now < end && m_service.losses().empty()) {
-        (this->*faults[m_random() % (sizeof(faults) / sizeof(faults[0]))])();
+        if (m_settings.isolates && m_random() % 3 == 0)
+            loseStoreAndHosts();
+        else
+            (this->*faults[m_random() % (sizeof(faults) / sizeof(faults[0]))])();
         pass(between(milliseconds(50), seconds(3)));
     }
     const Instant settleEnd = m_service.now + settleLimit;
@@ -223,18 +248,28 @@
     return acknowledges(m_service) ? "" : "no commit is acknowledged after the last fault";
 }
 
-void checkRandomFaults(std::string (RandomFaults::*violation)() const)
+RandomFaultsSettings longSilences()
+{
+    RandomFaultsSettings settings;
+    settings.hosts = 3;
+    settings.longestSilence = seconds(16);
+    settings.isolates = true;
+    settings.faultsEnd = seconds(40);
+    return settings;
+}
+
+void checkRandomFaults(std::string (RandomFaults::*violation)() const, RandomFaultsSettings settings)
 {
     setLogLevel(std::getenv("COORDINATOR_LOG") != nullptr ? std::getenv("COORDINATOR_LOG") : "error");
     const uint64_t first = numberFromEnvironment("COORDINATOR_FIRST", 1);
     const uint64_t seeds = numberFromEnvironment("COORDINATOR_SEEDS", 300);
-    const bool lateOrders = numberFromEnvironment("COORDINATOR_LATE_ORDERS", 0) != 0;
+    settings.lateOrders = numberFromEnvironment("COORDINATOR_LATE_ORDERS", 0) != 0;
     constexpr size_t maxTraces = 2;
     size_t failures = 0;
     size_t promotions = 0;
     size_t destroyed = 0;
     for (uint64_t seed = first; seed < first + seeds; ++seed) {
-        RandomFaults schedule(seed, lateOrders);
+        RandomFaults schedule(seed, settings);
         schedule.run();
         const std::string found = (schedule.*violation)();
         promotions += schedule.promotions();
--- a/tests/support_random_faults.h
+++ b/tests/support_random_faults.h
@@ -21,13 +21,26 @@
 /// Ends all faults except the absence of servers that have left or are dark.
 void endFaults(ReplicatedService&);
 
-/// A random schedule of faults over one service with two hosts.
+/// What a random schedule of faults varies.
+struct RandomFaultsSettings {
+    size_t hosts = 2;
+    bool lateOrders = false;
+    /// Longest time for which a server is disconnected from a host or from everything.
+    Duration longestSilence = std::chrono::seconds(8);
+    /// A fault in three disconnects a replica from the store and from some of the hosts at the same time. One host at
+    /// least then reaches each server, unless the server is disconnected from everything.
+    bool isolates = false;
+    /// Faults begin until this time.
+    Duration faultsEnd = std::chrono::seconds(26);
+};
+
+/// A random schedule of faults over one service.
 class RandomFaults {
 public:
-    RandomFaults(uint64_t seed, bool lateOrders)
+    RandomFaults(uint64_t seed, const RandomFaultsSettings& settings)
         : m_random(seed)
-        , m_service(2, timing(m_random))
-        , m_lateOrders(lateOrders)
+        , m_service(settings.hosts, timing(m_random))
+        , m_settings(settings)
     {
     }
 
@@ -64,6 +77,8 @@
     void goDark();
     void loseStore();
     void loseHost();
+    void loseStoreAndHosts();
+    void cutHost(const std::string& id, size_t host, Duration);
     void losePrimary();
     void lagBehind();
     void changeCoordinator();
@@ -71,7 +86,6 @@
     void losePromotionAnswers();
     void delayPromotions();
 
-    static constexpr Duration faultsEnd = std::chrono::seconds(26);
     static constexpr Duration settleLimit
         = std::chrono::seconds(15); ///< For the last servers to leave and to be replaced.
     static constexpr Duration handOverDelay = std::chrono::milliseconds(300);
@@ -80,7 +94,7 @@
 
     std::mt19937_64 m_random;
     ReplicatedService m_service;
-    bool m_lateOrders;
+    RandomFaultsSettings m_settings;
     unsigned m_replaced = 0;
     std::string m_leaving;
     Instant m_destroyedAt; ///< When a log was last destroyed.
@@ -89,6 +103,10 @@
 
 /// Runs the schedules of 300 seeds, or of those in the environment variables COORDINATOR_FIRST and COORDINATOR_SEEDS,
 /// and reports each seed for which the function returns a violation, with the events of the first ones.
-void checkRandomFaults(std::string (RandomFaults::*violation)() const);
+void checkRandomFaults(std::string (RandomFaults::*violation)() const, RandomFaultsSettings = {});
+
+/// Returns settings with which replicas are disconnected from hosts for longer than it takes until they count as
+/// down.
+RandomFaultsSettings longSilences();
 
 } // namespace plantainwall
--- a/tests/support_replicated_service.cpp
+++ b/tests/support_replicated_service.cpp
@@ -440,6 +440,10 @@
 
 bool ReplicatedService::isRunning(const std::string& id) const { return find(id)->running; }
 bool ReplicatedService::isDark(const std::string& id) const { return find(id)->dark; }
+bool ReplicatedService::isHostCut(const std::string& id, size_t host) const
+{
+    return find(id)->hostCuts.count(host) != 0;
+}
 bool ReplicatedService::hasLeft(const std::string& id) const { return find(id)->left; }
 bool ReplicatedService::isDraining(const std::string& id) const { return find(id)->draining; }
 bool ReplicatedService::isRegistered(const std::string& id) const { return find(id)->published.has_value(); }
--- a/tests/support_replicated_service.h
+++ b/tests/support_replicated_service.h
@@ -85,6 +85,7 @@
     uint64_t term() const { return m_term; }
     bool isRunning(const std::string& id) const;
     bool isDark(const std::string& id) const;
+    bool isHostCut(const std::string& id, size_t host) const;
     bool hasLeft(const std::string& id) const;
     bool isDraining(const std::string& id) const;
     bool isRegistered(const std::string& id) const;
--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -411,3 +411,5 @@
 }
 
 BOOST_AUTO_TEST_CASE(random_faults_lose_no_commit) { checkRandomFaults(&RandomFaults::loss); }
+
+BOOST_AUTO_TEST_CASE(random_long_silences_lose_no_commit) { checkRandomFaults(&RandomFaults::loss, longSilences()); }
--- a/tests/unit_promotion_recovery.cpp
+++ b/tests/unit_promotion_recovery.cpp
@@ -8,3 +8,8 @@
 {
     plantainwall::checkRandomFaults(&plantainwall::RandomFaults::outage);
 }
+
+BOOST_AUTO_TEST_CASE(random_long_silences_end_in_service)
+{
+    plantainwall::checkRandomFaults(&plantainwall::RandomFaults::outage, plantainwall::longSilences());
+}
