--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -570,3 +570,5 @@
 }
 
 BOOST_AUTO_TEST_CASE(random_faults_lose_no_commit) { checkRandomFaults(&RandomFaults::loss); }
+
+BOOST_AUTO_TEST_CASE(random_long_silences_lose_no_commit) { checkRandomFaults(&RandomFaults::loss, longSilences()); }
