--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -217,8 +217,9 @@
 {
     if (events.era != m_era || events.to <= m_revision || missingAfter() != std::optional<uint64_t>(0))
         return;
-    logEvent(
-        LogEvent::ListingRelayed, { { "era", m_era }, { "revision", events.to }, { "items", events.items.size() } });
+    logEvent(LogEvent::ListingRelayed,
+        { { "era", m_era }, { "revision", events.to }, { "items", events.items.size() },
+            { "previous_revision", m_revision }, { "reported_revision", m_reportedRevision } });
     // The answer of a call in progress may be older.
     ++m_sequence;
     m_listingInProgress = false;
