--- a/tests/unit_store_client.cpp
+++ b/tests/unit_store_client.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/test/unit_test.hpp>
+#include <cpprest/json.h>
 #include <deque>
 
 using namespace plantainwall;
@@ -33,6 +34,7 @@
 
     size_t requests = 0;
     size_t connections = 0;
+    std::string lastBody; ///< Body of the last request.
 
 private:
     struct Connection {
@@ -64,6 +66,7 @@
             if (ec)
                 return;
             ++requests;
+            lastBody = it->request.body();
             if (m_answers.empty()) {
                 read(it);
                 return;
@@ -131,6 +134,29 @@
     }
 }
 
+// Without the condition a removal could remove another host's item.
+BOOST_FIXTURE_TEST_CASE(removals_and_writes_have_a_condition, Fixture)
+{
+    for (const bool removes : { false, true }) {
+        server.prepare(200, "Store-Era: 3\r\n", R"({"revision":12})");
+        std::optional<StoreResult> result;
+        client.write({ "k", "v", 11, 7, removes }, [&](const StoreResult& read) { result = read; });
+        BOOST_REQUIRE(runUntil([&] { return result.has_value(); }));
+        BOOST_TEST((result->outcome == StoreOutcome::Ok));
+        BOOST_TEST(result->number == 12U);
+        const web::json::value body = web::json::value::parse(server.lastBody);
+        BOOST_REQUIRE(body.at("expected_rev").size() == 1U);
+        BOOST_TEST(body.at("expected_rev").at(0).at("key").as_string() == "k");
+        BOOST_TEST(body.at("expected_rev").at(0).at("revision").as_integer() == 11);
+        BOOST_TEST(body.at("puts").size() == (removes ? 0U : 1U));
+        BOOST_TEST(body.at("deletes").size() == (removes ? 1U : 0U));
+        if (removes)
+            BOOST_TEST(body.at("deletes").at(0).as_string() == "k");
+        else
+            BOOST_TEST(body.at("puts").at(0).at("lease_id").as_integer() == 7);
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(an_answer_without_a_valid_era_has_none, Fixture)
 {
     for (const char* header : { "", "Store-Era: \r\n", "Store-Era: x\r\n", "Store-Era: 3x\r\n", "Store-Era: -1\r\n" }) {
