--- a/src/fleet_member_coordinator.cpp
+++ b/src/fleet_member_coordinator.cpp
@@ -61,8 +61,8 @@
         || (m_outdatedClaim && m_clock() - m_outdatedClaim->readAt >= m_settings.coordinatorLease);
 }
 
-// A host that claimed in an earlier era stops by the end of its lease of that era, and so does a coordinator whose item
-// a late claim has replaced. So the role is free when an outdated claim is as old as the lease.
+// A host that claimed in an earlier era stops by the end of its lease of that era. A coordinator whose item a late
+// claim has replaced stops when it reads that. So the role is free when an outdated claim is as old as the lease.
 void FleetMember::noteOutdatedClaim(const StoreItem* item)
 {
     const std::optional<uint64_t> era = item == nullptr ? std::nullopt : eraOfClaim(item->value);
