Let a refused coordinator receive changes from other hosts

Callers of one host got answers by an old configuration for as long as the store refused that host.

Cause: in a large fleet the coordinator watches the store itself, and a host that the store refuses does not learn that its role has ended. It went on asking the store instead of the other hosts.

--- a/src/fleet_member_relay.cpp
+++ b/src/fleet_member_relay.cpp
@@ -45,7 +45,8 @@
     if (std::find(hosts.begin(), hosts.end(), m_gatewaySettings.host) != hosts.end())
         return StoreSource::WatchForOthers;
     // Promotions must not be based on relayed state.
-    return m_coordinator.isActive() || !largeFleet() ? StoreSource::Watch : StoreSource::Relay;
+    const bool coordinates = m_coordinator.isActive() && (m_follower.reachable() || m_clock() < m_coordinatorUntil);
+    return coordinates || !largeFleet() ? StoreSource::Watch : StoreSource::Relay;
 }
 
 void FleetMember::chooseSource()
