Keep changes that other hosts have relayed for requests

Suspected cause: a host kept only the changes that its own watch returned after the revision that it knew by then. If another relay sent it a change before its watch returned, or between two watches, that change was missing from the kept ones, and those before it were dropped as not contiguous. All changes are now kept as they are applied.

Test: applied_changes_have_no_gap of unit.store-follower.

--- a/src/change_exchange.h
+++ b/src/change_exchange.h
@@ -42,7 +42,7 @@
     /// dropped.
     void setEra(uint64_t era);
 
-    /// Keeps changes that this host has read, for requests of other hosts. Changes of another era are not kept.
+    /// Keeps changes that this host knows, for requests of other hosts. Changes of another era are not kept.
     void keep(const StoreEvents&);
 
     /// Requests the changes after revision missingAfter, if it is set; 0: a complete listing. Must be called every few
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -96,6 +96,7 @@
     void storeReachable(bool) override;
     void eraRead(uint64_t era, bool restored) override;
     void eventsRead(const StoreEvents&) override;
+    void changesApplied(const StoreEvents&) override;
 
 private:
     struct Peer {
--- a/src/fleet_member_relay.cpp
+++ b/src/fleet_member_relay.cpp
@@ -113,10 +113,11 @@
 
 void FleetMember::eventsRead(const StoreEvents& events)
 {
-    // A host that loses the store also needs the changes from before the other hosts detect it and relay to it.
-    m_changeExchange.keep(events);
     if (m_source == StoreSource::WatchForOthers && events.from < events.to)
         relay(events);
 }
 
+// A host that loses the store also needs the changes from before the other hosts detect it and relay to it.
+void FleetMember::changesApplied(const StoreEvents& changes) { m_changeExchange.keep(changes); }
+
 } // namespace plantainwall
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -172,13 +172,19 @@
 void StoreFollower::advance(const std::vector<StoreItem>& items, uint64_t to)
 {
     bool ownChanged = false;
+    StoreEvents changes;
+    changes.from = m_revision;
+    changes.to = std::max(m_revision, to);
+    changes.era = m_era;
     for (const StoreItem& item : items) {
         if (item.revision <= m_revision)
             continue;
         apply(item);
+        changes.items.push_back(item);
         ownChanged = ownChanged || item.key.rfind(ownPrefix, 0) == 0;
     }
-    m_revision = std::max(m_revision, to);
+    m_revision = changes.to;
+    m_observer.changesApplied(changes);
     if (m_revision >= m_reportedRevision)
         m_changesMissingSince.reset();
     if (ownChanged)
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -26,6 +26,9 @@
     virtual void eraRead(uint64_t era, bool restored) = 0;
     /// Called when a watch has returned, with its changes, possibly none.
     virtual void eventsRead(const StoreEvents&) = 0;
+    /// Called when changes have been applied, whether this or another host has read them. They follow the last ones
+    /// unless a listing came between.
+    virtual void changesApplied(const StoreEvents&) = 0;
 };
 
 struct StoreFollowerSettings {
--- a/tests/support_store_follower.h
+++ b/tests/support_store_follower.h
@@ -76,6 +76,7 @@
     void storeReachable(bool value) override { reachable.push_back(value); }
     void eraRead(uint64_t, bool) override { }
     void eventsRead(const StoreEvents& events) override { relayed.push_back(events); }
+    void changesApplied(const StoreEvents& changes) override { applied.push_back(changes); }
 
     void runDelayedTask()
     {
@@ -88,6 +89,7 @@
     FakeFollowerDecoder decoder;
     std::function<void()> delayedTask;
     std::vector<StoreEvents> relayed;
+    std::vector<StoreEvents> applied;
     std::vector<uint64_t> versions;
     std::vector<std::string> written;
     std::vector<std::string> erased;
--- a/tests/unit_store_follower.cpp
+++ b/tests/unit_store_follower.cpp
@@ -223,6 +223,26 @@
     BOOST_TEST(follower.items().count("s/b") == 1U);
 }
 
+// Guards against a gap in the changes that a host keeps for others, when one of them relays a change before the host's
+// own watch returns it.
+BOOST_FIXTURE_TEST_CASE(applied_changes_have_no_gap, FollowerFixture)
+{
+    follower.setSource(StoreSource::WatchForOthers);
+    store.answer(StoreOutcome::Ok, {}, 10);
+    follower.applyRelayed({ 10, 12, Duration(0), { { "s/a", "x", 12, false } } });
+    store.answer(StoreOutcome::Ok, { { "s/a", "x", 12, false }, { "s/b", "x", 13, false } }, 13);
+    uint64_t revision = 10;
+    std::vector<std::string> keys;
+    for (const StoreEvents& changes : applied) {
+        BOOST_TEST(changes.from == revision);
+        revision = changes.to;
+        for (const StoreItem& item : changes.items)
+            keys.push_back(item.key);
+    }
+    BOOST_TEST(revision == 13U);
+    BOOST_TEST((keys == std::vector<std::string> { "s/a", "s/b" }));
+}
+
 // Changes that no host has kept are replaced by a listing on a host that does not reach the store.
 BOOST_FIXTURE_TEST_CASE(missing_changes_are_replaced_by_a_listing, FollowerFixture)
 {
