Drop a relayed era that the store does not know

One malformed or forged datagram made a host useless for good: it took over the era that the datagram named, and then every answer of the store counted as outdated, so that no listing was completed.

A listing that was requested after the era was relayed, and that has an older one, shows that the store never had the newer era.

--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -32,8 +32,10 @@
 void StoreFollower::list()
 {
     m_listingInProgress = true;
-    if (m_listing.empty())
+    if (m_listing.empty()) {
         m_listingSentAt = m_clock();
+        m_listingEra = m_era;
+    }
     const std::string afterKey = m_listing.empty() ? std::string() : m_listing.back().key;
     m_store.list({}, afterKey, [this, sequence = m_sequence](StoreItems page) {
         if (sequence == m_sequence)
@@ -50,6 +52,8 @@
         return;
     }
     storeCallSucceeded();
+    if (isOutdated(page) && m_listingEra == m_era)
+        dropRelayedEra(page.era);
     if (isOutdated(page)) {
         m_listing.clear();
         m_listingInProgress = false;
@@ -366,6 +370,16 @@
     return restored;
 }
 
+// Another host relayed an era that the store does not know, although it was asked later.
+void StoreFollower::dropRelayedEra(uint64_t era)
+{
+    logEvent(LogEvent::RelayEraDiffers,
+        { { "era", era }, { "relayed_era", m_era }, { "source", storeSourceName(m_source) },
+            { "outcome", "unknown to the store" } });
+    m_era = era;
+    m_observer.eraRead(era, true);
+}
+
 void StoreFollower::noteEra(uint64_t era, std::string_view call)
 {
     if (!readNewerEra(era, 0, call))
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -145,6 +145,7 @@
     void storeCallSucceeded();
     void schedule(Duration delay, void (StoreFollower::*next)());
     void logRestored(std::string_view call, uint64_t previousEra, uint64_t storeRevision) const;
+    void dropRelayedEra(uint64_t era);
     bool readNewerEra(uint64_t era, uint64_t storeRevision, std::string_view call);
     bool isOutdated(const StoreItems& items) const { return items.era != 0 && items.era < m_era; }
     void apply(const StoreItem&);
@@ -167,6 +168,7 @@
     std::vector<StoreItem> m_listing;
     std::map<std::string, StoreItem> m_items;
     Instant m_listingSentAt; ///< Time of the request for the first page.
+    uint64_t m_listingEra = 0; ///< Newest era known at that time.
     uint64_t m_listingRevision = 0;
     uint64_t m_revision = 0;
     uint64_t m_configurationEra = 0; ///< Era and revision of the last configuration that was read.
--- a/tests/unit_store_follower.cpp
+++ b/tests/unit_store_follower.cpp
@@ -266,3 +266,22 @@
     follower.applyRelayed({ 24, 25, Duration(0), { { "s/b", "x", 25, false } } });
     BOOST_TEST((written == std::vector<std::string> { "b" }));
 }
+
+// An era in a relayed datagram that the store never had does not keep a host from the store's own answers.
+BOOST_FIXTURE_TEST_CASE(relayed_era_that_the_store_does_not_confirm, FollowerFixture)
+{
+    store.answer(StoreOutcome::Ok, { { "config", "7", 9, false } }, 10, false, 1);
+    StoreEvents events;
+    events.from = 10;
+    events.to = 10;
+    events.era = uint64_t(1) << 40;
+    follower.applyRelayed(events);
+    for (int i = 0; i < 20; ++i) {
+        if (delayedTask)
+            runDelayedTask();
+        if (store.pending)
+            store.answer(StoreOutcome::Ok, { { "config", "8", 11, false } }, 11, false, 1);
+    }
+    BOOST_TEST(follower.listed());
+    BOOST_TEST((versions == std::vector<uint64_t> { 7, 8 }));
+}
