Let other hosts probe a server that refuses the coordinator's connections

Callers could lose acknowledged commits: a registered replica that ran, received and confirmed counted as down.

Cause: a refused connection proves the end of a process only if the server's machine refused it. A network between the coordinator and the server may refuse it, too, while the primary and other hosts reach the server.

The hosts that probe lapsed, silent servers now also probe those that refuse connections; while one of them reaches the server, it counts as running and the coordinator role is handed over. A server that really does not run counts as down at once, as before.

--- a/src/failover_member.h
+++ b/src/failover_member.h
@@ -30,7 +30,7 @@
     bool replaced = false; ///< Another server answers at its address.
     Instant heardAt; ///< When it last answered anything.
     std::optional<Instant> silentSince; ///< Time of the first unanswered request since the last answer.
-    ProbeSummary probes; ///< Of other hosts; empty unless it is lapsed and silent.
+    ProbeSummary probes; ///< Of other hosts; empty unless it refuses connections, or is lapsed and silent.
     Instant failedAt; ///< Start of the latest connection attempt or request that was not answered in time.
 };
 
--- a/src/promotion_coordinator.cpp
+++ b/src/promotion_coordinator.cpp
@@ -187,10 +187,10 @@
     const GatewayConfiguration& configuration = *m_gateway.configuration();
     const std::string customer = configuration.customers.empty() ? m_host : configuration.customers.begin()->first;
     for (const ServerEntry* const entry : m_gateway.directory().members(service)) {
-        FailoverMember& report = pollServer(*entry, customer, now).report;
-        report.registered = true;
-        report.settled = false;
-        report.probes = ProbeSummary();
+        Member& member = pollServer(*entry, customer, now);
+        member.report.registered = true;
+        member.report.settled = false;
+        probeIndirectly(*entry, member);
     }
     for (const LapsedServer* const server : m_gateway.directory().lapsed(service)) {
         if (server->ended)
@@ -206,7 +206,8 @@
 void PromotionCoordinator::probeIndirectly(const ServerEntry& entry, Member& member)
 {
     FailoverMember& report = member.report;
-    if (!report.silentSince || report.refused || report.replaced) {
+    const bool mayRun = report.silentSince && !report.replaced;
+    if (!mayRun || (report.registered && !report.refused)) {
         report.probes = ProbeSummary();
         return;
     }
--- a/src/replica_logs.cpp
+++ b/src/replica_logs.cpp
@@ -14,8 +14,9 @@
         return true;
     if (!member.silentSince)
         return false;
+    // The network may refuse connections as well, but hardly those of all hosts.
     if (member.refused)
-        return true;
+        return member.probes.reachedBy.empty();
     if (member.registered)
         return false;
     if (member.refusedAt && member.probes.reachedAt.value_or(*member.refusedAt) <= *member.refusedAt)
--- a/tests/support_random_faults.cpp
+++ b/tests/support_random_faults.cpp
@@ -25,8 +25,10 @@
         service.setStoreCut(id, false);
         service.setReplicationCut(id, false);
         service.setReceiveDelay(id, ReplicatedServiceTiming().receiveDelay);
-        for (size_t host = 0; host < service.hosts(); ++host)
+        for (size_t host = 0; host < service.hosts(); ++host) {
             service.setHostCut(id, host, false);
+            service.setHostRefused(id, host, false);
+        }
     }
     service.setPromotionAnswersLost(false);
     service.setPromotionLateness(Duration(0));
--- a/tests/support_replicated_service.cpp
+++ b/tests/support_replicated_service.cpp
@@ -52,6 +52,7 @@
     bool replicationCut = false;
     bool draining = false;
     std::set<size_t> hostCuts;
+    std::set<size_t> refusedHosts;
     Duration receiveDelay { 0 };
     std::vector<uint64_t> log; ///< Terms of the commits.
     uint64_t term = 1; ///< Newest term that the server knows.
@@ -375,6 +376,20 @@
         note(id + (cut ? " loses host " : " reaches host ") + std::to_string(host));
 }
 
+void ReplicatedService::setHostRefused(const std::string& id, size_t host, bool refused)
+{
+    std::set<size_t>& hosts = find(id)->refusedHosts;
+    if (!(refused ? hosts.insert(host).second : hosts.erase(host) > 0))
+        return;
+    note(id + (refused ? " is refused to host " : " reaches host ") + std::to_string(host));
+    for (const std::weak_ptr<Connection>& entry : m_connections) {
+        const std::shared_ptr<Connection> connection = entry.lock();
+        if (refused && connection && connection->server == id && connection->host == host && connection->open
+            && !connection->closed)
+            deliverClose(connection, BackendCloseReason::Lost);
+    }
+}
+
 void ReplicatedService::setPeersCut(size_t host, bool cut)
 {
     bool& current = m_hosts[host]->cutOff;
@@ -740,6 +755,10 @@
         return;
     }
     const Server* const server = find(connection->server);
+    if (server->refusedHosts.count(connection->host) != 0) {
+        deliverClose(connection, BackendCloseReason::Refused);
+        return;
+    }
     if (server->running) {
         connection->open = true;
         connection->incarnation = server->incarnation;
--- a/tests/support_replicated_service.h
+++ b/tests/support_replicated_service.h
@@ -59,6 +59,8 @@
     void setDark(const std::string& id, bool dark);
     void setStoreCut(const std::string& id, bool cut);
     void setHostCut(const std::string& id, size_t host, bool cut);
+    /// Makes the network between a host and a server reset connections and refuse new ones, or connects them again.
+    void setHostRefused(const std::string& id, size_t host, bool refused);
     /// Disconnects a host from the other hosts.
     void setPeersCut(size_t host, bool cut);
     /// Disconnects a replica from the primary only.
--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -501,6 +501,19 @@
     }
 }
 
+// The network refuses the coordinator's connections to a registered replica, which other hosts and the primary reach.
+BOOST_AUTO_TEST_CASE(running_replica_that_the_network_refuses_to_the_coordinator_confirms)
+{
+    for (int phase = 0; phase < 1000; phase += 100) {
+        LaggingReplica it(3);
+        it.service.setHostRefused("r2", 0, true);
+        it.service.pass(seconds(4) + milliseconds(phase));
+        it.service.crash("p");
+        BOOST_TEST(recoversWithHandOvers(it.service));
+        it.check(seconds(2));
+    }
+}
+
 // Without the reports of other hosts its own silence decides.
 BOOST_AUTO_TEST_CASE(gone_replica_does_not_block_a_coordinator_without_other_hosts)
 {
