Forget a replacement at the address of a server's earlier process

Callers could lose acknowledged commits: a server that started again at another address, which the coordinator did not reach, counted as down.

Cause: the mark that another server answers at the address stayed set for the next process. It is cleared with a new start, like the mark of a refusal, and a late event of a dropped connection no longer counts for the next one. Found in a review by reading; not tested.

--- a/src/promotion_coordinator.cpp
+++ b/src/promotion_coordinator.cpp
@@ -231,12 +231,14 @@
     if (member->report.startedUnixMs != entry.startedUnixMs) {
         member->report.refused = false;
         member->report.refusedAt.reset();
+        member->report.replaced = false;
     }
     member->report.startedUnixMs = entry.startedUnixMs;
     member->report.draining = entry.draining;
     if (!member->link) {
         if (now < member->reconnectAt)
             return *member;
+        member->open = false;
         member->openedAt = now;
         member->link = m_connector.open(entry, customer, *member);
         return *member;
--- a/src/server_prober.cpp
+++ b/src/server_prober.cpp
@@ -123,6 +123,7 @@
             return;
         const GatewayConfiguration& configuration = *m_gateway.configuration();
         const std::string customer = configuration.customers.empty() ? m_host : configuration.customers.begin()->first;
+        probe.open = false;
         probe.openedAt = now;
         probe.link = m_connector.open(probe.server, customer, probe);
         return;
