Notice promotions that the plan did not wait for

Callers could lose acknowledged commits after a late promotion: the coordinator went on taking lost logs of the primary before as not needed.

Cause: only a promotion that the plan waited for reset what had been proved under the primary before. A newer term of an answering primary does so now, too.

--- a/src/replica_logs.cpp
+++ b/src/replica_logs.cpp
@@ -133,8 +133,13 @@
     Instant now, const std::string& primary, const std::vector<FailoverMember>& members, uint64_t term)
 {
     for (const FailoverMember& member : members) {
-        if (leads(member, primary, term) && member.status && !member.silentSince)
-            m_leaderSeenAt = now;
+        if (!leads(member, primary, term) || !member.status || member.silentSince)
+            continue;
+        m_leaderSeenAt = now;
+        // A promotion that the plan did not wait for, for example a late one, changes the primary too.
+        if (m_leaderTerm != 0 && member.status->term > m_leaderTerm)
+            primaryChanged(now);
+        m_leaderTerm = std::max(m_leaderTerm, member.status->term);
     }
     for (const FailoverMember& member : members) {
         if (member.ended)
--- a/src/replica_logs.h
+++ b/src/replica_logs.h
@@ -109,6 +109,7 @@
     /// When a primary last answered. While one runs, a server that lost its log receives parts of it again, so its
     /// position then proves nothing.
     Instant m_leaderSeenAt;
+    uint64_t m_leaderTerm = 0; ///< Newest term of which a primary has answered.
 };
 
 } // namespace plantainwall
