Don't let a copy of the stand-in's leases end renewed ones

In the soak every lease ended after its first time: the copies of the store shared the timers of the leases, so that renewing did not replace them. The coordinator changed every 2 s. Copies hold no timers now.

--- a/tests/support_kv_store.cpp
+++ b/tests/support_kv_store.cpp
@@ -140,6 +140,9 @@
     if (m_absence)
         return;
     m_copies.push_back({ m_items, m_history, m_leases, m_revision, m_nextLease });
+    // A timer that the copy kept would end a lease that is renewed later.
+    for (auto& [id, lease] : m_copies.back().leases)
+        lease.timer.reset();
     if (m_copies.size() > maxCopies)
         m_copies.pop_front();
 }
