--- a/src/fleet_member_coordinator.cpp
+++ b/src/fleet_member_coordinator.cpp
@@ -204,10 +204,10 @@
     const size_t steps = std::min(static_cast<size_t>(earlierClaimants), maxClaimSteps);
     // A new process does not know the fleet yet, and must not order promotions before the settle time.
     const bool startingUp = !m_listedAt || m_clock() - *m_listedAt < m_settings.settleTime / 2;
+    const Duration jitter(std::uniform_int_distribution<int64_t>(0, claimStep.count())(m_random));
     if (!startingUp && m_probeExchange.reachesProbed())
-        return least;
-    return least + (startingUp ? firstClaimPause : Duration(0)) + claimStep * steps
-        + Duration(std::uniform_int_distribution<int64_t>(0, claimStep.count())(m_random));
+        return least + jitter;
+    return least + (startingUp ? firstClaimPause : Duration(0)) + claimStep * steps + jitter;
 }
 
 void FleetMember::handOverCoordination()
