--- a/src/indirect_probes.h
+++ b/src/indirect_probes.h
@@ -9,7 +9,7 @@
 
 /// What the probes of other hosts have shown about a server that does not answer this one.
 struct ProbeSummary {
-    /// Some hosts have not been heard yet; until then silentSince says little.
+    /// Some hosts have not answered yet; silentSince is not meaningful until then.
     bool pending = false;
     std::optional<Instant> reachedAt; ///< Latest time at which the server may have answered a host.
     std::optional<Instant> silentSince; ///< Earliest time since which a host has had no answer from it.
--- a/src/probe_exchange.cpp
+++ b/src/probe_exchange.cpp
@@ -11,6 +11,8 @@
 
     using web::json::value;
 
+    // Request: n (time of sending), h (host), s (list of [id, start]). Answer: the same n, h of the answering host, and
+    // s as a list of [id, start, age of the last answer, age of the first unanswered attempt].
     constexpr std::string_view requestWord = "probe? ";
     constexpr std::string_view answerWord = "probe! ";
 
