Keep known which server led the newest term when it denies that it leads

Callers got no write through for good after the primary alone had restarted empty, if the coordinator changed.

Cause: the log of a primary that is lost is not needed, because the replicas hold all that it acknowledged. A host forgot that a server was the primary as soon as the restarted, empty server denied it, and then took the lost log for that of a replica, which nothing can prove not to be needed.

The directory keeps the last server that was confirmed as primary, with its term. unit.server-directory, led_term_stays_known_after_a_denial.

--- a/src/failover_member.h
+++ b/src/failover_member.h
@@ -19,7 +19,8 @@
     uint64_t startedUnixMs = 0; ///< Start of its process; 0 if unknown. A restarted server may have lost its log.
     bool wasPrimary = false; ///< Of a process that has ended: it was the last known primary.
     bool draining = false;
-    uint64_t provenTerm = 0; ///< Newest term that it is known to have led; 0 if none.
+    uint64_t provenTerm = 0; ///< Newest term that it is known to have led and has not denied; 0 if none.
+    uint64_t ledTerm = 0; ///< Newest term that a process with the id is known to have led; 0 if none.
     std::optional<ServerStatus> status; ///< Last status received.
     Instant requestedAt; ///< When the last status was requested.
     Instant answeredAt; ///< When the last status was received.
@@ -28,7 +29,7 @@
     bool refused = false;
     std::optional<Instant> refusedAt; ///< Last refusal since it answered. It may have started again since.
     bool replaced = false; ///< Another server answers at its address.
-    Instant heardAt; ///< When it last answered anything.
+    Instant lastReplyAt; ///< When it last answered anything.
     std::optional<Instant> silentSince; ///< Time of the first unanswered request since the last answer.
     ProbeSummary probes; ///< Of other hosts; empty unless it refuses connections, or is lapsed and silent.
     Instant failedAt; ///< Start of the latest connection attempt or request that was not answered in time.
--- a/src/gateway_ports.h
+++ b/src/gateway_ports.h
@@ -167,8 +167,8 @@
 ///
 /// The store may be replaced by an older copy of itself. Its era then rises; revisions and lease ids go back and are
 /// given out again, so that they are comparable within one era only. Leases end by expiry alone: by its id a host could
-/// end a lease that is another host's since. Results of failed calls carry the era too; it is 0
-/// if there was no answer or the store does not report it.
+/// end a lease that has become another host's. Results of failed calls carry the era too; it is 0 if there was no
+/// answer or the store does not report it.
 class MetadataStore {
 public:
     virtual ~MetadataStore() = default;
--- a/src/promotion_coordinator.cpp
+++ b/src/promotion_coordinator.cpp
@@ -35,7 +35,7 @@
         const Instant requestedAt = requestTimes.front();
         requestTimes.pop_front();
         const std::optional<ServerStatus> status = coordinator.m_connector.statusOf(reply);
-        report.heardAt = coordinator.m_clock();
+        report.lastReplyAt = coordinator.m_clock();
         report.silentSince.reset();
         report.refused = false;
         report.refusedAt.reset();
@@ -150,6 +150,7 @@
             return;
         reports.push_back(it->second->report);
         reports.back().provenTerm = proven.first == id ? proven.second : 0;
+        reports.back().ledTerm = m_gateway.directory().ledTerm(service, id);
         allPolled = allPolled && (reports.back().status || reports.back().silentSince);
     };
     for (const ServerEntry* const entry : m_gateway.directory().members(service))
@@ -169,7 +170,9 @@
         report.ended = true;
         report.startedUnixMs = server->entry.startedUnixMs;
         // The registration of a primary that lost the store does not show its replacement.
-        report.wasPrimary = server->entry.primary && (primary.empty() || primary == server->entry.id);
+        const uint64_t ledTerm = m_gateway.directory().ledTerm(service, server->entry.id);
+        report.wasPrimary = (ledTerm != 0 && ledTerm >= m_gateway.directory().term(service))
+            || (server->entry.primary && (primary.empty() || primary == server->entry.id));
         reports.push_back(report);
     }
     if (!allPolled)
--- a/src/replica_logs.cpp
+++ b/src/replica_logs.cpp
@@ -26,7 +26,7 @@
     if (member.probes.silentSince && !member.probes.pending)
         silentSince = std::min(silentSince, *member.probes.silentSince);
     const Instant lastSign
-        = std::max({ member.lapsedAt, member.heardAt, member.probes.reachedAt.value_or(member.heardAt) });
+        = std::max({ member.lapsedAt, member.lastReplyAt, member.probes.reachedAt.value_or(member.lastReplyAt) });
     return now - std::max(lastSign, silentSince) >= m_settings.goneTimeout;
 }
 
@@ -83,8 +83,8 @@
     }
     if (copy.startedUnixMs != member.startedUnixMs && member.startedUnixMs != 0) {
         if (copy.startedUnixMs != 0) {
-            const bool provenPrimary = member.provenTerm != 0 && member.provenTerm >= term;
-            noteLost(now, member.id, copy.startedUnixMs, wasLeading || provenPrimary, copy);
+            const bool ledNewestTerm = member.ledTerm != 0 && member.ledTerm >= term;
+            noteLost(now, member.id, copy.startedUnixMs, wasLeading || ledNewestTerm, copy);
             const uint64_t lostInTerm = copy.lostInTerm;
             copy = Copy();
             copy.lostInTerm = lostInTerm;
--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -370,10 +370,18 @@
     leadership.id = id;
     leadership.term = term;
     leadership.provenTerm = term;
+    leadership.lastProvenId = id;
+    leadership.lastProvenTerm = term;
     leadership.deniedAt.erase(id);
     return changed;
 }
 
+uint64_t ServerDirectory::ledTerm(const std::string& service, const std::string& id) const
+{
+    const auto it = m_leadership.find(service);
+    return it == m_leadership.end() || it->second.lastProvenId != id ? 0 : it->second.lastProvenTerm;
+}
+
 void ServerDirectory::noteNotPrimary(const std::string& service, const std::string& id, Instant now)
 {
     Leadership& leadership = m_leadership[service];
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -92,7 +92,7 @@
     void addLapsed(const ServerEntry&, Instant now, bool ended = false);
 
     /// Records which lapsed servers of a service (id and start, Unix milliseconds) are down and not needed. Servers
-    /// that have been for forgetAfter, and processes that have ended, are dropped. Returns what was dropped.
+    /// that have been settled for forgetAfter, and processes that have ended, are dropped. Returns what was dropped.
     std::vector<std::pair<std::string, uint64_t>> settleLapsed(
         const std::string& service, const std::vector<std::pair<std::string, uint64_t>>& settled, Instant now);
 
@@ -129,6 +129,9 @@
     /// Returns the id and term of the confirmed primary, or an empty id.
     std::pair<std::string, uint64_t> provenPrimary(const std::string& service) const;
 
+    /// Returns the newest term that a server is known to have led, also if it denied being primary since; 0 if none.
+    uint64_t ledTerm(const std::string& service, const std::string& id) const;
+
     /// Records that a server denied being primary.
     void noteNotPrimary(const std::string& service, const std::string& id, Instant now);
 
@@ -146,6 +149,8 @@
         std::string id;
         uint64_t term = 0;
         uint64_t provenTerm = 0; ///< Term for which id is confirmed as primary; 0: not confirmed.
+        std::string lastProvenId; ///< Kept when the server denies being primary.
+        uint64_t lastProvenTerm = 0;
         std::map<std::string, Instant> deniedAt;
     };
 
--- a/tests/unit_server_directory.cpp
+++ b/tests/unit_server_directory.cpp
@@ -420,3 +420,19 @@
         BOOST_TEST((directory.find("a") == nullptr) == recorded);
     }
 }
+
+// A primary that restarted without its log denies being primary. That its process before led must stay known.
+BOOST_AUTO_TEST_CASE(led_term_stays_known_after_a_denial)
+{
+    ServerDirectory directory;
+    directory.registerServer(entryOf("a"));
+    directory.registerServer(entryOf("b"));
+    BOOST_TEST(directory.ledTerm("orders", "a") == 0U);
+    directory.notePrimary("orders", "a", 3);
+    directory.noteNotPrimary("orders", "a", Instant(seconds(100)));
+    BOOST_TEST(directory.provenPrimary("orders").first.empty());
+    BOOST_TEST(directory.ledTerm("orders", "a") == 3U);
+    directory.notePrimary("orders", "b", 4);
+    BOOST_TEST(directory.ledTerm("orders", "a") == 0U);
+    BOOST_TEST(directory.ledTerm("orders", "b") == 4U);
+}
