--- a/src/replica_logs.h
+++ b/src/replica_logs.h
@@ -98,7 +98,7 @@
     void updateCopy(Instant, const FailoverMember&, const std::string& primary, uint64_t term);
     void noteLost(Instant, const std::string& id, uint64_t startedUnixMs, bool wasPrimary, const Copy&);
     void checkLogKept(Instant, const std::string& id, const ServerStatus&);
-    /// Marks logs as covered that a later process at the server's address, or under its id, has kept.
+    /// Marks logs as covered that a later process at the server's address has kept.
     void checkSuccessors(Instant, const std::vector<FailoverMember>&);
     /// @param wasDown Result of the last call.
     bool isDown(Instant, const FailoverMember&, bool wasDown) const;
