Keep a lender's stream that is used again in the same tick

Cause: LinkBorrower::tick() collects unused lenders before it gives up unresponsive ones. Statements of the latter move at once, possibly to an unused lender, which was then destroyed with a live link: a use after free. Change: an unused lender is closed only if it still has no link. Measured: unit.link-borrower a_stream_that_is_used_again_is_not_closed fails with a memory access violation before, passes after.

--- a/src/link_borrower.cpp
+++ b/src/link_borrower.cpp
@@ -237,8 +237,12 @@
     }
     for (Lender* const lender : unresponsive)
         lenderLost(*lender, "it did not answer a request to open a connection");
-    for (const std::string& host : unused)
-        m_lenders.erase(host);
+    // Observers of lost links may have opened links over other lenders meanwhile.
+    for (const std::string& host : unused) {
+        const auto it = m_lenders.find(host);
+        if (it != m_lenders.end() && it->second->links.empty())
+            m_lenders.erase(it);
+    }
 }
 
 } // namespace plantainwall
--- a/tests/unit_link_borrower.cpp
+++ b/tests/unit_link_borrower.cpp
@@ -299,3 +299,49 @@
     settle();
     BOOST_TEST(third.opened);
 }
+
+// Guards against a use after free: when a lender is lost, statements move to another one whose stream was about to be
+// closed as unused.
+BOOST_FIXTURE_TEST_CASE(a_stream_that_is_used_again_is_not_closed, Fixture)
+{
+    struct ReopeningObserver final : BackendObserver {
+        explicit ReopeningObserver(Fixture& fixture)
+            : fixture(fixture)
+        {
+        }
+        void backendOpened() override { }
+        void backendReplied(BackendReply) override { }
+        void backendClosed(BackendCloseReason) override
+        {
+            link = fixture.borrower.open(fixture.entry, "hatter", second);
+        }
+
+        Fixture& fixture;
+        RecordingObserver second;
+        std::unique_ptr<BackendLink> link;
+    };
+    RecordingObserver probe;
+    open(probe).reset();
+    const std::string preferred = hosts["a"].streams != 0 ? "a" : "b";
+    const std::string other = preferred == "a" ? "b" : "a";
+    hosts[preferred].shuttingDown = true; // So the other one lends for a while.
+    open(probe).reset();
+    open(probe).reset();
+    hosts[preferred].shuttingDown = false;
+    BOOST_REQUIRE(hosts[other].streams == 1U);
+    now += seconds(29);
+    borrower.tick();
+    ReopeningObserver observer(*this);
+    const std::unique_ptr<BackendLink> link = borrower.open(entry, "hatter", observer);
+    hosts[preferred].unresponsive = true;
+    now += milliseconds(1600);
+    borrower.tick();
+    settle();
+    BOOST_TEST(observer.second.opened);
+    BOOST_TEST(hosts[other].streams == 1U);
+    BackendCommand command;
+    command.kind = BackendCommandKind::Begin;
+    observer.link->send(command);
+    settle();
+    observer.link.reset();
+}
