Take a primary's word only under a lease where the platform does not fence it

Cause: a replaced primary goes on leading by its own account; hosts on its side of a partition took its word for primary reads and for the positions that bound replica reads. Change: the coordinator names the only server that may lead in a record in the store. Hosts hold leases on it, renewed by the coordinator or read from the store. A promotion without a demotion waits until every host has acknowledged the new record or the leases have ended. Only with gateway.fenced_primaries = false.

--- a/src/failover_plan.cpp
+++ b/src/failover_plan.cpp
@@ -188,8 +188,8 @@
     }
 }
 
-FailoverPlan::Step FailoverPlan::collect(
-    Instant now, const std::string& primary, const std::vector<FailoverMember>& members, uint64_t term)
+FailoverPlan::Step FailoverPlan::collect(Instant now, const std::string& primary,
+    const std::vector<FailoverMember>& members, uint64_t term, const PermitPromotion& permit)
 {
     Step step;
     step.term = m_term;
@@ -214,6 +214,9 @@
     std::vector<ReplicaLogs::Missing> missing = m_logs.missing(stopped.ids, stopped.longestButDemoted, unansweredSince);
     const FailoverMember* const target = chooseTarget(now, stopped, members, term, missing);
     if (target != nullptr && leader == nullptr) {
+        // The replicas stay stopped until the promotion is permitted; no commit is acknowledged meanwhile.
+        if (permit && !permit(target->id, term + 1, m_demotedAt && !isSuperseded(members)))
+            return step;
         m_target = target->id;
         m_phase = Phase::Promoting;
         m_failedAttempts = 0;
@@ -273,8 +276,8 @@
     m_allStoppingSince = now;
 }
 
-FailoverPlan::Step FailoverPlan::step(
-    Instant now, const std::string& primary, const std::vector<FailoverMember>& members, uint64_t term)
+FailoverPlan::Step FailoverPlan::step(Instant now, const std::string& primary,
+    const std::vector<FailoverMember>& members, uint64_t term, const PermitPromotion& permit)
 {
     m_logs.update(now, primary, members, term);
     switch (m_phase) {
@@ -291,10 +294,10 @@
         m_repeatAt = now;
         m_term = term + 1;
         m_promotionOrdered = false;
-        return collect(now, primary, members, term);
+        return collect(now, primary, members, term, permit);
     }
     case Phase::Collecting:
-        return collect(now, primary, members, term);
+        return collect(now, primary, members, term, permit);
     case Phase::Promoting: {
         if (m_waitingForAnswer || now < m_repeatAt)
             return {};
--- a/src/failover_plan.h
+++ b/src/failover_plan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "replica_logs.h"
+#include <functional>
 
 namespace plantainwall {
 
@@ -65,13 +66,22 @@
         std::vector<ReplicaLogs::Missing> missing;
     };
 
+    /// Returns whether the promotion of a server to primary of a term may be ordered now. demoted: the old primary has
+    /// reported that it leads no more. Otherwise it may go on leading by its own account.
+    using PermitPromotion = std::function<bool(const std::string& server, uint64_t term, bool demoted)>;
+
     explicit FailoverPlan(const FailoverSettings& = {});
 
     /// Returns the next step.
     /// @param primary Server assumed to be primary; empty if none.
     /// @param members All registered servers of the service, and those whose registrations have ended.
     /// @param term Newest term seen.
-    Step step(Instant now, const std::string& primary, const std::vector<FailoverMember>& members, uint64_t term);
+    /// @param permit Asked before each promotion that this attempt has not ordered yet; empty: all may be ordered.
+    Step step(Instant now, const std::string& primary, const std::vector<FailoverMember>& members, uint64_t term,
+        const PermitPromotion& permit = {});
+
+    /// Returns whether no change is in progress.
+    bool watching() const { return m_phase == Phase::Watching; }
 
     /// Handles the answer to a Promote step.
     void promoteAnswered(PromotionOutcome, Instant now);
@@ -112,7 +122,8 @@
         const std::vector<FailoverMember>&, uint64_t term);
     void restartAttempt(Instant);
     FailoverReason findReason(Instant, const std::string& primary, const std::vector<FailoverMember>&, uint64_t term);
-    Step collect(Instant, const std::string& primary, const std::vector<FailoverMember>&, uint64_t term);
+    Step collect(
+        Instant, const std::string& primary, const std::vector<FailoverMember>&, uint64_t term, const PermitPromotion&);
     Step resumeStopped(const std::vector<FailoverMember>&);
 
     FailoverSettings m_settings;
--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -42,7 +42,10 @@
     , m_follower(store, decoder, *this, m_after, m_clock, followerSettings())
     , m_positionExchange(settings.host, channel, m_clock, gateway)
     , m_changeExchange(settings.host, channel, m_clock, [this] { return m_follower.listing(); })
+    , m_leaseGrantor(settings.primaryLease)
 {
+    if (m_gateway.primaryLeases().required())
+        m_coordinator.setGuard(*this);
     m_settings.coordinatorLease = std::max(m_settings.coordinatorLease, settings.storeMinLease);
 }
 
@@ -97,6 +100,7 @@
 void FleetMember::storeReachable(bool reachable)
 {
     if (reachable) {
+        m_recordReadFailed = false;
         m_gateway.directory().storeReachableAgain(m_clock());
         m_storeReachableSince = m_clock();
     } else
@@ -157,6 +161,9 @@
             logEvent(LogEvent::StoreItemRejected, { { "key", it->first }, { "reason", error.what() } });
         }
     }
+    const auto record = items.find(primaryRecordKey);
+    if (record != items.end())
+        adoptPrimaryRecord({ m_follower.era(), record->second.revision }, record->second.value, "store");
     m_outdatedRegistrationsEnd = outdated ? *m_listedAt + m_settings.registrationLease : Instant();
     for (auto& [host, peer] : m_peers)
         peer.registered = listed.count(host) != 0;
@@ -273,6 +280,7 @@
     m_changeExchange.tick(m_follower.missingAfter(), [this] { return watchingHosts(); });
     m_quota.tick();
     tickReplicaRecords();
+    tickLeases();
     m_probeExchange.tick([this] { return probingHosts(); });
     tickCoordinator();
 }
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -11,7 +11,7 @@
 namespace plantainwall {
 
 /// Makes this entry host a member of the fleet: registers it, claims the coordinator role and exchanges reports.
-class FleetMember final : public StoreObserver, public LenderChoice {
+class FleetMember final : public StoreObserver, public LenderChoice, public PromotionGuard {
 public:
     struct Settings {
         Duration registrationLease = std::chrono::seconds(10);
@@ -55,6 +55,17 @@
         Duration coordinatorPause = std::chrono::seconds(4);
         /// While no host can reach the store, the last coordinator stays active for this long after its lease.
         Duration coordinatorOutageExtension = std::chrono::seconds(30);
+        /// Leases on the word of primaries are renewed this often: twice before a lease is read from the store instead.
+        Duration leaseRenewal = std::chrono::milliseconds(600);
+        /// Age of the last renewal at which the host reads the primary record itself.
+        Duration leaseReadAfter = std::chrono::milliseconds(800);
+        Duration leaseReadInterval = std::chrono::milliseconds(500);
+        /// During an outage of the store the coordinator grants leases while it hears each host this often.
+        Duration outageContact = std::chrono::milliseconds(1500);
+        /// A server that leads although the record names another one for this long is recorded again: an order that
+        /// was given up may be carried out until then.
+        Duration abandonedPromotionTime = std::chrono::seconds(13);
+        Duration recordPushInterval = std::chrono::milliseconds(150); ///< To hosts that have not acknowledged it.
     };
 
     FleetMember(const GatewaySettings&, Gateway&, QuotaExchange&, PromotionCoordinator&, ProbeExchange&, MetadataStore&,
@@ -98,6 +109,8 @@
     void eraRead(uint64_t era, bool restored) override;
     void eventsRead(const StoreEvents&) override;
     void changesApplied(const StoreEvents&) override;
+    bool mayPromote(const std::string& service, const std::string& server, uint64_t term, bool demoted) override;
+    void primaryConfirmed(const std::string& service, const std::string& server, uint64_t term) override;
 
 private:
     struct Peer {
@@ -113,6 +126,7 @@
         bool primariesSent = false; ///< The known primaries were sent since it became reachable.
         bool probeFailed = false; ///< Silent because it did not answer a probe.
         uint64_t firstReportIncarnation = 0; ///< Incarnation to which the first report was sent.
+        Instant leaseRequestedAt; ///< When it last requested a lease on the word of primaries.
     };
     /// Coordinator item that was claimed in an earlier era.
     struct OutdatedClaim {
@@ -122,6 +136,8 @@
     StoreFollowerSettings followerSettings();
     Duration restoredDelay();
 
+    static const std::string primaryRecordKey; ///< Key of the primary record in the store.
+
     using Primaries = std::map<std::string, std::pair<std::string, uint64_t>>; ///< Server and term by service.
 
     bool isOfNewestEra(const StoreResult&, std::string_view call);
@@ -168,6 +184,18 @@
     void tickReplicaRecords();
     std::vector<ProbingHost> probingHosts() const;
 
+    // fleet_member_leases.cpp
+    void tickLeases();
+    void requestLease();
+    void readPrimaryRecord();
+    void adoptPrimaryRecord(const PrimaryRecordVersion&, const std::string& text, std::string_view source);
+    void writePrimaryRecord();
+    void pushPrimaryRecord();
+    bool mayGrantLeases() const;
+    bool storeAnswers() const { return m_follower.reachable() && !m_recordReadFailed; }
+    bool leaseDatagram(const std::string&);
+    std::string leaseReply(uint64_t number, bool withRecord) const;
+
     // fleet_member_relay.cpp
     StoreSource storeSource() const;
     void chooseSource();
@@ -193,6 +221,20 @@
     PositionExchange m_positionExchange;
     ChangeExchange m_changeExchange;
     ReplicaRecords m_replicaRecords;
+    LeaseGrantor m_leaseGrantor;
+    bool m_granting = false; ///< m_leaseGrantor has been activated since this host became the coordinator.
+    std::string m_lastCoordinator; ///< Host of the last claim that was read; empty if none was.
+    Instant m_leaseRequestAt;
+    uint64_t m_leaseRequest = 0; ///< Number of the last request to the coordinator.
+    Instant m_leaseRequestedAt;
+    Instant m_recordReadAt; ///< When the primary record is read next, at the earliest.
+    bool m_readingRecord = false;
+    /// The last read of the primary record failed, and no later call succeeded: a watch in progress notices later that
+    /// the store is gone.
+    bool m_recordReadFailed = false;
+    Instant m_recordPushAt;
+    /// Since when a server has led without interruption although the record names another one; by service.
+    std::map<std::string, Instant> m_unrecordedSince;
     bool m_replicaItemsChanged = false; ///< The own items or the configured services have changed since the last tick.
     std::map<std::string, Peer> m_peers; ///< Registered hosts other than this one, by name.
     uint64_t m_registrationLease = 0; ///< Granted in the newest era; 0: none.
--- a/src/fleet_member_reports.cpp
+++ b/src/fleet_member_reports.cpp
@@ -165,7 +165,7 @@
         };
         if (m_positionExchange.datagram(datagram, addressOf))
             return;
-        if (m_probeExchange.datagram(datagram, addressOf))
+        if (m_probeExchange.datagram(datagram, addressOf) || leaseDatagram(datagram))
             return;
         std::optional<StoreEvents> changes;
         if (m_changeExchange.datagram(datagram, addressOf, changes)) {
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -10,6 +10,7 @@
     , m_clock(std::move(clock))
     , m_metrics(metrics)
     , m_random(seed)
+    , m_primaryLeases(!settings.fencedPrimaries, settings.primaryLease)
     , m_quota(quota)
     , m_started(m_clock())
 {
@@ -125,7 +126,7 @@
                 if (connection->idle())
                     idle.push_back(connection.get());
             }
-            const bool keep = !gone && m_directory.primary(server.service, now) == server.id;
+            const bool keep = !gone && primaryOf(server.service) == server.id;
             for (GatewayConnection* const connection : idle) {
                 if (!keep)
                     dropConnection(*connection);
@@ -179,7 +180,7 @@
             if (job == nullptr)
                 continue;
             job->queued = false;
-            const bool noPrimary = job->onPrimary && m_directory.primary(service, now).empty();
+            const bool noPrimary = lacksPrimary(*job);
             refuseJob(*job, noPrimary ? ResultCode::NoPrimary : ResultCode::QueueFull,
                 noPrimary ? "no primary is known" : "no connection to a server became free in time", defaultRetryAfter);
         }
@@ -285,7 +286,7 @@
                 unresponsive.push_back(connection.get());
             else if (connection->idle() && now - connection->usedAt > server.allowance.idleLimit(now))
                 unused.push_back(connection.get());
-            else if (connection->idle() && server.id == m_directory.primary(server.service, now))
+            else if (connection->idle() && server.id == primaryOf(server.service))
                 idlePrimaryConnections[server.service] = connection.get();
         }
     }
@@ -350,7 +351,7 @@
     if (m_positionsFromPeers)
         return; // Reads without a recent position go to the primary, whose reply contains one.
     // Without any connection the position would not be polled; the replies on a busy one contain it anyway.
-    const auto it = m_servers.find(m_directory.primary(service, now));
+    const auto it = m_servers.find(primaryOf(service));
     if (it == m_servers.end() || !it->second.connections.empty() || connectionsFull(it->second)
         || now < it->second.retryConnectAt || m_configuration->customers.empty())
         return;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -51,6 +51,9 @@
     void serversChanged();
     ServerDirectory& directory() { return m_directory; }
 
+    /// Leases on the word of primaries. serversChanged() must be called after entries have changed.
+    PrimaryLeases& primaryLeases() { return m_primaryLeases; }
+
     /// Sets the number of registered entry hosts, this one included.
     void setHosts(size_t hosts);
 
@@ -173,6 +176,12 @@
     void refuseJob(Job&, ResultCode, const std::string& detail, Duration retryAfter = Duration(0));
     void determineRequirement(Job&);
     std::vector<GatewayServer*> candidates(Job&);
+    /// Returns the id of the server to use as primary, whether or not a lease on its word is held; empty if none.
+    std::string primaryOf(const std::string& service) const;
+    /// Returns whether a server is known to lead long enough that its word suffices for the job.
+    bool leadsFor(const Job&, const std::string& server) const;
+    /// Returns whether no server can serve the job as primary now.
+    bool lacksPrimary(const Job&) const;
     bool usableAsPrimary(const GatewayServer&) const;
     ServerCandidate candidateOf(GatewayServer&, const Job&);
     GatewayConnection* takeConnection(GatewayServer&, const Job&);
@@ -218,6 +227,7 @@
     std::mt19937_64 m_random;
     std::shared_ptr<const GatewayConfiguration> m_configuration;
     ServerDirectory m_directory;
+    PrimaryLeases m_primaryLeases;
     QuotaGate& m_quota;
     size_t m_hosts = 1;
     bool m_sharedConnections = false;
--- a/src/gateway_backend.cpp
+++ b/src/gateway_backend.cpp
@@ -184,7 +184,10 @@
         logEvent(LogEvent::PrimaryChanged,
             { { "service", server.service }, { "server", server.id }, { "term", position.term },
                 { "position", position.position }, { "source", "answer of the server" } });
-    m_primaryPositions[server.service].note(position, requestedAt);
+    // The position covers what was acknowledged while the server is known to have led.
+    const Instant until = m_primaryLeases.until(server.service, server.id);
+    if (until != Instant())
+        m_primaryPositions[server.service].note(position, std::min(requestedAt, until));
 }
 
 void Gateway::connectionReplied(GatewayConnection& connection, BackendReply reply)
@@ -296,6 +299,15 @@
     const bool commit = job.statement.kind == StatementKind::Commit;
     if (job.writes || (commit && session != nullptr && session->wrote)) {
         if (!job.inTransaction || commit) {
+            if (m_primaryLeases.until(connection.server.service, connection.server.id) < now) {
+                // Another server may lead since, whose log lacks this commit.
+                logEvent(LogEvent::CommitNotConfirmed,
+                    { { "request", job.statement.id }, { "service", connection.server.service },
+                        { "server", connection.server.id }, { "term", reply.position.term },
+                        { "position", reply.position.position } });
+                connectionClosed(connection, BackendCloseReason::Lost);
+                return;
+            }
             notePrimary(connection.server, reply.position, sentAt);
             if (session != nullptr)
                 session->ownPosition = laterPosition(session->ownPosition, reply.position);
@@ -395,8 +407,7 @@
         return;
     const ServerEntry* const entry = m_directory.find(connection.server.id);
     const bool leaving = entry == nullptr
-        || (connection.server.drainingSince
-            && m_directory.primary(connection.server.service, m_clock()) != connection.server.id);
+        || (connection.server.drainingSince && primaryOf(connection.server.service) != connection.server.id);
     if (leaving)
         dropConnection(connection);
     dispatchQueued();
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -19,9 +19,43 @@
 
 } // namespace
 
+std::string Gateway::primaryOf(const std::string& service) const
+{
+    const Instant now = m_clock();
+    const std::string leased(m_primaryLeases.serverFor(service));
+    if (leased.empty() || m_directory.find(leased) == nullptr)
+        return m_directory.primary(service, now);
+    return m_directory.deniedRecently(service, leased, now) ? std::string() : leased;
+}
+
+// Load pattern: some hosts still reach a replaced primary that has not heard of its successor.
+bool Gateway::leadsFor(const Job& job, const std::string& server) const
+{
+    const Instant until = m_primaryLeases.until(job.route.service, server);
+    const Session* const session = [&]() -> const Session* {
+        const auto it = m_sessions.find(job.session);
+        return it == m_sessions.end() ? nullptr : &it->second;
+    }();
+    const bool writes = job.writes || (job.opensTransaction && session != nullptr && !session->readOnly);
+    if (writes)
+        return m_clock() <= until;
+    const bool readsOwnWrite = session != nullptr && session->ownPosition != LogPosition()
+        && job.route.consistency == ReadConsistency::ReadYourWrites;
+    const bool mayBeStale = job.route.consistency != ReadConsistency::Primary && !readsOwnWrite;
+    return job.freshnessTime - (mayBeStale ? job.route.maxStaleness : Duration(0)) <= until;
+}
+
+bool Gateway::lacksPrimary(const Job& job) const
+{
+    if (!job.onPrimary)
+        return false;
+    const std::string primary = primaryOf(job.route.service);
+    return primary.empty() || !leadsFor(job, primary);
+}
+
 Duration Gateway::waitLimit(const Job& job) const
 {
-    const bool noPrimary = job.onPrimary && m_directory.primary(job.route.service, m_clock()).empty();
+    const bool noPrimary = lacksPrimary(job);
     const bool starting = m_clock() - m_started < m_settings.connections.startupPeriod;
     const double fraction = noPrimary || starting ? m_settings.longWaitFraction : m_settings.waitFraction;
     return std::min(
@@ -59,10 +93,10 @@
 {
     const Instant now = m_clock();
     std::vector<GatewayServer*> result;
-    const std::string primary = m_directory.primary(job.route.service, now);
     if (job.onPrimary) {
+        const std::string primary = primaryOf(job.route.service);
         const auto it = m_servers.find(primary);
-        if (it != m_servers.end() && usableAsPrimary(it->second))
+        if (it != m_servers.end() && usableAsPrimary(it->second) && leadsFor(job, primary))
             result.push_back(&it->second);
         return result;
     }
@@ -223,7 +257,7 @@
 double Gateway::capacityPerSecond(const Job& job) const
 {
     const Instant now = m_clock();
-    const std::string primary = m_directory.primary(job.route.service, now);
+    const std::string primary = primaryOf(job.route.service);
     double result = 0;
     for (const auto& [id, server] : m_servers) {
         const bool usable = server.service == job.route.service && m_directory.find(id) != nullptr
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection_allowance.h"
+#include "primary_lease.h"
 #include <map>
 
 namespace plantainwall {
@@ -19,6 +20,9 @@
     std::string promotionAddress; ///< ip:port of the promotion service; empty: this host requests no promotions.
     std::string logLevel = "info";
     bool firstStart = true; ///< The whole system starts for the first time.
+    /// The platform ends the lead of a primary at the moment another server is promoted, and rejects promotions with
+    /// an outdated fencing token. If not, hosts take a primary's word only while they hold a lease on it.
+    bool fencedPrimaries = true;
     Duration storeMinLease = std::chrono::seconds(1); ///< Shortest lease that the store grants.
     Duration drainLimit = std::chrono::seconds(7); ///< A draining server receives no new statements after this time.
     Duration shutdownGrace = std::chrono::seconds(6); ///< From SIGTERM to SIGKILL.
@@ -29,6 +33,7 @@
 
     // Constants of the design; not read from the settings file.
     ConnectionAllowanceSettings connections;
+    PrimaryLeaseSettings primaryLease;
     double waitFraction = 0.25; ///< A statement waits for at most this fraction of its latency objective.
     /// The same during a change of primary and in the startup period of a process, both of which are short.
     double longWaitFraction = 0.5;
--- a/src/gateway_settings_file.cpp
+++ b/src/gateway_settings_file.cpp
@@ -37,6 +37,7 @@
         { "promotions", &GatewaySettings::promotionAddress, ValueKind::OptionalEndpoint },
         { "log_level", &GatewaySettings::logLevel, ValueKind::Level },
         { "first_start", &GatewaySettings::firstStart },
+        { "fenced_primaries", &GatewaySettings::fencedPrimaries },
         { "store_min_lease", &GatewaySettings::storeMinLease, ValueKind::Text, false, secondUs / 10, 600 * secondUs },
         { "drain_limit", &GatewaySettings::drainLimit, ValueKind::Text, false, secondUs / 10, 600 * secondUs },
         { "shutdown_grace", &GatewaySettings::shutdownGrace, ValueKind::Text, false, secondUs / 10, 600 * secondUs },
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -71,6 +71,8 @@
     ServerProbed,
     ListingRelayed,
     DutyClaimOutdated,
+    PrimaryRecordChanged,
+    CommitNotConfirmed,
     Count
 };
 
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -82,6 +82,11 @@
         { 59, "duty_claim_outdated", LogLevel::Warn,
             "The promotion coordinator's item is a claim from an earlier era of the store; it is replaced after a "
             "lease." },
+        { 60, "primary_record_changed", LogLevel::Info,
+            "The record of the servers that may lead has changed; leases on the word of other servers have ended." },
+        { 61, "commit_not_confirmed", LogLevel::Warn,
+            "A server reported a commit while no lease on its word was held, so the caller was told that the outcome "
+            "is unknown." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/src/promotion_coordinator.cpp
+++ b/src/promotion_coordinator.cpp
@@ -134,11 +134,40 @@
         pollServers(name, now);
         if (mayOrder)
             planService(name, now);
+        if (m_guard != nullptr)
+            confirmPrimary(name);
     }
     for (auto it = m_members.begin(); it != m_members.end();)
         it = it->second->listedAt < now ? m_members.erase(it) : std::next(it);
 }
 
+// A coordinator that reaches an old primary alone must not take it for the present one.
+void PromotionCoordinator::confirmPrimary(const std::string& service)
+{
+    const auto plan = m_plans.find(service);
+    if (plan != m_plans.end() && !plan->second.watching())
+        return;
+    size_t servers = 0;
+    size_t answering = 0;
+    uint64_t newestTerm = 0;
+    const FailoverMember* leader = nullptr;
+    for (const auto& [id, member] : m_members) {
+        const FailoverMember& report = member->report;
+        if (member->service != service || !report.registered)
+            continue;
+        ++servers;
+        if (!report.status || report.silentSince)
+            continue;
+        ++answering;
+        const ServerStatus& status = *report.status;
+        newestTerm = std::max({ newestTerm, status.term, status.received.term, status.stoppedAtTerm });
+        if (status.primary && (leader == nullptr || leader->status->term < status.term))
+            leader = &report;
+    }
+    if (leader != nullptr && leader->status->term >= newestTerm && answering * 2 > servers)
+        m_guard->primaryConfirmed(service, leader->id, leader->status->term);
+}
+
 void PromotionCoordinator::planService(const std::string& service, Instant now)
 {
     std::vector<FailoverMember> reports;
@@ -178,7 +207,12 @@
     if (!allPolled)
         return;
     FailoverPlan& plan = m_plans.try_emplace(service).first->second;
-    carryOut(service, plan.step(now, primary, reports, m_gateway.directory().term(service)));
+    FailoverPlan::PermitPromotion permit;
+    if (m_guard != nullptr)
+        permit = [this, &service](const std::string& server, uint64_t term, bool demoted) {
+            return m_guard->mayPromote(service, server, term, demoted);
+        };
+    carryOut(service, plan.step(now, primary, reports, m_gateway.directory().term(service), permit));
     for (const auto& [id, startedUnixMs] : m_gateway.directory().settleLapsed(service, plan.settled(), now))
         logEvent(LogEvent::ServerRemoved,
             { { "service", service }, { "server", id }, { "started", startedUnixMs },
--- a/src/promotion_coordinator.h
+++ b/src/promotion_coordinator.h
@@ -2,6 +2,7 @@
 
 #include "failover_plan.h"
 #include "gateway.h"
+#include "lease_grantor.h"
 
 namespace plantainwall {
 
@@ -33,6 +34,9 @@
     void setActive(bool, uint64_t token);
     bool isActive() const { return m_active; }
 
+    /// Sets who permits promotions; without one all are permitted.
+    void setGuard(PromotionGuard& guard) { m_guard = &guard; }
+
     /// Returns whether a change of a primary failed because this host cannot reach the servers involved.
     bool serversUnreachable() const;
 
@@ -46,6 +50,7 @@
     void pollServers(const std::string& service, Instant now);
     Member& pollServer(const ServerEntry&, const std::string& customer, Instant now);
     void planService(const std::string& service, Instant now);
+    void confirmPrimary(const std::string& service);
     void probeIndirectly(const ServerEntry&, Member&);
     void carryOut(const std::string& service, const FailoverPlan::Step&);
     void promote(const std::string& service, const FailoverPlan::Step&);
@@ -58,6 +63,7 @@
     BackendConnector& m_connector;
     PromotionService& m_promotions;
     IndirectProbes& m_probes;
+    PromotionGuard* m_guard = nullptr;
     Gateway::Clock m_clock;
     std::string m_host;
     Metrics& m_metrics;
--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -308,15 +308,11 @@
     if (it == m_leadership.end())
         return {};
     const Leadership& leadership = it->second;
-    const auto deniedRecently = [&](const std::string& id) {
-        const auto denied = leadership.deniedAt.find(id);
-        return denied != leadership.deniedAt.end() && now - denied->second < m_settings.denialTime;
-    };
-    if (!leadership.id.empty() && find(leadership.id) != nullptr && !deniedRecently(leadership.id))
+    if (!leadership.id.empty() && find(leadership.id) != nullptr && !deniedRecently(service, leadership.id, now))
         return leadership.id;
     const ServerEntry* best = nullptr;
     for (const ServerEntry* member : members(service)) {
-        if (deniedRecently(member->id))
+        if (deniedRecently(service, member->id, now))
             continue;
         if (best == nullptr || (member->primary && !best->primary))
             best = member;
@@ -324,6 +320,15 @@
     return best == nullptr ? std::string() : best->id;
 }
 
+bool ServerDirectory::deniedRecently(const std::string& service, const std::string& id, Instant now) const
+{
+    const auto it = m_leadership.find(service);
+    if (it == m_leadership.end())
+        return false;
+    const auto denied = it->second.deniedAt.find(id);
+    return denied != it->second.deniedAt.end() && now - denied->second < m_settings.denialTime;
+}
+
 std::string ServerDirectory::knownPrimary(const std::string& service) const
 {
     const auto it = m_leadership.find(service);
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -132,6 +132,9 @@
     /// Returns the newest term that a server is known to have led, also if it denied being primary since; 0 if none.
     uint64_t ledTerm(const std::string& service, const std::string& id) const;
 
+    /// Returns whether a server denied being primary within the denial time.
+    bool deniedRecently(const std::string& service, const std::string& id, Instant now) const;
+
     /// Records that a server denied being primary.
     void noteNotPrimary(const std::string& service, const std::string& id, Instant now);
 
--- a/tests/support_fleet.cpp
+++ b/tests/support_fleet.cpp
@@ -359,8 +359,9 @@
     return entry;
 }
 
-FakeFleet::Host::Host(FakeFleet& fleet, size_t index, size_t regions, bool promotes)
-    : store(fleet.store)
+FakeFleet::Host::Host(FakeFleet& fleet, size_t index, const GatewaySettings& settings)
+    : fixture(settings)
+    , store(fleet.store)
     , port(fleet.channel, std::to_string(index))
     , quota(std::to_string(index), port, [&fleet] { return fleet.now; })
     , prober(
@@ -371,8 +372,7 @@
           fixture.gateway, fixture.connector, promotions, probes, [&fleet] { return fleet.now; }, std::to_string(index),
           fixture.metrics)
     , member(
-          hostSettings(index, regions, promotes), fixture.gateway, quota, coordinator, probes, store, fleet.decoder,
-          port,
+          settings, fixture.gateway, quota, coordinator, probes, store, fleet.decoder, port,
           [&fleet, index](Duration delay, std::function<void()> task) {
               fleet.timers.add(fleet.now + delay, [&fleet, index, task = std::move(task)] {
                   if (fleet.dead.count(index) == 0)
@@ -383,7 +383,7 @@
 {
 }
 
-GatewaySettings FakeFleet::Host::hostSettings(size_t index, size_t regions, bool promotes)
+GatewaySettings FakeFleet::Host::hostSettings(size_t index, size_t regions, bool promotes, bool fenced)
 {
     GatewaySettings settings;
     settings.host = std::to_string(index);
@@ -391,16 +391,17 @@
     settings.region = std::to_string(index % regions);
     settings.dataCentre = settings.region;
     settings.promotionAddress = promotes ? "127.0.0.1:1" : "";
+    settings.fencedPrimaries = fenced;
     return settings;
 }
 
-FakeFleet::FakeFleet(size_t n, size_t regions, bool promotes)
+FakeFleet::FakeFleet(size_t n, size_t regions, bool promotes, bool fenced)
 {
     store.put("config", "1");
     for (const char* id : { "p", "r1", "r2" })
         store.put(std::string("s/") + id, id[0] == 'p' ? "primary" : "replica");
     for (size_t i = 0; i < n; ++i) {
-        hosts.push_back(std::make_unique<Host>(*this, i, regions, promotes));
+        hosts.push_back(std::make_unique<Host>(*this, i, Host::hostSettings(i, regions, promotes, fenced)));
         hosts.back()->member.start();
     }
 }
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -199,8 +199,12 @@
 /// Several entry hosts over one store, in virtual time.
 struct FakeFleet {
     struct Host {
-        Host(FakeFleet&, size_t index, size_t regions, bool promotes);
-        static GatewaySettings hostSettings(size_t index, size_t regions, bool promotes);
+        Host(FakeFleet&, size_t index, const GatewaySettings&);
+        Host(FakeFleet& fleet, size_t index, size_t regions, bool promotes)
+            : Host(fleet, index, hostSettings(index, regions, promotes, true))
+        {
+        }
+        static GatewaySettings hostSettings(size_t index, size_t regions, bool promotes, bool fenced);
 
         GatewayFixture fixture;
         FakeHostStore store;
@@ -214,8 +218,8 @@
     };
 
     /// Hosts are assigned to the regions in turn. If they promote, the coordinator changes every few seconds, because
-    /// no server is reachable.
-    explicit FakeFleet(size_t hosts, size_t regions = 1, bool promotes = true);
+    /// no server is reachable. fenced: see GatewaySettings::fencedPrimaries.
+    explicit FakeFleet(size_t hosts, size_t regions = 1, bool promotes = true, bool fenced = true);
 
     void pass(Duration);
 
--- a/tests/support_gateway.cpp
+++ b/tests/support_gateway.cpp
@@ -46,9 +46,9 @@
     return links.size();
 }
 
-GatewayFixture::GatewayFixture()
+GatewayFixture::GatewayFixture(const GatewaySettings& settings)
     : gateway(
-        GatewaySettings(), connector, quota, [this] { return now; }, metrics, 1)
+        settings, connector, quota, [this] { return now; }, metrics, 1)
 {
     gateway.setConfiguration(configuration(1));
     for (const char* id : { "p", "r1", "r2" }) {
--- a/tests/support_gateway.h
+++ b/tests/support_gateway.h
@@ -79,7 +79,7 @@
 /// A gateway with one service that has a primary "p" and two replicas "r1" and "r2", and one route for each
 /// consistency: "primary", "bounded" and "own". The key of customer "hatter" is "key".
 struct GatewayFixture {
-    GatewayFixture();
+    explicit GatewayFixture(const GatewaySettings& = {});
 
     /// Opens a session and returns its number.
     uint64_t open(FakeCaller&, const std::string& database);
--- a/tests/unit_failover_plan.cpp
+++ b/tests/unit_failover_plan.cpp
@@ -398,3 +398,38 @@
     BOOST_REQUIRE(demoted);
     BOOST_TEST(fleet.plan.failedAttempts() > 0U);
 }
+
+// Where a replaced primary may go on leading, the replicas stay stopped until the promotion is permitted, however long
+// that takes.
+BOOST_AUTO_TEST_CASE(promotion_waits_for_its_permission)
+{
+    Fleet fleet;
+    fleet.step("p");
+    fleet.silence("p");
+    fleet.get("p").refused = true;
+    bool permitted = false;
+    bool demoted = true;
+    const FailoverPlan::PermitPromotion permit = [&](const std::string&, uint64_t, bool wasDemoted) {
+        demoted = wasDemoted;
+        return permitted;
+    };
+    const auto advance = [&] {
+        fleet.now += std::chrono::milliseconds(50);
+        for (const char* id : { "r1", "r2" })
+            fleet.answer(id);
+        FailoverPlan::Step step = fleet.plan.step(fleet.now, "p", fleet.members, fleet.term, permit);
+        if (step.action == FailoverAction::StopReceiving) {
+            for (const std::string& id : step.servers)
+                fleet.stop(id, step.term);
+        }
+        return step.action;
+    };
+    for (int i = 0; i < 100; ++i) {
+        const FailoverAction action = advance();
+        BOOST_TEST((action != FailoverAction::Promote && action != FailoverAction::ResumeReceiving));
+    }
+    BOOST_TEST(!demoted);
+    BOOST_TEST(!fleet.plan.watching());
+    permitted = true;
+    BOOST_TEST((advance() == FailoverAction::Promote));
+}
