Reject odd entries and messages at the boundary, and go on after an error in a handler

Callers saw nothing yet; operators of similar systems saw hosts end again and again, or stop following the list of databases. Cause: numbers were converted without a range check (a server with 4,294,967,295 slots, a start in the year, relayed state of a negative age), addresses were taken unparsed, and an exception in any handler ended the process. An entry whose seq_no has another type was accepted with 0 before; its test now expects the rejection, as such an entry comes from another writer.

--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -1,8 +1,8 @@
 #include "fleet_member.h"
+#include "json_number.h"
 #include "log_event.h"
 #include <algorithm>
 #include <charconv>
-#include <cpprest/json.h>
 
 namespace plantainwall {
 
@@ -144,7 +144,7 @@
         try {
             const web::json::value value = web::json::value::parse(it->second.value);
             const std::string host = value.at("host").as_string();
-            const auto incarnation = static_cast<uint64_t>(value.at("incarnation").as_number().to_int64());
+            const auto incarnation = unsignedFrom(value.at("incarnation"));
             if (host == m_gatewaySettings.host)
                 continue;
             listed.insert(host);
--- a/src/fleet_member_leases.cpp
+++ b/src/fleet_member_leases.cpp
@@ -1,8 +1,8 @@
 #include "fleet_member.h"
+#include "json_number.h"
 #include "log_event.h"
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
-#include <cpprest/json.h>
 #include <sstream>
 
 // Leases on the word of primaries: the record in the store, and its confirmation by the coordinator.
@@ -16,14 +16,6 @@
     constexpr std::string_view requestWord = "lease? ";
     constexpr std::string_view replyWord = "lease! ";
 
-    uint64_t readNumber(const value& object, const char* name)
-    {
-        const web::json::number number = object.at(name).as_number();
-        if (!number.is_uint64())
-            throw std::runtime_error(std::string(name) + " is out of range");
-        return number.to_uint64();
-    }
-
 } // namespace
 
 const std::string FleetMember::primaryRecordKey = std::string(StoreFollower::ownPrefix) + "primaries";
@@ -95,8 +87,8 @@
     if (now >= m_leaseRequestAt)
         requestLease();
     const bool unconfirmed = now - m_gateway.primaryLeases().confirmedAt() >= m_settings.leaseReadAfter;
-    const bool readDue = unconfirmed || (m_granting && m_leaseGrantor.readDue())
-        || (m_recordReadFailed && m_follower.reachable());
+    const bool readDue
+        = unconfirmed || (m_granting && m_leaseGrantor.readDue()) || (m_recordReadFailed && m_follower.reachable());
     if (readDue && !m_readingRecord && now >= m_recordReadAt)
         readPrimaryRecord();
 }
@@ -249,24 +241,24 @@
         const auto it = m_peers.find(host);
         if (it == m_peers.end() || !m_granting)
             return true;
-        const PrimaryRecordVersion held { readNumber(request, "e"), readNumber(request, "r") };
+        const PrimaryRecordVersion held { unsignedFrom(request.at("e")), unsignedFrom(request.at("r")) };
         it->second.storeReachable = request.at("s").as_bool();
         it->second.leaseRequestedAt = m_clock();
         m_leaseGrantor.acknowledged(host, held);
         if (mayGrantLeases())
             m_channel.send(
-                it->second.address, leaseReply(readNumber(request, "n"), !(held == m_leaseGrantor.version())));
+                it->second.address, leaseReply(unsignedFrom(request.at("n")), !(held == m_leaseGrantor.version())));
         return true;
     }
     if (!boost::algorithm::starts_with(text, replyWord))
         return false;
     const value reply = value::parse(text.substr(replyWord.size()));
-    const PrimaryRecordVersion version { readNumber(reply, "e"), readNumber(reply, "r") };
+    const PrimaryRecordVersion version { unsignedFrom(reply.at("e")), unsignedFrom(reply.at("r")) };
     if (version.era != m_follower.era())
         return true;
     if (reply.has_field("v"))
         adoptPrimaryRecord(version, reply.at("v").as_string(), "coordinator");
-    const uint64_t number = readNumber(reply, "n");
+    const uint64_t number = unsignedFrom(reply.at("n"));
     if (number == 0)
         requestLease(); // Acknowledges the version.
     else if (number == m_leaseRequest)
--- a/src/fleet_member_reports.cpp
+++ b/src/fleet_member_reports.cpp
@@ -1,7 +1,7 @@
 #include "fleet_member.h"
+#include "json_number.h"
 #include "log_event.h"
 #include <algorithm>
-#include <cpprest/json.h>
 
 // Reports between entry hosts, and detection of unreachable hosts.
 
@@ -181,7 +181,7 @@
         }
         const web::json::value value = web::json::value::parse(datagram);
         const std::string host = value.at("h").as_string();
-        const auto incarnation = static_cast<uint64_t>(value.at("i").as_number().to_int64());
+        const auto incarnation = unsignedFrom(value.at("i"));
         const auto it = m_peers.find(host);
         if (it == m_peers.end() || incarnation < it->second.incarnation)
             return;
@@ -197,7 +197,7 @@
         if (value.has_field("p")) {
             for (const auto& [service, entry] : value.at("p").as_object()) {
                 const std::string id = entry.at(0).as_string();
-                const auto term = static_cast<uint64_t>(entry.at(1).as_number().to_int64());
+                const auto term = unsignedFrom(entry.at(1));
                 if (!m_gateway.directory().noteReportedPrimary(service, id, term))
                     continue;
                 // The source reports it to all hosts; this host need not repeat it.
--- a/src/link_message.cpp
+++ b/src/link_message.cpp
@@ -1,5 +1,5 @@
 #include "link_message.h"
-#include <cpprest/json.h>
+#include "json_number.h"
 
 namespace plantainwall {
 
@@ -15,10 +15,7 @@
 
     template <typename Enum> value number(Enum value) { return value::number(static_cast<uint32_t>(value)); }
 
-    uint64_t numberAt(const value& fields, size_t index)
-    {
-        return static_cast<uint64_t>(fields.at(index).as_number().to_int64());
-    }
+    uint64_t numberAt(const value& fields, size_t index) { return unsignedFrom(fields.at(index)); }
 
     template <typename Enum> Enum enumAt(const value& fields, size_t index)
     {
--- a/src/peer_datagrams.cpp
+++ b/src/peer_datagrams.cpp
@@ -34,9 +34,10 @@
         boost::asio::buffer(m_buffer), m_sender, [this](const boost::system::error_code& ec, size_t n) {
             if (ec == boost::asio::error::operation_aborted)
                 return;
+            const std::string datagram = ec ? std::string() : std::string(m_buffer.data(), n);
+            receive(); // First, so that an error in the handler does not end the reception.
             if (!ec)
-                m_handler(std::string(m_buffer.data(), n));
-            receive();
+                m_handler(datagram);
         });
 }
 
--- a/src/position_exchange.cpp
+++ b/src/position_exchange.cpp
@@ -1,4 +1,5 @@
 #include "position_exchange.h"
+#include "json_number.h"
 #include "log_event.h"
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
@@ -13,10 +14,7 @@
     constexpr std::string_view requestWord = "evidence? ";
     constexpr std::string_view answerWord = "evidence! ";
 
-    uint64_t number(const value& array, size_t index)
-    {
-        return static_cast<uint64_t>(array.at(index).as_number().to_int64());
-    }
+    constexpr Duration maxAge = std::chrono::hours(24);
 
 } // namespace
 
@@ -87,12 +85,14 @@
     if (!boost::algorithm::starts_with(text, answerWord))
         return false;
     const value answer = value::parse(text.substr(answerWord.size()));
-    if (!m_requestPending || static_cast<uint64_t>(answer.at("n").as_number().to_int64()) != m_number)
+    if (!m_requestPending || unsignedFrom(answer.at("n")) != m_number)
         return true;
     m_requestPending = false;
     for (const auto& [service, known] : answer.at("e").as_object()) {
-        const Duration age(static_cast<int64_t>(number(known, 2)));
-        m_holder.positionReceived(service, { { number(known, 0), number(known, 1) }, m_requestedAt - age });
+        // A position of the future would cover commits that it does not know.
+        const Duration age(static_cast<int64_t>(unsignedFrom(known.at(2), maxAge.count())));
+        const LogPosition position { unsignedFrom(known.at(0)), unsignedFrom(known.at(1)) };
+        m_holder.positionReceived(service, { position, m_requestedAt - age });
     }
     return true;
 }
--- a/src/primary_lease.cpp
+++ b/src/primary_lease.cpp
@@ -1,6 +1,6 @@
 #include "primary_lease.h"
+#include "json_number.h"
 #include <algorithm>
-#include <cpprest/json.h>
 #include <utility>
 
 namespace plantainwall {
@@ -20,17 +20,10 @@
 LeasedPrimaries decodePrimaryRecord(std::string_view text, uint64_t& era)
 {
     const web::json::value record = web::json::value::parse(std::string(text));
-    const web::json::number recordEra = record.at("era").as_number();
-    if (!recordEra.is_uint64())
-        throw std::runtime_error("era is out of range");
     LeasedPrimaries primaries;
-    for (const auto& [service, entry] : record.at("primaries").as_object()) {
-        const web::json::number term = entry.at(1).as_number();
-        if (!term.is_uint64())
-            throw std::runtime_error("term is out of range");
-        primaries[service] = { entry.at(0).as_string(), term.to_uint64() };
-    }
-    era = recordEra.to_uint64();
+    for (const auto& [service, entry] : record.at("primaries").as_object())
+        primaries[service] = { entry.at(0).as_string(), unsignedFrom(entry.at(1)) };
+    era = unsignedFrom(record.at("era"));
     return primaries;
 }
 
--- a/src/replica_record.cpp
+++ b/src/replica_record.cpp
@@ -1,4 +1,5 @@
 #include "replica_record.h"
+#include "json_number.h"
 #include "log_event.h"
 #include "store_follower.h"
 #include <algorithm>
@@ -12,13 +13,6 @@
 
     using Json = web::json::value;
 
-    uint64_t unsignedFrom(const Json& json)
-    {
-        if (!json.as_number().is_uint64())
-            throw std::invalid_argument("not an unsigned integer");
-        return json.as_number().to_uint64();
-    }
-
     Replica replicaFrom(const std::string& service, const Json& json)
     {
         Replica replica;
@@ -28,9 +22,7 @@
         entry.address = json.at("address").as_string();
         entry.dataCentre = json.at("data_centre").as_string();
         entry.startedUnixMs = unsignedFrom(json.at("started"));
-        if (!json.at("slots").as_number().is_uint32())
-            throw std::invalid_argument("slots out of range");
-        entry.slots = json.at("slots").as_number().to_uint32();
+        entry.slots = static_cast<unsigned>(unsignedFrom(json.at("slots"), std::numeric_limits<uint32_t>::max()));
         entry.draining = json.has_field("draining") && json.at("draining").as_bool();
         entry.primary = json.has_field("primary") && json.at("primary").as_bool();
         if (entry.id.empty() || entry.address.empty())
--- a/src/store_relay.cpp
+++ b/src/store_relay.cpp
@@ -1,4 +1,5 @@
 #include "store_relay.h"
+#include "json_number.h"
 #include <algorithm>
 #include <cpprest/json.h>
 #include <xxhash.h>
@@ -11,6 +12,8 @@
 
     constexpr std::string_view datagramPrefix = "store! ";
 
+    constexpr Duration maxAge = std::chrono::hours(24);
+
     /// Datagrams up to this size are not fragmented.
     constexpr size_t maxDatagramBytes = 1200;
 
@@ -83,13 +86,12 @@
 StoreEvents decodeStoreEvents(std::string_view datagram)
 {
     const value body = value::parse(std::string(datagram.substr(datagramPrefix.size())));
-    const auto number = [](const value& object, const char* name) {
-        return static_cast<uint64_t>(object.at(name).as_number().to_int64());
-    };
+    const auto number = [](const value& object, const char* name) { return unsignedFrom(object.at(name)); };
     StoreEvents events;
     events.from = number(body, "f");
     events.to = number(body, "t");
-    events.age = Duration(static_cast<int64_t>(number(body, "a")));
+    // A negative age would make the state seem newer than it is.
+    events.age = Duration(static_cast<int64_t>(unsignedFrom(body.at("a"), maxAge.count())));
     if (body.has_field("e"))
         events.era = number(body, "e");
     if (!body.has_field("i"))
--- a/tests/unit_store_client.cpp
+++ b/tests/unit_store_client.cpp
@@ -202,5 +202,46 @@
     BOOST_TEST(entry(R"(,"born":1700000000123,"seq_no":41)").sequence == 41U);
     BOOST_TEST(entry(R"(,"born":1700000000123,"seq_no":41)").startedUnixMs == 1700000000123U);
     BOOST_TEST(entry("").sequence == 0U);
-    BOOST_TEST(entry(R"(,"seq_no":"x")").sequence == 0U);
+    BOOST_CHECK_THROW(entry(R"(,"seq_no":"x")"), std::exception);
+}
+
+// Another writer's entry names no server: not one with four billion slots, one that nobody can reach, or one whose
+// start makes the true entries of its id seem older.
+BOOST_AUTO_TEST_CASE(odd_server_entries_are_rejected)
+{
+    const DocumentDecoder decoder;
+    const std::map<std::string, std::string> good { { "service", R"("a")" }, { "address", R"("127.0.0.1:1")" },
+        { "zone", R"("z")" }, { "slots", "2" }, { "state", R"("ready")" }, { "db_role", R"("replica")" },
+        { "born", "1700000000123" }, { "seq_no", "41" } };
+    const auto textWith = [&](const std::string& name, const std::string& value) {
+        std::string text;
+        for (const auto& [field, normal] : good) {
+            if (field != name || !value.empty())
+                text += (text.empty() ? "{" : ",") + ("\"" + field + "\":") + (field == name ? value : normal);
+        }
+        return text + "}";
+    };
+    BOOST_TEST(decoder.server({ "servers/i-1", textWith("", ""), 5, false }).slots == 2U);
+    const std::pair<const char*, std::vector<std::string>> odd[] = {
+        { "service", { "", "3", "null", "{}", R"("")" } },
+        { "address",
+            { "", "7", R"("10.0.0.1:99999")", R"("10.0.0.1:-1")", R"("10.0.0.1:0")", R"("10.0.0.1")", R"("nowhere:80")",
+                R"("")" } },
+        { "zone", { "", "1", "[]" } },
+        { "slots", { "", "0", "-1", "1e30", "2.5", "1099511627776", "11111111111111111111111111", R"("2")", "true" } },
+        { "state", { "", "1", R"("gone")" } },
+        { "db_role", { "", R"("leader")" } },
+        { "born", { "0", "-5", "1e300", "9223372036854775807", "4102444800000000", R"("x")", "null" } },
+        { "seq_no", { "18446744073709551616", "1e400", "-1", "null", "{}" } },
+    };
+    for (const auto& [field, values] : odd) {
+        for (const std::string& value : values)
+            BOOST_CHECK_THROW(decoder.server({ "servers/i-1", textWith(field, value), 5, false }), std::exception);
+    }
+    for (const size_t depth : { 200U, 100000U })
+        BOOST_CHECK_THROW(
+            decoder.server({ "servers/i-1", std::string(depth, '[') + std::string(depth, ']'), 5, false }),
+            std::exception);
+    BOOST_CHECK_THROW(decoder.server({ "servers/i-1", "\xff\xfe", 5, false }), std::exception);
+    BOOST_CHECK_THROW(decoder.server({ "servers/", textWith("", ""), 5, false }), std::exception);
 }
