--- a/src/change_exchange.cpp
+++ b/src/change_exchange.cpp
@@ -2,7 +2,6 @@
 #include "log_event.h"
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
-#include <set>
 #include <sstream>
 #include <zlib.h>
 
@@ -16,13 +15,7 @@
     /// Largest accepted unpacked answer, in bytes: twice the limit of a store value, because of its encoding.
     constexpr size_t maxUnpackedBytes = 2 * 1024 * 1024;
 
-    size_t bytesOf(const StoreEvents& events)
-    {
-        size_t bytes = 0;
-        for (const StoreItem& item : events.items)
-            bytes += item.key.size() + item.value.size();
-        return bytes;
-    }
+    size_t bytesOf(const StoreItem& item) { return item.key.size() + item.value.size(); }
 
     /// Returns the text's size, a blank and the compressed text.
     std::string pack(const std::string& text)
@@ -70,8 +63,11 @@
         return;
     m_era = era;
     m_kept.clear();
+    m_keptFrom = 0;
+    m_keptTo = 0;
     m_keptBytes = 0;
-    m_packedChanges = {};
+    m_packedChanges.clear();
+    m_waiting.clear();
     m_packedListing = {};
     m_requestHost.clear();
     m_parts.clear();
@@ -81,17 +77,29 @@
 {
     if (events.from >= events.to || events.era != m_era)
         return;
-    if (!m_kept.empty() && m_kept.back().to != events.from) {
+    if (m_keptTo != events.from) {
         m_kept.clear();
         m_keptBytes = 0;
+        m_keptFrom = events.from;
+        m_packedChanges.clear();
         m_packedListing = {}; // The changes that follow it are not kept any more.
     }
-    m_kept.push_back(events);
-    m_keptBytes += bytesOf(events);
+    m_keptTo = events.to;
+    for (const StoreItem& item : events.items) {
+        const auto [it, added] = m_kept.try_emplace(item.key);
+        if (!added)
+            m_keptBytes -= bytesOf(it->second);
+        it->second = item;
+        m_keptBytes += bytesOf(item);
+    }
     while (m_kept.size() > 1 && m_keptBytes > m_settings.maxKeptBytes) {
-        m_keptBytes -= bytesOf(m_kept.front());
-        m_kept.pop_front();
+        const auto oldest = std::min_element(m_kept.begin(), m_kept.end(),
+            [](const auto& a, const auto& b) { return a.second.revision < b.second.revision; });
+        m_keptFrom = std::max(m_keptFrom, oldest->second.revision);
+        m_keptBytes -= bytesOf(oldest->second);
+        m_kept.erase(oldest);
     }
+    answerWaiting();
 }
 
 void ChangeExchange::tick(std::optional<uint64_t> missingAfter, const Sources& sources)
@@ -160,25 +168,56 @@
     return m_packedListing;
 }
 
-const ChangeExchange::Packed& ChangeExchange::changesAfter(uint64_t revision)
+const ChangeExchange::Packed& ChangeExchange::changesAfter(uint64_t revision, uint64_t to)
 {
     static const Packed none;
-    if (m_kept.empty() || revision < m_kept.front().from || revision >= m_kept.back().to)
+    for (const Packed& packed : m_packedChanges) {
+        if (packed.from == revision && (packed.to == to || packed.to == m_keptTo))
+            return packed;
+    }
+    if (revision < m_keptFrom || revision >= m_keptTo)
         return none;
-    if (m_packedChanges.from == revision && m_packedChanges.to == m_kept.back().to)
-        return m_packedChanges;
     StoreEvents all;
     all.era = m_era;
     all.from = revision;
-    all.to = m_kept.back().to;
-    for (const StoreEvents& events : m_kept) {
-        for (const StoreItem& item : events.items) {
-            if (item.revision > revision)
-                all.items.push_back(item);
-        }
+    all.to = m_keptTo;
+    for (const auto& [key, item] : m_kept) {
+        if (item.revision > revision)
+            all.items.push_back(item);
+    }
+    std::stable_sort(all.items.begin(), all.items.end(),
+        [](const StoreItem& a, const StoreItem& b) { return a.revision < b.revision; });
+    m_packedChanges.push_back({ pack(encodeAllStoreEvents(all)), all.from, all.to, m_clock() });
+    if (m_packedChanges.size() > m_settings.maxPacked)
+        m_packedChanges.pop_front();
+    return m_packedChanges.back();
+}
+
+void ChangeExchange::sendParts(
+    const std::string& address, uint64_t number, const Packed& packed, const std::set<size_t>& missing)
+{
+    const size_t count = (packed.text.size() + m_settings.partBytes - 1) / m_settings.partBytes;
+    for (size_t i = 0; i < count; ++i) {
+        if (!missing.empty() && missing.count(i) == 0)
+            continue;
+        std::ostringstream part;
+        part << partWord << number << ' ' << packed.to << ' ' << i << ' ' << count << ' ';
+        part << std::string_view(packed.text).substr(i * m_settings.partBytes, m_settings.partBytes);
+        m_channel.send(address, part.str());
+    }
+}
+
+void ChangeExchange::answerWaiting()
+{
+    const Instant now = m_clock();
+    for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+        const WaitingRequest& request = it->second;
+        const Packed& packed = changesAfter(request.after, 0);
+        const bool expired = now - request.at >= m_settings.waitingTime;
+        if (!expired && !packed.text.empty())
+            sendParts(request.address, request.number, packed, {});
+        it = expired || !packed.text.empty() ? m_waiting.erase(it) : std::next(it);
     }
-    m_packedChanges = { pack(encodeAllStoreEvents(all)), all.from, all.to, m_clock() };
-    return m_packedChanges;
 }
 
 void ChangeExchange::answerRequest(const std::string& request, const AddressOf& addressOf)
@@ -193,24 +232,25 @@
     if (era != m_era)
         return;
     const std::string address = addressOf(host);
-    const Packed& packed = revision == 0 ? listing() : changesAfter(revision);
-    if (address.empty() || packed.text.empty())
+    if (address.empty())
         return; // The requesting host will try another host.
-    const size_t count = (packed.text.size() + m_settings.partBytes - 1) / m_settings.partBytes;
     uint64_t knownTo = 0;
     std::set<size_t> missing;
-    if (text >> knownTo && knownTo == packed.to) {
+    if (text >> knownTo) {
         for (size_t index = 0; text >> index;)
             missing.insert(index);
     }
-    for (size_t i = 0; i < count; ++i) {
-        if (!missing.empty() && missing.count(i) == 0)
-            continue;
-        std::ostringstream part;
-        part << partWord << number << ' ' << packed.to << ' ' << i << ' ' << count << ' ';
-        part << std::string_view(packed.text).substr(i * m_settings.partBytes, m_settings.partBytes);
-        m_channel.send(address, part.str());
+    if (revision != 0 && revision >= m_keptTo) {
+        if (m_waiting.size() < m_settings.maxWaiting || m_waiting.count(host) != 0)
+            m_waiting[host] = { address, number, revision, m_clock() };
+        return;
     }
+    const Packed& packed = revision == 0 ? listing() : changesAfter(revision, knownTo);
+    if (packed.text.empty())
+        return;
+    if (knownTo != packed.to)
+        missing.clear();
+    sendParts(address, number, packed, missing);
 }
 
 std::optional<StoreEvents> ChangeExchange::receivePart(const std::string& part)
--- a/src/change_exchange.h
+++ b/src/change_exchange.h
@@ -3,6 +3,8 @@
 #include "avoided_hosts.h"
 #include "store_relay.h"
 #include <deque>
+#include <map>
+#include <set>
 
 namespace plantainwall {
 
@@ -14,6 +16,10 @@
 /// host send it to all. The answer is compressed and split into datagrams. The requesting host assembles them, requests
 /// lost parts again, and then tries another host. StoreFollower reads changes from the store that no host can supply.
 ///
+/// Only the last change of each key is kept and sent: in a series of configurations the requesting host needs none but
+/// the newest. A request for changes that this host is about to receive is answered when it has them, so that hosts can
+/// pass changes on in several steps without waiting for repeated requests.
+///
 /// A request for the changes after revision 0 is answered with a complete listing: hosts that the store refuses need
 /// one after it has been replaced by a copy.
 class ChangeExchange {
@@ -22,7 +28,12 @@
         Duration answerTimeout = std::chrono::milliseconds(150); ///< More than a round trip between regions.
         unsigned tries = 4; ///< Requests to one host; all but the first list the missing parts.
         Duration avoidanceTime = std::chrono::seconds(2); ///< A host that did not answer gets no request for this long.
-        size_t maxKeptBytes = 512 * 1024; ///< Keys and values of past changes: several configurations.
+        size_t maxKeptBytes = 512 * 1024; ///< Keys and values of past changes, the last of each key.
+        /// Packed answers that are reused. While changes come in quick succession, each host misses others, and asks
+        /// again for lost parts of an answer that is no longer the newest.
+        size_t maxPacked = 8;
+        size_t maxWaiting = 64; ///< Hosts that wait for changes that this host does not know yet.
+        Duration waitingTime = std::chrono::seconds(1); ///< A host that waits longer has asked another one.
         size_t partBytes = 1100; ///< Payload of one datagram, which is then not fragmented.
         size_t maxParts = 1024; ///< Parts of one answer: enough for the store's limit of a megabyte per value.
         /// A listing is packed once for all hosts that request it within this time, and for requests of lost parts.
@@ -66,8 +77,19 @@
     void startRequest(const std::string& host, const std::string& address, uint64_t after);
     void answerRequest(const std::string& request, const AddressOf&);
     std::optional<StoreEvents> receivePart(const std::string& part);
-    const Packed& changesAfter(uint64_t revision);
+    /// Returns the changes after a revision: the answer up to revision `to` if it is still kept, else the newest.
+    const Packed& changesAfter(uint64_t revision, uint64_t to);
     const Packed& listing();
+    void sendParts(const std::string& address, uint64_t number, const Packed&, const std::set<size_t>& missing);
+    void answerWaiting();
+
+    /// A request for changes that this host does not know yet.
+    struct WaitingRequest {
+        std::string address;
+        uint64_t number = 0;
+        uint64_t after = 0;
+        Instant at;
+    };
 
     std::string m_host;
     PeerChannel& m_channel;
@@ -75,9 +97,12 @@
     Listing m_listing;
     Settings m_settings;
     uint64_t m_era = 0;
-    std::deque<StoreEvents> m_kept; ///< Contiguous.
+    std::map<std::string, StoreItem> m_kept; ///< Last change of each key.
+    uint64_t m_keptFrom = 0; ///< All changes after this revision and up to m_keptTo are known.
+    uint64_t m_keptTo = 0;
     size_t m_keptBytes = 0;
-    Packed m_packedChanges;
+    std::deque<Packed> m_packedChanges; ///< The newest last.
+    std::map<std::string, WaitingRequest> m_waiting; ///< By host.
     Packed m_packedListing;
     uint64_t m_requestNumber = 0;
     std::string m_requestHost; ///< Host of the pending request; empty if none is pending.
--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -1,4 +1,5 @@
 #include "fleet_member.h"
+#include "host_capacity.h"
 #include "json_number.h"
 #include "log_event.h"
 #include <algorithm>
@@ -156,6 +157,8 @@
                 peer.address = value.at("address").as_string();
                 peer.region = value.has_field("region") ? value.at("region").as_string() : std::string();
                 peer.dataCentre = value.has_field("data_centre") ? value.at("data_centre").as_string() : std::string();
+                const double capacity = value.has_field("capacity") ? value.at("capacity").as_double() : 0;
+                peer.capacity = capacity > 0 ? capacity : 1;
             }
         } catch (const std::exception& error) {
             logEvent(LogEvent::StoreItemRejected, { { "key", it->first }, { "reason", error.what() } });
@@ -222,6 +225,7 @@
     value["region"] = web::json::value::string(m_gatewaySettings.region);
     value["data_centre"] = web::json::value::string(m_gatewaySettings.dataCentre);
     value["incarnation"] = web::json::value::number(m_incarnation);
+    value["capacity"] = web::json::value::number(m_gatewaySettings.capacity);
     StoreWrite write;
     write.key = hostsPrefix + m_gatewaySettings.host + "/" + std::to_string(m_incarnation) + "/"
         + std::to_string(lease.era) + "-" + std::to_string(lease.number);
@@ -262,6 +266,9 @@
 void FleetMember::tick()
 {
     const Instant now = m_clock();
+    if (now - m_tickedAt > m_settings.maxTickGap)
+        m_lateTickAt = now;
+    m_tickedAt = now;
     if (now >= m_reportAt)
         sendReports();
     sendFirstReports();
@@ -277,7 +284,7 @@
             relayState();
     }
     m_positionExchange.tick([this] { return watchingHosts(); });
-    m_changeExchange.tick(m_follower.missingAfter(), [this] { return watchingHosts(); });
+    m_changeExchange.tick(m_follower.missingAfter(), [this] { return changeSources(); });
     m_quota.tick();
     tickReplicaRecords();
     tickLeases();
@@ -291,6 +298,8 @@
 {
     const Instant now = m_clock();
     m_fleetChanged = false;
+    m_lenders.clear();
+    double strongest = m_gatewaySettings.capacity;
     std::map<std::string, std::string> reachableHosts;
     for (auto it = m_peers.begin(); it != m_peers.end();) {
         Peer& peer = it->second;
@@ -298,13 +307,22 @@
             it = m_peers.erase(it);
             continue;
         }
-        if (!peer.silent)
+        if (!peer.silent) {
             reachableHosts[it->first] = peer.address;
+            strongest = std::max(strongest, peer.capacity);
+        }
         ++it;
     }
+    std::set<std::string> weakHosts;
+    if (!isStrongHost(m_gatewaySettings.capacity, strongest))
+        weakHosts.insert(m_gatewaySettings.host);
+    for (const auto& [host, address] : reachableHosts) {
+        if (!isStrongHost(m_peers.at(host).capacity, strongest))
+            weakHosts.insert(host);
+    }
     m_gateway.setHosts(m_peers.size() + 1);
     m_gateway.setSharedConnections(largeFleet());
-    m_quota.setFleet(std::move(reachableHosts), m_peers.size() + 1);
+    m_quota.setFleet(std::move(reachableHosts), m_peers.size() + 1, std::move(weakHosts));
 }
 
 size_t FleetMember::reachableHostCount() const
@@ -314,26 +332,42 @@
     }));
 }
 
-std::vector<std::pair<std::string, std::string>> FleetMember::lenders(const std::string& dataCentre) const
+const std::vector<LenderCandidate>& FleetMember::lenders(const std::string& dataCentre) const
 {
-    std::vector<std::pair<std::string, std::string>> hosts;
+    const auto [it, added] = m_lenders.try_emplace(dataCentre);
+    std::vector<LenderCandidate>& hosts = it->second;
     const auto region = m_gatewaySettings.regionOfDataCentre.find(dataCentre);
-    if (!largeFleet() || region == m_gatewaySettings.regionOfDataCentre.end())
+    if (!added || !largeFleet() || region == m_gatewaySettings.regionOfDataCentre.end())
         return hosts;
+    std::vector<double> capacities;
+    const auto add
+        = [&](const std::string& host, const std::string& address, const std::string& itsDataCentre, double capacity) {
+              // A lender beside the server saves a passage between data centres.
+              hosts.push_back({ host, address, itsDataCentre == dataCentre ? LenderRank::Near : LenderRank::InRegion });
+              capacities.push_back(capacity);
+          };
     if (region->second == m_gatewaySettings.region && !m_leaving && !m_gateway.draining())
-        hosts.emplace_back(m_gatewaySettings.host, std::string());
+        add(m_gatewaySettings.host, std::string(), m_gatewaySettings.dataCentre, m_gatewaySettings.capacity);
     for (const auto& [host, peer] : m_peers) {
         if (peer.region == region->second && !peer.silent && !peer.address.empty())
-            hosts.emplace_back(host, peer.address);
+            add(host, peer.address, peer.dataCentre, peer.capacity);
+    }
+    const double strongest = capacities.empty() ? 0 : *std::max_element(capacities.begin(), capacities.end());
+    for (size_t i = 0; i < hosts.size(); ++i) {
+        if (!isStrongHost(capacities[i], strongest))
+            hosts[i].rank = LenderRank::Weak;
     }
     return hosts;
 }
 
 size_t FleetMember::lendingHosts() const
 {
-    return 1 + static_cast<size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& peer) {
-        return !peer.second.silent && peer.second.region == m_gatewaySettings.region;
-    }));
+    const std::vector<LenderCandidate>& hosts = lenders(m_gatewaySettings.dataCentre);
+    const auto own = std::find_if(hosts.begin(), hosts.end(), [](const auto& it) { return it.address.empty(); });
+    if (own == hosts.end() || own->rank != LenderRank::Near)
+        return std::max<size_t>(1, hosts.size());
+    return static_cast<size_t>(
+        std::count_if(hosts.begin(), hosts.end(), [](const auto& it) { return it.rank == LenderRank::Near; }));
 }
 
 void FleetMember::leave()
@@ -341,6 +375,7 @@
     if (m_leaving)
         return;
     m_leaving = true;
+    m_lenders.clear();
     for (const auto& [host, peer] : m_peers)
         m_channel.send(peer.address, report(ReportKind::Leaving, {}));
     resignCoordination();
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -29,6 +29,7 @@
         /// Number of hosts per region that watch the store and relay its changes: in a large fleet for all hosts, in a
         /// small one for hosts that cannot reach the store.
         size_t relaysPerRegion = 3; ///< A third of the hosts may lose the store at the same time.
+        size_t hostsPerDistributor = 16; ///< Hosts of a data centre that request changes from the same one of them.
         Duration relayInterval = std::chrono::milliseconds(500); ///< Period of relaying the store's revision.
         /// Large fleets send only every Nth report to hosts of other regions, because those links are narrow.
         unsigned crossRegionReportPeriod = 3;
@@ -43,7 +44,12 @@
         /// Two round trips between regions, with time for busy hosts.
         Duration probeRepeatDelay = std::chrono::milliseconds(250);
         Duration probeTimeout = std::chrono::milliseconds(600); ///< A host that answers neither probe is unreachable.
-        Duration probePause = std::chrono::seconds(2); ///< Between two probes of all hosts.
+        Duration probePause = std::chrono::seconds(2); ///< Between two probes.
+        /// Hosts that are probed first. All are probed only if more than an eighth of these do not answer: a partition
+        /// affects as many, and hundreds of hosts that probe all others keep them from answering.
+        size_t probeSample = 24;
+        /// A host that was not running for this long during a probe may not have read the answers yet.
+        Duration maxTickGap = std::chrono::milliseconds(120);
         /// A host whose registration has ended may still admit operations; its fraction of the rates is reserved for
         /// this long.
         Duration quotaReservationTime = std::chrono::seconds(20);
@@ -85,8 +91,8 @@
     /// Returns whether the fleet is large enough for a few hosts to watch the store and share connections for all.
     bool largeFleet() const;
 
-    /// Returns names and addresses of the reachable hosts in the data centre's region; empty in a small fleet.
-    std::vector<std::pair<std::string, std::string>> lenders(const std::string& dataCentre) const override;
+    /// Returns the reachable hosts in the data centre's region; empty in a small fleet. Valid until the next event.
+    const std::vector<LenderCandidate>& lenders(const std::string& dataCentre) const override;
 
     /// Returns the newest era of the store that this host has seen; 0 if the store reports none.
     uint64_t storeEra() const { return m_follower.era(); }
@@ -117,6 +123,7 @@
         std::string address;
         std::string region;
         std::string dataCentre; ///< Empty if unknown.
+        double capacity = 1; ///< Cores of the host.
         uint64_t incarnation = 0;
         Instant listedAt; ///< First seen in the store.
         Instant lastSeen;
@@ -166,6 +173,8 @@
     void sendReports();
     void sendFirstReports();
     void probe();
+    void startProbe(bool all);
+    void sendProbes();
     void noteSilent(const std::string& host, Peer&, const std::string& reason);
     Duration reportInterval() const;
     Duration silenceTimeout(const Peer&) const;
@@ -202,6 +211,8 @@
     std::vector<RelayCandidate> relayCandidates() const;
     std::vector<std::string> relays(const std::string& region) const;
     std::vector<std::pair<std::string, std::string>> watchingHosts() const;
+    std::vector<std::pair<std::string, std::string>> changeSources() const;
+    void rotate(std::vector<std::pair<std::string, std::string>>& sources) const;
     void relay(const StoreEvents&);
     void relayState();
 
@@ -237,6 +248,8 @@
     std::map<std::string, Instant> m_unrecordedSince;
     bool m_replicaItemsChanged = false; ///< The own items or the configured services have changed since the last tick.
     std::map<std::string, Peer> m_peers; ///< Registered hosts other than this one, by name.
+    /// Results of lenders(), because ranking a large fleet for each statement would cost more than the statement.
+    mutable std::map<std::string, std::vector<LenderCandidate>> m_lenders;
     uint64_t m_registrationLease = 0; ///< Granted in the newest era; 0: none.
     std::string m_registrationKey;
     uint64_t m_registrationRevision = 0; ///< Revision of this host's last registration; 0: none in the newest era.
@@ -258,6 +271,10 @@
     Instant m_reportAt;
     Instant m_probeStarted; ///< Start of the current probe; zero if there is none.
     bool m_probeRepeated = false;
+    std::vector<std::string> m_probed; ///< Hosts that are being probed.
+    bool m_probesAll = false;
+    Instant m_tickedAt;
+    Instant m_lateTickAt; ///< When tick() was last called later than maxTickGap after the call before.
     Instant m_noProbeBefore;
     bool m_fleetChanged = false; ///< fleetChanged() has to run in the next tick.
     Instant m_relayAt;
--- a/src/fleet_member_coordinator.cpp
+++ b/src/fleet_member_coordinator.cpp
@@ -195,11 +195,14 @@
 // Those that reach a server that the last coordinator may not have reached come first.
 Duration FleetMember::claimDelay(Duration least)
 {
-    const auto hashOf = [](const std::string& host) { return XXH64(host.data(), host.size(), 0); };
-    const uint64_t own = hashOf(m_gatewaySettings.host);
+    // The coordinator polls every server, which takes more than a weak host has.
+    const auto rankOf = [](const std::string& host, double capacity) {
+        return std::make_pair(-capacity, XXH64(host.data(), host.size(), 0));
+    };
+    const auto own = rankOf(m_gatewaySettings.host, m_gatewaySettings.capacity);
     const auto earlierClaimants = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& peer) {
         return peer.second.registered && peer.second.storeReachable && !isUnreachable(peer.second)
-            && hashOf(peer.first) < own;
+            && rankOf(peer.first, peer.second.capacity) < own;
     });
     const size_t steps = std::min(static_cast<size_t>(earlierClaimants), maxClaimSteps);
     // A new process does not know the fleet yet, and must not order promotions before the settle time.
@@ -222,6 +225,7 @@
 void FleetMember::resignCoordination()
 {
     m_resigned = true;
+    m_lenders.clear(); // A host that shuts down lends no more.
     handOverCoordination();
 }
 
--- a/src/fleet_member_relay.cpp
+++ b/src/fleet_member_relay.cpp
@@ -10,11 +10,11 @@
 {
     std::vector<RelayCandidate> candidates;
     if (m_follower.reachable())
-        candidates.push_back({ m_gatewaySettings.host, m_gatewaySettings.region });
+        candidates.push_back({ m_gatewaySettings.host, m_gatewaySettings.region, m_gatewaySettings.capacity });
     for (const auto& [host, peer] : m_peers) {
         // Registrations that a copy of the store lacks do not matter: the host reports that it reaches the store.
         if (peer.storeReachable && !isUnreachable(peer))
-            candidates.push_back({ host, peer.region });
+            candidates.push_back({ host, peer.region, peer.capacity });
     }
     return candidates;
 }
@@ -72,11 +72,42 @@
         if (it != m_peers.end() && !it->second.address.empty())
             sources.emplace_back(host, it->second.address);
     }
-    // Each host starts with a different source, which spreads the load.
+    rotate(sources);
+    return sources;
+}
+
+// Each host starts with a different source, which spreads the load.
+void FleetMember::rotate(std::vector<std::pair<std::string, std::string>>& sources) const
+{
     if (!sources.empty())
         std::rotate(
             sources.begin(), sources.begin() + static_cast<ptrdiff_t>(m_incarnation % sources.size()), sources.end());
-    return sources;
+}
+
+// Load pattern: a configuration of some ten kilobytes for 150 hosts of a region every 0.3 s. Three relays cannot send
+// it to all in time, and most of it would cross data centres. So a few hosts of each data centre request changes from
+// the relays, and the others from those, which answer as soon as they have them.
+std::vector<std::pair<std::string, std::string>> FleetMember::changeSources() const
+{
+    std::vector<std::pair<std::string, std::string>> sources = watchingHosts();
+    if (m_source != StoreSource::Relay || !largeFleet())
+        return sources;
+    std::vector<RelayCandidate> local { { m_gatewaySettings.host, m_gatewaySettings.dataCentre,
+        m_gatewaySettings.capacity } };
+    for (const auto& [host, peer] : m_peers) {
+        if (peer.dataCentre == m_gatewaySettings.dataCentre && !peer.address.empty() && !isUnreachable(peer))
+            local.push_back({ host, peer.dataCentre, peer.capacity });
+    }
+    const size_t count = (local.size() + m_settings.hostsPerDistributor - 1) / m_settings.hostsPerDistributor;
+    const std::vector<std::string> distributors = relaysOf(m_gatewaySettings.dataCentre, local, count);
+    if (std::find(distributors.begin(), distributors.end(), m_gatewaySettings.host) != distributors.end())
+        return sources;
+    std::vector<std::pair<std::string, std::string>> near;
+    for (const std::string& host : distributors)
+        near.emplace_back(host, m_peers.at(host).address);
+    rotate(near);
+    near.insert(near.end(), sources.begin(), sources.end());
+    return near;
 }
 
 void FleetMember::relay(const StoreEvents& events)
--- a/src/fleet_member_reports.cpp
+++ b/src/fleet_member_reports.cpp
@@ -116,41 +116,72 @@
     }
 }
 
+void FleetMember::startProbe(bool all)
+{
+    m_probeStarted = m_clock();
+    m_probeRepeated = false;
+    m_probesAll = all || m_peers.size() <= 2 * m_settings.probeSample;
+    m_probed.clear();
+    for (const auto& [host, peer] : m_peers) {
+        if (!peer.silent && peer.lastSeen < m_probeStarted)
+            m_probed.push_back(host);
+    }
+    if (!m_probesAll) {
+        std::shuffle(m_probed.begin(), m_probed.end(), m_random);
+        m_probed.resize(std::min(m_probed.size(), m_settings.probeSample));
+    }
+    sendProbes();
+}
+
+void FleetMember::sendProbes()
+{
+    const std::string text = report(ReportKind::ReplyRequested, {});
+    for (const std::string& host : m_probed) {
+        const auto it = m_peers.find(host);
+        if (it != m_peers.end() && !it->second.silent && it->second.lastSeen < m_probeStarted)
+            m_channel.send(it->second.address, text);
+    }
+}
+
 // After a partition each side counts customers' operations again on its own reachable hosts. Missing reports reveal a
-// partition only after several intervals, so several hosts with unanswered requests trigger a probe of all hosts.
+// partition only after several intervals, so several hosts with unanswered requests trigger a probe.
 void FleetMember::probe()
 {
     const Instant now = m_clock();
-    const auto sendProbes = [&](Instant unlessSeenSince) {
-        const std::string text = report(ReportKind::ReplyRequested, {});
-        for (const auto& [host, peer] : m_peers) {
-            if (!peer.silent && peer.lastSeen < unlessSeenSince)
-                m_channel.send(peer.address, text);
-        }
-    };
     if (m_probeStarted == Instant()) {
         const bool useful = reportInterval() * m_settings.maxMissedReports > 2 * m_settings.probeTimeout;
-        if (!useful || m_quota.unresponsiveHosts() < m_settings.unresponsiveHosts || now < m_noProbeBefore)
-            return;
-        m_probeStarted = now;
-        m_probeRepeated = false;
-        sendProbes(now);
+        if (useful && m_quota.unresponsiveHosts() >= m_settings.unresponsiveHosts && now >= m_noProbeBefore)
+            startProbe(false);
         return;
     }
     if (!m_probeRepeated && now - m_probeStarted >= m_settings.probeRepeatDelay) {
         m_probeRepeated = true;
-        sendProbes(m_probeStarted);
+        sendProbes();
     }
     if (now - m_probeStarted < m_settings.probeTimeout)
         return;
-    for (auto& [host, peer] : m_peers) {
-        if (peer.silent || peer.lastSeen >= m_probeStarted)
-            continue;
-        noteSilent(host, peer, "did not answer a probe");
-        peer.probeFailed = true;
+    std::vector<std::string> unanswered;
+    for (const std::string& host : m_probed) {
+        const auto it = m_peers.find(host);
+        if (it != m_peers.end() && !it->second.silent && it->second.lastSeen < m_probeStarted)
+            unanswered.push_back(host);
+    }
+    const bool inconclusive = m_lateTickAt >= m_probeStarted;
+    const bool many = unanswered.size() * 8 > m_probed.size();
+    if (!inconclusive && many && !m_probesAll) {
+        startProbe(true);
+        return;
     }
     m_probeStarted = Instant();
     m_noProbeBefore = now + m_settings.probePause;
+    // Of a sample, single hosts that do not answer may be restarting; their reports tell.
+    if (inconclusive || !m_probesAll)
+        return;
+    for (const std::string& host : unanswered) {
+        Peer& peer = m_peers.at(host);
+        noteSilent(host, peer, "did not answer a probe");
+        peer.probeFailed = true;
+    }
     fleetChanged();
 }
 
--- a/src/gateway_settings_file.cpp
+++ b/src/gateway_settings_file.cpp
@@ -12,7 +12,7 @@
     enum class ValueKind : uint8_t { Text, Endpoint, OptionalEndpoint, Level, Count };
 
     using Target = std::variant<std::string GatewaySettings::*, Duration GatewaySettings::*, size_t GatewaySettings::*,
-        bool GatewaySettings::*>;
+        bool GatewaySettings::*, double GatewaySettings::*>;
 
     struct Key {
         std::string_view name;
@@ -24,6 +24,8 @@
     };
 
     constexpr int64_t secondUs = 1000000;
+    constexpr double minCapacity = 0.001;
+    constexpr double maxCapacity = 1024;
 
     const Key keys[] = {
         { "host", &GatewaySettings::host, ValueKind::Text, true },
@@ -42,6 +44,7 @@
         { "drain_limit", &GatewaySettings::drainLimit, ValueKind::Text, false, secondUs / 10, 600 * secondUs },
         { "shutdown_grace", &GatewaySettings::shutdownGrace, ValueKind::Text, false, secondUs / 10, 600 * secondUs },
         { "large_fleet", &GatewaySettings::largeFleet, ValueKind::Text, false, 2, 1 << 20 },
+        { "capacity", &GatewaySettings::capacity },
         { "max_descriptors", &GatewaySettings::maxDescriptors, ValueKind::Text, false, 64, 1 << 24 },
     };
 
@@ -89,6 +92,15 @@
             return {};
         }
 
+        std::string operator()(double GatewaySettings::*target) const
+        {
+            const double value = node.is_number() ? node.value_or(0.0) : 0.0;
+            if (!(value >= minCapacity && value <= maxCapacity))
+                return "must be a number of cores from 0.001 to 1024";
+            settings.*target = value;
+            return {};
+        }
+
         std::string operator()(bool GatewaySettings::*target) const
         {
             if (!node.is_boolean())
--- a/src/link_borrower.cpp
+++ b/src/link_borrower.cpp
@@ -80,28 +80,30 @@
     const Candidates& candidates, const std::string& server, const std::string& customer)
 {
     const Instant now = m_clock();
-    const std::pair<std::string, std::string>* best = nullptr;
+    const LenderCandidate* best = nullptr;
     uint64_t bestWeight = 0;
     const auto failedLenders = m_lendersWithoutServer.find(server);
-    for (const std::pair<std::string, std::string>& lender : candidates) {
-        if (m_avoided.contains(lender.first, now))
+    // A large customer's connections are spread over several lenders, those to one server are with one of them.
+    const std::string key = customer + ' ' + server;
+    for (const LenderCandidate& lender : candidates) {
+        if ((best != nullptr && lender.rank > best->rank) || m_avoided.contains(lender.host, now))
             continue;
-        if (failedLenders != m_lendersWithoutServer.end() && failedLenders->second.count(lender.first) != 0)
+        if (failedLenders != m_lendersWithoutServer.end() && failedLenders->second.count(lender.host) != 0)
             continue;
-        const uint64_t weight = Placement::weight(lender.first, customer);
-        if (best == nullptr || weight > bestWeight) {
+        const uint64_t weight = Placement::weight(lender.host, key);
+        if (best == nullptr || lender.rank < best->rank || weight > bestWeight) {
             best = &lender;
             bestWeight = weight;
         }
     }
-    if (best == nullptr || best->first == m_host || best->second.empty())
+    if (best == nullptr || best->address.empty())
         return nullptr;
-    std::unique_ptr<Lender>& lender = m_lenders[best->first];
+    std::unique_ptr<Lender>& lender = m_lenders[best->host];
     if (lender == nullptr) {
         lender = std::make_unique<Lender>();
-        lender->host = best->first;
+        lender->host = best->host;
         Lender* const raw = lender.get();
-        lender->stream = m_streams.connect(best->second,
+        lender->stream = m_streams.connect(best->address,
             { [this, raw](std::string_view line) { handleLine(*raw, line); },
                 [this, raw] { lenderLost(*raw, "the stream was closed"); } });
     }
@@ -111,14 +113,16 @@
 BackendConnector& LinkBorrower::ownConnector(const Candidates& candidates) const
 {
     const bool lends = std::any_of(
-        candidates.begin(), candidates.end(), [&](const auto& candidate) { return candidate.first == m_host; });
+        candidates.begin(), candidates.end(), [](const LenderCandidate& it) { return it.address.empty(); });
     return lends ? m_pool : m_direct;
 }
 
 std::unique_ptr<BackendLink> LinkBorrower::open(
     const ServerEntry& entry, const std::string& customer, BackendObserver& observer)
 {
-    const Candidates candidates = m_lenderChoice != nullptr ? m_lenderChoice->lenders(entry.dataCentre) : Candidates();
+    Candidates candidates;
+    if (m_lenderChoice != nullptr)
+        candidates = m_lenderChoice->lenders(entry.dataCentre);
     Lender* const lender = chooseLender(candidates, entry.id, customer);
     if (lender == nullptr)
         return ownConnector(candidates).open(entry, customer, observer);
--- a/src/link_borrower.h
+++ b/src/link_borrower.h
@@ -2,18 +2,33 @@
 
 #include "avoided_hosts.h"
 #include "link_message.h"
+#include <gsl/span>
 #include <vector>
 
 namespace plantainwall {
 
+/// Hosts of an earlier rank lend while one of them can.
+enum class LenderRank : uint8_t {
+    Near, ///< In the server's data centre.
+    InRegion,
+    Weak, ///< With little processor capacity.
+    Count
+};
+
+/// A host that may lend connections.
+struct LenderCandidate {
+    std::string host;
+    std::string address; ///< Empty for this host.
+    LenderRank rank = LenderRank::Near;
+};
+
 /// Selects the hosts from which connections to backend servers may be borrowed.
 class LenderChoice {
 public:
     virtual ~LenderChoice() = default;
-    /// Returns name and address of the hosts that may lend connections to servers of a data centre. If this host is one
-    /// of the lenders, it is listed with an empty address. An empty result means that every host opens its own
-    /// connections.
-    virtual std::vector<std::pair<std::string, std::string>> lenders(const std::string& dataCentre) const = 0;
+    /// Returns the hosts that may lend connections to servers of a data centre. An empty result means that every host
+    /// opens its own connections.
+    virtual const std::vector<LenderCandidate>& lenders(const std::string& dataCentre) const = 0;
 };
 
 struct LinkBorrowerSettings {
@@ -51,7 +66,7 @@
     struct Link;
     struct Lender;
 
-    using Candidates = std::vector<std::pair<std::string, std::string>>;
+    using Candidates = gsl::span<const LenderCandidate>;
 
     Lender* chooseLender(const Candidates&, const std::string& server, const std::string& customer);
     BackendCloseReason reasonToReport(const Lender&, const Link&, BackendCloseReason);
--- a/src/quota_exchange.cpp
+++ b/src/quota_exchange.cpp
@@ -3,6 +3,7 @@
 #include "placement.h"
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace plantainwall {
 
@@ -41,13 +42,16 @@
 
 std::string QuotaExchange::chooseQuotaHost(const std::string& customer) const
 {
+    const auto weightOf = [&](const std::string& host) {
+        return std::make_pair(m_weakHosts.count(host) == 0, Placement::weight(host, customer));
+    };
     std::string best = m_host;
-    uint64_t bestWeight = Placement::weight(m_host, customer);
+    std::pair<bool, uint64_t> bestWeight = weightOf(m_host);
     for (const auto& [host, address] : m_reachableHosts) {
-        const uint64_t w = Placement::weight(host, customer);
-        if (w > bestWeight && m_unresponsiveUntil.count(host) == 0) {
+        const std::pair<bool, uint64_t> weight = weightOf(host);
+        if (weight > bestWeight && m_unresponsiveUntil.count(host) == 0) {
             best = host;
-            bestWeight = w;
+            bestWeight = weight;
         }
     }
     return best;
@@ -78,12 +82,14 @@
     m_refusedUntil.erase(customer);
 }
 
-void QuotaExchange::setFleet(std::map<std::string, std::string> reachableHosts, size_t fleetSize)
+void QuotaExchange::setFleet(
+    std::map<std::string, std::string> reachableHosts, size_t fleetSize, std::set<std::string> weakHosts)
 {
     m_fleetSize = std::max(fleetSize, reachableHosts.size() + 1);
-    if (reachableHosts == m_reachableHosts)
+    if (reachableHosts == m_reachableHosts && weakHosts == m_weakHosts)
         return;
     m_reachableHosts = std::move(reachableHosts);
+    m_weakHosts = std::move(weakHosts);
     for (auto it = m_unresponsiveUntil.begin(); it != m_unresponsiveUntil.end();)
         it = m_reachableHosts.count(it->first) == 0 ? m_unresponsiveUntil.erase(it) : std::next(it);
     updateQuotaHosts();
@@ -162,6 +168,7 @@
 void QuotaExchange::send(uint64_t number, TokenRequest& request)
 {
     ++request.attempts;
+    request.prolonged = false;
     request.sentAt = m_clock();
     const auto it = m_reachableHosts.find(request.host);
     if (it == m_reachableHosts.end())
@@ -225,8 +232,15 @@
         changed = changed || expired;
         it = expired ? m_unresponsiveUntil.erase(it) : std::next(it);
     }
+    const Duration gap = std::chrono::duration_cast<Duration>(now - m_tickedAt);
+    const bool late = m_tickedAt != Instant() && gap > m_settings.maxTickGap;
+    m_tickedAt = now;
     std::vector<uint64_t> due;
     for (auto& [number, request] : m_requests) {
+        if (late && !request.prolonged) {
+            request.prolonged = true;
+            request.sentAt += gap;
+        }
         if (now - request.sentAt >= m_settings.answerTimeout)
             due.push_back(number);
     }
--- a/src/quota_exchange.h
+++ b/src/quota_exchange.h
@@ -2,6 +2,7 @@
 
 #include "gateway_ports.h"
 #include "quota_buckets.h"
+#include <set>
 
 namespace plantainwall {
 
@@ -26,6 +27,8 @@
     struct Settings {
         Duration answerTimeout = std::chrono::milliseconds(150); ///< Longer than a round trip between regions.
         unsigned maxAttemptsPerHost = 2; ///< Unanswered attempts after which a host counts as unresponsive.
+        /// After a longer time without a call of tick() this host may not have read the answers yet.
+        Duration maxTickGap = std::chrono::milliseconds(100);
         unsigned maxHosts = 2; ///< Hosts tried for one request before this host decides it by its own bucket.
         /// After a refusal, further operations of the customer are refused on this host for up to this long.
         Duration refusalCacheTime = std::chrono::milliseconds(40);
@@ -40,7 +43,9 @@
     void requestToken(const std::string& customer, std::function<void(QuotaBuckets::Verdict)>) override;
 
     /// Sets the other reachable hosts (name to address) and the number of hosts in the fleet, this one included.
-    void setFleet(std::map<std::string, std::string> reachableHosts, size_t fleetSize);
+    /// @param weakHosts Hosts among them, or this one, that count operations only if no other host can.
+    void setFleet(
+        std::map<std::string, std::string> reachableHosts, size_t fleetSize, std::set<std::string> weakHosts = {});
 
     /// Handles a request or an answer from another host. Returns false if the datagram is neither.
     bool datagram(const std::string&);
@@ -64,6 +69,7 @@
         std::function<void(QuotaBuckets::Verdict)> handler;
         Instant sentAt;
         unsigned attempts = 0; ///< Sent to the current host.
+        bool prolonged = false; ///< The time in which this host did not run was not counted; once an attempt.
         unsigned hostsTried = 0;
     };
 
@@ -84,6 +90,8 @@
     std::map<std::string, Instant> m_refusedUntil;
     std::map<std::string, std::string> m_reachableHosts;
     std::map<std::string, Instant> m_unresponsiveUntil; ///< Hosts that did not answer, and until when they are avoided.
+    std::set<std::string> m_weakHosts;
+    Instant m_tickedAt; ///< Last call of tick(); zero before the first.
     size_t m_fleetSize = 1;
     uint64_t m_nextNumber = 1;
     std::map<uint64_t, TokenRequest> m_requests;
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -81,6 +81,7 @@
 
 void StoreFollower::applyListing(const std::vector<StoreItem>& listing, uint64_t revision)
 {
+    const StoreEvents changes = changesTo(listing, revision);
     std::vector<ServerEntry> servers;
     m_items.clear();
     for (const StoreItem& item : listing) {
@@ -101,6 +102,36 @@
     m_emptyWatches = 0;
     m_observer.serversListed(servers);
     m_observer.ownItemsChanged();
+    if (changes.from == changes.to)
+        return;
+    m_observer.changesApplied(changes);
+    m_observer.eventsRead(changes);
+}
+
+// Load pattern: the store drops its history in a fleet of hundreds of hosts. The hosts that watch it list it; the
+// others get the difference from them instead of listing too.
+StoreEvents StoreFollower::changesTo(const std::vector<StoreItem>& listing, uint64_t revision) const
+{
+    StoreEvents changes;
+    if (!m_listed || revision <= m_revision)
+        return changes;
+    changes.from = m_revision;
+    changes.to = revision;
+    changes.era = m_era;
+    changes.age = std::chrono::duration_cast<Duration>(m_clock() - m_stateAsOf);
+    std::set<std::string_view> listed;
+    for (const StoreItem& item : listing) {
+        listed.insert(item.key);
+        if (item.revision > m_revision)
+            changes.items.push_back(item);
+    }
+    std::stable_sort(changes.items.begin(), changes.items.end(),
+        [](const StoreItem& a, const StoreItem& b) { return a.revision < b.revision; });
+    for (const auto& [key, item] : m_items) {
+        if (listed.count(key) == 0)
+            changes.items.push_back({ key, std::string(), revision, true });
+    }
+    return changes;
 }
 
 bool StoreFollower::acceptsRelayedState() const
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -138,6 +138,9 @@
     void watch();
     void watchAnswered(const StoreItems&, Instant sentAt, Duration wait);
     void applyListing(const std::vector<StoreItem>&, uint64_t revision);
+    /// Returns the changes from the known state to a complete listing of the same era; without revisions if there was
+    /// no listing before, or the listing is not newer.
+    StoreEvents changesTo(const std::vector<StoreItem>& listing, uint64_t revision) const;
     bool acceptsRelayedState() const;
     bool listingMissing() const;
     void advance(const std::vector<StoreItem>&, uint64_t to);
--- a/src/store_relay.cpp
+++ b/src/store_relay.cpp
@@ -1,7 +1,9 @@
 #include "store_relay.h"
+#include "host_capacity.h"
 #include "json_number.h"
 #include <algorithm>
 #include <cpprest/json.h>
+#include <tuple>
 #include <xxhash.h>
 
 namespace plantainwall {
@@ -112,16 +114,20 @@
 
 std::vector<std::string> relaysOf(const std::string& region, gsl::span<const RelayCandidate> candidates, size_t count)
 {
-    std::vector<std::pair<uint64_t, std::string>> ranked;
+    double strongest = 0;
+    for (const RelayCandidate& candidate : candidates)
+        strongest = candidate.region == region ? std::max(strongest, candidate.capacity) : strongest;
+    std::vector<std::tuple<bool, uint64_t, std::string>> ranked; // Weak, hash of the name, name.
     for (const RelayCandidate& candidate : candidates) {
         if (candidate.region == region)
-            ranked.emplace_back(XXH64(candidate.host.data(), candidate.host.size(), 0), candidate.host);
+            ranked.emplace_back(!isStrongHost(candidate.capacity, strongest),
+                XXH64(candidate.host.data(), candidate.host.size(), 0), candidate.host);
     }
     const size_t n = std::min(count, ranked.size());
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<ptrdiff_t>(n), ranked.end());
     std::vector<std::string> hosts;
     for (size_t i = 0; i < n; ++i)
-        hosts.push_back(ranked[i].second);
+        hosts.push_back(std::get<std::string>(ranked[i]));
     return hosts;
 }
 
--- a/src/store_relay.h
+++ b/src/store_relay.h
@@ -33,10 +33,11 @@
 struct RelayCandidate {
     std::string host;
     std::string region;
+    double capacity = 1; ///< Cores of the host.
 };
 
-/// Returns up to count relays of a region: the hosts with the lowest hashes of their names. All hosts choose the same
-/// relays without communication, and the role is spread over data centres.
+/// Returns up to count relays of a region: the strong hosts with the lowest hashes of their names, then the others. All
+/// hosts choose the same relays without communication, and the role is spread over data centres.
 std::vector<std::string> relaysOf(const std::string& region, gsl::span<const RelayCandidate>, size_t count);
 
 } // namespace plantainwall
--- a/tests/unit_change_exchange.cpp
+++ b/tests/unit_change_exchange.cpp
@@ -258,3 +258,61 @@
     BOOST_TEST(!changes.has_value());
     BOOST_TEST(!requester.datagram("store! {}", Fixture::addressOf, changes));
 }
+
+// Load pattern: configurations in quick succession. A host that missed several gets the newest alone.
+BOOST_FIXTURE_TEST_CASE(only_the_last_change_of_a_key_is_sent, Fixture)
+{
+    for (uint64_t revision = 11; revision <= 30; ++revision) {
+        StoreEvents events = change(revision, 20000);
+        events.items.front().key = revision % 5 == 0 ? "other" : "config";
+        source.keep(events);
+    }
+    tick(10);
+    const std::optional<StoreEvents> read = deliver();
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->from == 10U);
+    BOOST_TEST(read->to == 30U);
+    BOOST_REQUIRE(read->items.size() == 2U);
+    BOOST_TEST(read->items[0].revision == 29U);
+    BOOST_TEST(read->items[1].revision == 30U);
+}
+
+// Guards against a transfer that starts anew with each change and never ends: changes come faster than a weak host
+// receives them, and parts get lost.
+BOOST_FIXTURE_TEST_CASE(a_transfer_ends_although_newer_changes_come, Fixture)
+{
+    source.keep(change(11, 30000));
+    lost = [](size_t n) { return n % 4 == 0; };
+    tick(10);
+    std::optional<StoreEvents> read = deliver();
+    for (uint64_t revision = 12; revision <= 15 && !read; ++revision) {
+        now += milliseconds(150);
+        StoreEvents newer = change(revision, 30000);
+        newer.items.front().key = "config";
+        source.keep(newer);
+        const size_t before = network.sent.size();
+        tick(10);
+        read = deliver();
+        BOOST_TEST(network.sent.size() - before < 20U); // The lost parts only.
+    }
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->to == 11U);
+}
+
+// A host that has not received a change yet itself answers as soon as it has.
+BOOST_FIXTURE_TEST_CASE(a_request_waits_for_the_change, Fixture)
+{
+    source.keep(change(11, 100));
+    tick(11);
+    BOOST_TEST(!deliver().has_value());
+    source.keep(change(12, 5000));
+    const std::optional<StoreEvents> read = deliver();
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->to == 12U);
+    tick(12);
+    deliver();
+    now += seconds(2);
+    const size_t sent = network.sent.size();
+    source.keep(change(13, 100));
+    BOOST_TEST(network.sent.size() == sent); // It has asked another host since.
+}
--- a/tests/unit_fleet_member.cpp
+++ b/tests/unit_fleet_member.cpp
@@ -475,3 +475,25 @@
         BOOST_TEST(fleet.hosts[reaching]->coordinator.isActive());
     }
 }
+
+// Load pattern: a few of 120 hosts are too busy to answer in time. The others find out that they are not partitioned
+// without asking all hosts, which would keep those busy as well.
+BOOST_AUTO_TEST_CASE(a_few_busy_hosts_cause_few_probes)
+{
+    FakeFleet fleet(120);
+    addCustomers(fleet);
+    fleet.pass(seconds(15));
+    fleet.lost = [](const FakePeerNetwork::Datagram& datagram) { return std::stoul(datagram.to) % 40 == 7; };
+    fleet.channel.sent.clear();
+    for (int i = 0; i < 40; ++i) {
+        requestTokensOnAllHosts(fleet);
+        fleet.pass(milliseconds(100));
+    }
+    size_t probes = 0;
+    for (const FakePeerNetwork::Datagram& datagram : fleet.channel.sent)
+        probes += datagram.text.front() == '{' && datagram.text.find("\"q\"") != std::string::npos ? 1 : 0;
+    // Two or three probes of each host within four seconds, each of 24 hosts at most and repeated once.
+    BOOST_TEST(probes <= 120U * 3 * 48);
+    for (size_t i = 0; i < fleet.hosts.size(); ++i)
+        BOOST_TEST((i % 40 == 7 || fleet.hosts[i]->member.reachableHostCount() >= 117U));
+}
--- a/tests/unit_gateway_decisions.cpp
+++ b/tests/unit_gateway_decisions.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 #include <queue>
 #include <random>
+#include <set>
 
 using namespace plantainwall;
 
@@ -298,3 +299,48 @@
     BOOST_TEST(holdingBack.inTime >= 2 * sendingEverything.inTime);
     BOOST_TEST(holdingBack.late * 10 <= holdingBack.inTime);
 }
+
+// Weak hosts count operations only if no strong one is reachable.
+BOOST_AUTO_TEST_CASE(strong_hosts_count_operations)
+{
+    QuotaFleet fleet(8);
+    std::map<std::string, std::string> others;
+    for (int i = 1; i < 8; ++i)
+        others["h" + std::to_string(i)] = std::to_string(i);
+    const std::set<std::string> weak { "h0", "h1", "h2", "h4", "h5", "h6", "h7" };
+    fleet.hosts[0]->setFleet(others, 8, weak);
+    for (int i = 0; i < 40; ++i) {
+        fleet.hosts[0]->setLimit({ "c" + std::to_string(i), 10, 10 });
+        BOOST_TEST(fleet.hosts[0]->quotaHost("c" + std::to_string(i)) == "h3");
+    }
+    others.erase("h3");
+    fleet.hosts[0]->setFleet(others, 8, weak);
+    std::set<std::string> chosen;
+    for (int i = 0; i < 40; ++i)
+        chosen.insert(fleet.hosts[0]->quotaHost("c" + std::to_string(i)));
+    BOOST_TEST(chosen.size() > 3U);
+}
+
+// Load pattern: a host with little processor capacity is busy for a while. Answers that it has not read yet do not make
+// others unresponsive; those that do not come later do.
+BOOST_AUTO_TEST_CASE(time_without_running_is_not_the_silence_of_others)
+{
+    QuotaFleet fleet(2);
+    const size_t asking = fleet.hosts[0]->quotaHost("hatter") == "h0" ? 1 : 0;
+    bool answered = false;
+    fleet.hosts[asking]->tick();
+    fleet.hosts[asking]->requestToken("hatter", [&](QuotaBuckets::Verdict) { answered = true; });
+    fleet.now += milliseconds(800);
+    fleet.hosts[asking]->tick();
+    BOOST_TEST(fleet.hosts[asking]->unresponsiveHosts() == 0U);
+    fleet.deliver();
+    BOOST_TEST(answered);
+    fleet.hosts[asking]->requestToken("hatter", [](QuotaBuckets::Verdict) {});
+    fleet.messages = {};
+    for (int i = 0; i < 12; ++i) { // Each tick is late.
+        fleet.now += milliseconds(200);
+        fleet.hosts[asking]->tick();
+        fleet.messages = {};
+    }
+    BOOST_TEST(fleet.hosts[asking]->unresponsiveHosts() == 1U);
+}
--- a/tests/unit_link_borrower.cpp
+++ b/tests/unit_link_borrower.cpp
@@ -62,7 +62,7 @@
         return std::make_unique<Stream>(*this, address);
     }
 
-    std::vector<std::pair<std::string, std::string>> lenders(const std::string& dataCentre) const override
+    const std::vector<LenderCandidate>& lenders(const std::string& dataCentre) const override
     {
         BOOST_TEST(dataCentre == "mill");
         return choice;
@@ -108,7 +108,7 @@
     FakeConnector ownPool;
     std::map<std::string, Host> hosts;
     std::deque<std::pair<std::string, std::string>> lines;
-    std::vector<std::pair<std::string, std::string>> choice { { "a", "a" }, { "b", "b" } };
+    std::vector<LenderCandidate> choice { { "a", "a" }, { "b", "b" } };
     LinkBorrower borrower;
 };
 
@@ -345,3 +345,20 @@
     settle();
     observer.link.reset();
 }
+
+// A lender of an earlier rank lends while it answers; a later one takes its place.
+BOOST_FIXTURE_TEST_CASE(lenders_of_the_first_rank_come_first, Fixture)
+{
+    choice = { { "a", "a", LenderRank::Weak }, { "b", "b", LenderRank::Near } };
+    std::vector<std::unique_ptr<RecordingObserver>> observers;
+    std::vector<std::unique_ptr<BackendLink>> links;
+    for (int i = 0; i < 20; ++i) {
+        observers.push_back(std::make_unique<RecordingObserver>());
+        links.push_back(open(*observers.back(), "customer" + std::to_string(i)));
+        BOOST_TEST(links.back()->lender() == "b");
+    }
+    hosts["b"].borrower.closed();
+    RecordingObserver observer;
+    BOOST_TEST(open(observer)->lender() == "a");
+    links.clear();
+}
--- a/tests/unit_store_follower.cpp
+++ b/tests/unit_store_follower.cpp
@@ -285,3 +285,26 @@
     BOOST_TEST(follower.listed());
     BOOST_TEST((versions == std::vector<uint64_t> { 7, 8 }));
 }
+
+// Load pattern: the store drops its history. What the listing of a watching host changes is passed on, so that the
+// other hosts need no listing of their own.
+BOOST_FIXTURE_TEST_CASE(a_listing_after_lost_history_is_passed_on_as_changes, FollowerFixture)
+{
+    store.answer(
+        StoreOutcome::Ok, { { "s/a", "x", 4, false }, { "s/b", "x", 5, false }, { "s/c", "x", 6, false } }, 10);
+    BOOST_TEST(applied.empty());
+    store.answer(StoreOutcome::HistoryLost);
+    store.answer(
+        StoreOutcome::Ok, { { "s/a", "y", 14, false }, { "s/c", "x", 6, false }, { "s/d", "x", 12, false } }, 20);
+    BOOST_REQUIRE(applied.size() == 1U);
+    const StoreEvents& changes = applied.front();
+    BOOST_TEST(changes.from == 10U);
+    BOOST_TEST(changes.to == 20U);
+    BOOST_REQUIRE(changes.items.size() == 3U);
+    BOOST_TEST(changes.items[0].key == "s/d");
+    BOOST_TEST(changes.items[1].key == "s/a");
+    BOOST_TEST(changes.items[2].key == "s/b");
+    BOOST_TEST(changes.items[2].removed);
+    BOOST_TEST(changes.items[2].revision == 20U);
+    BOOST_TEST(relayed.size() == 1U);
+}
--- a/tests/unit_store_relay.cpp
+++ b/tests/unit_store_relay.cpp
@@ -75,3 +75,16 @@
     }
     BOOST_TEST(relaysOf("none", all, 3).empty());
 }
+
+// Strong hosts watch the store for weak ones, however many of those there are.
+BOOST_AUTO_TEST_CASE(strong_hosts_are_relays)
+{
+    std::vector<RelayCandidate> all;
+    all.reserve(150);
+    for (int i = 0; i < 150; ++i)
+        all.push_back({ "h" + std::to_string(i), "r", i < 2 ? 0.5 : 0.12 });
+    const std::vector<std::string> relays = relaysOf("r", all, 3);
+    BOOST_REQUIRE(relays.size() == 3U);
+    BOOST_TEST(std::count(relays.begin(), relays.end(), "h0") == 1);
+    BOOST_TEST(std::count(relays.begin(), relays.end(), "h1") == 1);
+}
