Let as many borrowers wait for a connection as this host lends

Cause: eight borrowers could wait for a server, however many of its connections this host lends. Change: half of this host's share of the server's connections may wait. Measured: unit.connection-pool as_many_wait_as_connections_return fails before (refused at once).

--- a/src/connection_pool.cpp
+++ b/src/connection_pool.cpp
@@ -99,6 +99,12 @@
                                 : it->second.connections * divisibleFraction / static_cast<double>(it->second.hosts);
 }
 
+// Load pattern: three hosts lend all connections of a server whose callers become twice as many for some seconds.
+size_t ConnectionPool::waitingLimit(const std::string& service) const
+{
+    return std::max(m_settings.maxWaiting, static_cast<size_t>(connectionShare(service) / 2));
+}
+
 std::unique_ptr<BackendLink> ConnectionPool::open(
     const ServerEntry& entry, const std::string& customer, BackendObserver& observer)
 {
@@ -109,7 +115,7 @@
     borrower->since = m_clock();
     Server& server = m_servers[entry.id];
     if (!tryProvide(server, borrower)) {
-        if (server.waiting.size() < m_settings.maxWaiting)
+        if (server.waiting.size() < waitingLimit(entry.service))
             server.waiting.push_back(borrower);
         else
             fail(borrower, BackendCloseReason::ConnectionLimit);
--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -27,7 +27,9 @@
     /// and shorter still after refusals.
     Duration maxIdleTime = std::chrono::seconds(3);
     Duration maxIdleTimePerConnection = std::chrono::milliseconds(350); ///< Per connection of this host's share.
-    size_t maxWaiting = 8; ///< Borrowers waiting for one server; further ones are refused at once.
+    /// Borrowers waiting for one server; further ones are refused at once. Half as many as connections of this host's
+    /// share may wait if that is more: those become free within maxWaitTime.
+    size_t maxWaiting = 8;
     /// Weight of a new sample in the moving averages of opening and loan times. The averages cover about ten samples,
     /// that is one second of a busy server.
     double averagingGain = 0.2;
@@ -83,6 +85,7 @@
     };
 
     double connectionShare(const std::string& service) const;
+    size_t waitingLimit(const std::string& service) const;
     bool tryProvide(Server&, const std::shared_ptr<Borrower>&);
     static bool returnsSooner(const Server&, const Borrower&);
     void updateAverage(Duration& average, Duration sample) const;
--- a/tests/unit_connection_pool.cpp
+++ b/tests/unit_connection_pool.cpp
@@ -333,3 +333,26 @@
     BOOST_TEST(third.opened == 1U);
     BOOST_TEST(waits.opened == 0U);
 }
+
+// Load pattern: three hosts lend all connections of a server, and twice as many callers come at once. Those that find
+// no connection wait for one of the many that will soon be returned, instead of being refused.
+BOOST_FIXTURE_TEST_CASE(as_many_wait_as_connections_return, Fixture)
+{
+    pool.setLimit("orders", 193, 3);
+    constexpr size_t connections = 54; // Three in twenty are kept in reserve.
+    std::vector<Borrower> borrowers(connections + 20);
+    std::vector<std::unique_ptr<BackendLink>> links;
+    links.reserve(borrowers.size());
+    for (Borrower& borrower : borrowers)
+        links.push_back(open(borrower));
+    BOOST_TEST(openLinks() == connections);
+    for (const Borrower& borrower : borrowers)
+        BOOST_TEST(!borrower.closed.has_value());
+    for (size_t i = 0; i < 20; ++i) {
+        links[i].reset();
+        connector.answerOwnCommands({ 1, 1 });
+        pass(milliseconds(10));
+    }
+    for (const Borrower& borrower : borrowers)
+        BOOST_TEST(borrower.opened == 1U);
+}
