End only the connection whose line causes an unexpected error

Callers saw nothing yet. Cause: an exception while a line was handled left its connection without further reads, until a time-out. Measured: unit.odd-input an_error_in_a_line_ends_its_own_connection.

--- a/src/line_socket.cpp
+++ b/src/line_socket.cpp
@@ -1,4 +1,5 @@
 #include "line_socket.h"
+#include "log_event.h"
 #include <array>
 #include <boost/asio/post.hpp>
 #include <netinet/tcp.h>
@@ -127,7 +128,14 @@
         size_t length = end - start;
         if (length > 0 && m_in[end - 1] == '\r')
             --length;
-        m_paused = !line(std::string_view(m_in).substr(start, length));
+        try {
+            m_paused = !line(std::string_view(m_in).substr(start, length));
+        } catch (const std::exception& error) {
+            // An unexpected line ends its own connection only.
+            logEvent(LogEvent::InternalFailure, { { "error", error.what() }, { "line_bytes", length } });
+            boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(false); });
+            m_paused = true;
+        }
         start = end + 1;
     }
     m_in.erase(0, start);
--- a/tests/unit_odd_input.cpp
+++ b/tests/unit_odd_input.cpp
@@ -1,9 +1,12 @@
 #include "change_exchange.h"
 #include "line_codec.h"
+#include "line_socket.h"
 #include "link_message.h"
 #include "replica_record.h"
 #include "store_client.h"
 #include "support_fleet.h"
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
 
@@ -237,3 +240,41 @@
     pass(seconds(1));
     BOOST_TEST(observer.directory.find("i-2") != nullptr);
 }
+
+// An unexpected error while a line is handled ends the connection that brought it; the event loop and other connections
+// go on.
+BOOST_AUTO_TEST_CASE(an_error_in_a_line_ends_its_own_connection)
+{
+    using boost::asio::ip::tcp;
+    boost::asio::io_context loop;
+    tcp::acceptor acceptor(loop, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    std::vector<std::shared_ptr<LineSocket>> accepted;
+    std::vector<std::string> lines;
+    unsigned closed = 0;
+    std::vector<tcp::socket> callers;
+    for (int i = 0; i < 2; ++i) {
+        callers.emplace_back(loop);
+        callers.back().connect(acceptor.local_endpoint());
+        accepted.push_back(std::make_shared<LineSocket>(acceptor.accept(), 1024));
+        LineSocket::Handlers handlers;
+        handlers.line = [&lines](std::string_view line) {
+            if (line == "odd")
+                throw std::runtime_error("unexpected");
+            lines.emplace_back(line);
+            return true;
+        };
+        handlers.closed = [&closed](bool) { ++closed; };
+        accepted.back()->start(handlers);
+    }
+    const auto send
+        = [](tcp::socket& socket, const std::string& text) { boost::asio::write(socket, boost::asio::buffer(text)); };
+    send(callers[0], "first\nodd\nnever read\n");
+    send(callers[1], "second\n");
+    BOOST_CHECK_NO_THROW(loop.run_for(milliseconds(200)));
+    send(callers[1], "third\n");
+    BOOST_CHECK_NO_THROW(loop.run_for(milliseconds(200)));
+    BOOST_TEST(closed == 1U);
+    BOOST_TEST(
+        (std::set<std::string>(lines.begin(), lines.end()) == std::set<std::string> { "first", "second", "third" }));
+    accepted[1]->close();
+}
