Ignore impossible capacities of hosts, and describe the time-outs of leases

Cause: another writer's registration with a capacity of 1e300 would have made every other host a weak one. Change: a capacity outside 0 to 1024 counts as 1. Measured: unit.fleet-member odd_capacity_is_ignored fails without the check.

--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -158,7 +158,7 @@
                 peer.region = value.has_field("region") ? value.at("region").as_string() : std::string();
                 peer.dataCentre = value.has_field("data_centre") ? value.at("data_centre").as_string() : std::string();
                 const double capacity = value.has_field("capacity") ? value.at("capacity").as_double() : 0;
-                peer.capacity = capacity > 0 ? capacity : 1;
+                peer.capacity = capacity > 0 && capacity <= maxHostCapacity ? capacity : 1;
             }
         } catch (const std::exception& error) {
             logEvent(LogEvent::StoreItemRejected, { { "key", it->first }, { "reason", error.what() } });
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -61,9 +61,9 @@
         Duration coordinatorPause = std::chrono::seconds(4);
         /// While no host can reach the store, the last coordinator stays active for this long after its lease.
         Duration coordinatorOutageExtension = std::chrono::seconds(30);
-        /// Leases on the word of primaries are renewed this often: twice before a lease is read from the store instead.
-        Duration leaseRenewal = std::chrono::milliseconds(600);
-        /// Age of the last renewal at which the host reads the primary record itself.
+        Duration leaseRenewal = std::chrono::milliseconds(600); ///< Interval of requests to the coordinator.
+        /// Age of the last confirmation of the primary record at which the host reads it from the store itself: one
+        /// renewal and the time of its answer.
         Duration leaseReadAfter = std::chrono::milliseconds(800);
         Duration leaseReadInterval = std::chrono::milliseconds(500);
         /// During an outage of the store the coordinator grants leases while it hears each host this often.
--- a/src/gateway_settings_file.cpp
+++ b/src/gateway_settings_file.cpp
@@ -1,4 +1,5 @@
 #include "gateway_settings_file.h"
+#include "host_capacity.h"
 #include "settings_keys.h"
 #include <algorithm>
 #include <toml++/toml.h>
@@ -25,7 +26,6 @@
 
     constexpr int64_t secondUs = 1000000;
     constexpr double minCapacity = 0.001;
-    constexpr double maxCapacity = 1024;
 
     const Key keys[] = {
         { "host", &GatewaySettings::host, ValueKind::Text, true },
@@ -95,7 +95,7 @@
         std::string operator()(double GatewaySettings::*target) const
         {
             const double value = node.is_number() ? node.value_or(0.0) : 0.0;
-            if (!(value >= minCapacity && value <= maxCapacity))
+            if (!(value >= minCapacity && value <= maxHostCapacity))
                 return "must be a number of cores from 0.001 to 1024";
             settings.*target = value;
             return {};
--- a/src/host_capacity.h
+++ b/src/host_capacity.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <algorithm>
-#include <gsl/span>
-#include <string>
-
 namespace plantainwall {
 
+/// Greatest capacity of a host, in cores. A greater one is a mistake, which would make all other hosts seem weak.
+constexpr double maxHostCapacity = 1024;
+
 /// Returns whether a host is strong enough to work for others: it has at least half the processor capacity of the
 /// strongest.
 ///
@@ -16,13 +15,4 @@
 /// @param strongest Cores of the strongest host.
 inline bool isStrongHost(double capacity, double strongest) { return capacity * 2 >= strongest; }
 
-/// Returns the greatest capacity; 0 if there is none.
-template <typename Host> double strongestOf(gsl::span<const Host> hosts)
-{
-    double strongest = 0;
-    for (const Host& host : hosts)
-        strongest = std::max(strongest, host.capacity);
-    return strongest;
-}
-
 } // namespace plantainwall
--- a/tests/unit_fleet_member.cpp
+++ b/tests/unit_fleet_member.cpp
@@ -497,3 +497,19 @@
     for (size_t i = 0; i < fleet.hosts.size(); ++i)
         BOOST_TEST((i % 40 == 7 || fleet.hosts[i]->member.reachableHostCount() >= 117U));
 }
+
+// A registration with an impossible capacity does not make every other host a weak one.
+BOOST_AUTO_TEST_CASE(odd_capacity_is_ignored)
+{
+    FakeFleet fleet(6);
+    fleet.store.put("plantainwall/hosts/3/1/1-99",
+        R"({"host":"3","address":"3","region":"0","data_centre":"0","incarnation":1,"capacity":1e300})");
+    fleet.pass(seconds(4));
+    std::set<std::string> quotaHosts;
+    for (int i = 0; i < 60; ++i) {
+        const std::string customer = "customer" + std::to_string(i);
+        fleet.hosts[0]->quota.setLimit({ customer, 10, 10 });
+        quotaHosts.insert(fleet.hosts[0]->quota.quotaHost(customer));
+    }
+    BOOST_TEST(quotaHosts.size() >= 6U);
+}
