--- a/src/fleet_member_relay.cpp
+++ b/src/fleet_member_relay.cpp
@@ -103,6 +103,7 @@
     if (std::find(distributors.begin(), distributors.end(), m_gatewaySettings.host) != distributors.end())
         return sources;
     std::vector<std::pair<std::string, std::string>> near;
+    near.reserve(distributors.size() + sources.size());
     for (const std::string& host : distributors)
         near.emplace_back(host, m_peers.at(host).address);
     rotate(near);
