Don't close a session in a shutdown whose statement has been read

Cause: a statement is passed on in a later turn of the event loop than the one that reads it. A tick in between found the session idle and closed it. Change: a session counts as busy from the moment its statement is read.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -31,6 +31,10 @@
     /// Opens a session. Returns Ok and sets @p number, or returns the reason for the refusal.
     ResultCode openSession(CallerSink&, const std::string& database, const std::string& key, uint64_t& number);
 
+    /// Announces a statement that has been read and will be passed to execute() or refuseMessage(). Until then the
+    /// session is not closed by a shutdown.
+    void expectStatement(uint64_t session);
+
     /// Runs a statement. The answer goes to the sink, possibly before this function returns. A session runs one
     /// statement at a time; a further one is ignored.
     void execute(uint64_t session, Statement);
@@ -109,6 +113,7 @@
         LogPosition ownPosition; ///< Position of the session's last commit.
         uint64_t job = 0; ///< Statement that is queued or running; 0: none.
         uint64_t quotaRequest = 0; ///< Unanswered request to the quota; 0: none.
+        bool statementExpected = false; ///< See expectStatement().
         // The open transaction.
         bool readOnly = false;
         bool wrote = false;
--- a/src/gateway_session.cpp
+++ b/src/gateway_session.cpp
@@ -108,6 +108,8 @@
 void Gateway::refuseMessage(uint64_t number, const Statement& statement, ResultCode code, const std::string& detail)
 {
     Session* const session = findSession(number);
+    if (session != nullptr)
+        session->statementExpected = false;
     if (session != nullptr && session->job == 0 && session->quotaRequest == 0)
         refuse(*session, statement, code, detail);
 }
@@ -142,9 +144,18 @@
     return true;
 }
 
+void Gateway::expectStatement(uint64_t number)
+{
+    Session* const session = findSession(number);
+    if (session != nullptr)
+        session->statementExpected = true;
+}
+
 void Gateway::execute(uint64_t number, Statement statement)
 {
     Session* const session = findSession(number);
+    if (session != nullptr)
+        session->statementExpected = false;
     if (session == nullptr || session->job != 0 || session->quotaRequest != 0)
         return;
     session->lastStatement = m_clock();
@@ -384,7 +395,7 @@
     const Duration idleLimit = m_configuration ? m_configuration->transactionIdle : Duration(0);
     std::vector<uint64_t> closing;
     for (auto& [number, session] : m_sessions) {
-        if (session.sink == nullptr || session.job != 0 || session.quotaRequest != 0)
+        if (session.sink == nullptr || session.job != 0 || session.quotaRequest != 0 || session.statementExpected)
             continue;
         if (session.state == TransactionState::Open && idleLimit > Duration(0)
             && now - session.lastStatement > idleLimit) {
--- a/tests/unit_gateway.cpp
+++ b/tests/unit_gateway.cpp
@@ -522,3 +522,19 @@
     BOOST_REQUIRE(caller.answers.size() == 1U);
     BOOST_TEST((caller.answers[0].code == ResultCode::OutcomeUnknown));
 }
+
+// Guards against a request that is cut off by a shutdown after it was read: a busy event loop checks sessions before it
+// runs the statements that it has just read.
+BOOST_FIXTURE_TEST_CASE(a_shutdown_answers_statements_that_were_read, GatewayFixture)
+{
+    FakeCaller caller;
+    const uint64_t session = open(caller, "primary");
+    gateway.drain();
+    gateway.expectStatement(session);
+    pass(GatewaySettings().readinessDrainTime + std::chrono::milliseconds(100));
+    BOOST_TEST(!caller.closed);
+    execute(session, StatementKind::SetValue, "SET a b");
+    BOOST_TEST(caller.answers.size() == 1U);
+    pass(std::chrono::milliseconds(40));
+    BOOST_TEST(caller.closed);
+}
