Log which changes a host stops keeping and how much of an abandoned answer had arrived

New: changes_dropped (key, bytes, limit), parts and received_parts in peer_silent "sent no changes", incomplete_bytes in store_unreachable. No decision is changed.

--- a/src/change_exchange.cpp
+++ b/src/change_exchange.cpp
@@ -96,6 +96,9 @@
         const auto oldest = std::min_element(m_kept.begin(), m_kept.end(),
             [](const auto& a, const auto& b) { return a.second.revision < b.second.revision; });
         m_keptFrom = std::max(m_keptFrom, oldest->second.revision);
+        logEvent(LogEvent::ChangesDropped,
+            { { "key", oldest->first }, { "revision", oldest->second.revision }, { "bytes", bytesOf(oldest->second) },
+                { "kept_bytes", m_keptBytes }, { "max_kept_bytes", m_settings.maxKeptBytes } });
         m_keptBytes -= bytesOf(oldest->second);
         m_kept.erase(oldest);
     }
@@ -120,8 +123,11 @@
     }
     if (same) {
         m_avoided.avoid(m_requestHost, now + m_settings.avoidanceTime);
+        const auto received
+            = std::count_if(m_parts.begin(), m_parts.end(), [](const std::string& part) { return !part.empty(); });
         logEvent(LogEvent::PeerSilent,
-            { { "peer", m_requestHost }, { "reason", "sent no changes" }, { "after_revision", m_requestAfter } });
+            { { "peer", m_requestHost }, { "reason", "sent no changes" }, { "after_revision", m_requestAfter },
+                { "parts", m_parts.size() }, { "received_parts", static_cast<size_t>(received) } });
     }
     m_requestHost.clear();
     const std::vector<std::pair<std::string, std::string>> candidates = sources();
--- a/src/gateway_ports.h
+++ b/src/gateway_ports.h
@@ -147,6 +147,7 @@
     bool more = false;
     uint64_t asOf = 0;
     uint64_t era = 0; ///< See MetadataStore.
+    uint64_t incompleteBytes = 0; ///< Bytes of an answer that was given up before it was complete.
 };
 
 struct StoreWrite {
--- a/src/http_channel.cpp
+++ b/src/http_channel.cpp
@@ -83,11 +83,12 @@
         if (m_stopped || m_running || m_calls.empty())
             return;
         m_running = true;
+        m_parser.reset();
         const uint64_t number = ++m_number;
         m_timer.expires_after(m_calls.front().exchange.timeout);
         m_timer.async_wait([self = shared_from_this(), number](const boost::system::error_code& ec) {
             if (!ec && number == self->m_number)
-                self->finish({});
+                self->giveUp();
         });
         if (m_stream) {
             write();
@@ -104,6 +105,14 @@
         });
     }
 
+    void giveUp()
+    {
+        HttpOutcome outcome;
+        if (m_parser)
+            outcome.incompleteBytes = m_parser->get().body().size();
+        finish(std::move(outcome));
+    }
+
     void write()
     {
         const HttpExchange& exchange = m_calls.front().exchange;
--- a/src/http_channel.h
+++ b/src/http_channel.h
@@ -22,6 +22,7 @@
     unsigned status = 0;
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+    uint64_t incompleteBytes = 0; ///< Bytes of the body that had arrived when the answer was given up.
 
     /// Returns the value of a header, whose name is compared without regard to case; empty if there is none.
     std::string_view header(std::string_view name) const;
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -73,6 +73,7 @@
     DutyClaimOutdated,
     PrimaryRecordChanged,
     CommitNotConfirmed,
+    ChangesDropped,
     Count
 };
 
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -87,6 +87,8 @@
         { 61, "commit_not_confirmed", LogLevel::Warn,
             "A server reported a commit while no lease on its word was held, so the caller was told that the outcome "
             "is unknown." },
+        { 62, "changes_dropped", LogLevel::Warn,
+            "This host no longer keeps a change of the store for others; hosts that lack it read the store." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -48,7 +48,7 @@
     const bool firstPage = m_listing.empty();
     const bool newerEra = readNewerEra(page.era, page.asOf, "list");
     if (page.outcome != StoreOutcome::Ok) {
-        storeCallFailed(page.outcome, "list");
+        storeCallFailed(page, "list");
         return;
     }
     storeCallSucceeded();
@@ -169,7 +169,7 @@
         return;
     }
     if (events.outcome != StoreOutcome::Ok) {
-        storeCallFailed(events.outcome, "watch");
+        storeCallFailed(events, "watch");
         return;
     }
     storeCallSucceeded();
@@ -419,14 +419,14 @@
     schedule(m_settings.restoredListDelay, &StoreFollower::list);
 }
 
-void StoreFollower::storeCallFailed(StoreOutcome outcome, std::string_view call)
+void StoreFollower::storeCallFailed(const StoreItems& answer, std::string_view call)
 {
     m_listing.clear();
     m_listingInProgress = false;
     if (m_reachable || !m_reachabilityReported) {
         logEvent(LogEvent::StoreUnreachable,
-            { { "call", call }, { "outcome", storeOutcomeName(outcome) }, { "era", m_era },
-                { "revision", m_revision } });
+            { { "call", call }, { "outcome", storeOutcomeName(answer.outcome) }, { "era", m_era },
+                { "revision", m_revision }, { "incomplete_bytes", answer.incompleteBytes } });
         m_reachabilityReported = true;
         m_reachable = false;
         m_observer.storeReachable(false);
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -144,7 +144,7 @@
     bool acceptsRelayedState() const;
     bool listingMissing() const;
     void advance(const std::vector<StoreItem>&, uint64_t to);
-    void storeCallFailed(StoreOutcome, std::string_view call);
+    void storeCallFailed(const StoreItems&, std::string_view call);
     void storeCallSucceeded();
     void schedule(Duration delay, void (StoreFollower::*next)());
     void logRestored(std::string_view call, uint64_t previousEra, uint64_t storeRevision) const;
