--- a/tests/support_fleet.cpp
+++ b/tests/support_fleet.cpp
@@ -185,6 +185,7 @@
 
 void FakeHostStore::list(const std::string& prefix, const std::string& after, std::function<void(StoreItems)> handler)
 {
+    ++reads;
     const std::function<void(StoreItems)> read = cancellable(std::move(handler));
     if (!ignoresCall(read))
         m_store.list(prefix, after, read);
@@ -193,6 +194,7 @@
 void FakeHostStore::watch(
     const std::string& prefix, uint64_t after, Duration wait, std::function<void(StoreItems)> handler)
 {
+    ++reads;
     const std::function<void(StoreItems)> read = cancellable(std::move(handler));
     if (!ignoresCall(read))
         m_store.watch(prefix, after, wait, read);
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -127,6 +127,7 @@
     /// Returns whether a lease was granted to this host in the present era.
     bool holds(uint64_t lease) const;
 
+    unsigned reads = 0; ///< Listings and watches of this host so far.
     bool refuses = false; ///< Fails every call of this host.
     bool refusesReads = false; ///< Fails every listing and watch of this host.
     bool refusesRenewals = false; ///< Fails every renewal of a lease of this host.
--- a/tests/unit_change_exchange.cpp
+++ b/tests/unit_change_exchange.cpp
@@ -33,11 +33,12 @@
         });
     }
 
-    /// Delivers all datagrams sent. Returns the changes that were received completely.
-    std::optional<StoreEvents> deliver()
+    /// Delivers up to n datagrams, in the order in which they were sent. Returns the changes that were received
+    /// completely.
+    std::optional<StoreEvents> deliver(size_t n = SIZE_MAX)
     {
         std::optional<StoreEvents> read;
-        while (!network.queue.empty()) {
+        for (; n > 0 && !network.queue.empty(); --n) {
             const FakePeerNetwork::Datagram datagram = network.queue.front();
             network.queue.pop_front();
             ++delivered;
@@ -316,3 +317,39 @@
     source.keep(change(13, 100));
     BOOST_TEST(network.sent.size() == sent); // It has asked another host since.
 }
+
+// Guards against configurations that hosts stop passing on as soon as any other item of the store changes.
+BOOST_FIXTURE_TEST_CASE(the_largest_value_is_kept_beside_later_changes, Fixture)
+{
+    constexpr size_t largestValueBytes = 1024 * 1024;
+    std::string document;
+    for (unsigned i = 0; document.size() < largestValueBytes; ++i)
+        document += R"({"host":"db)" + std::to_string(i * 7919 % 100000) + R"(","kind":"primary","priority":0},)";
+    document.resize(largestValueBytes);
+    source.keep({ 10, 11, Duration(0), { { "config", document, 11, false } } });
+    for (uint64_t revision = 12; revision <= 30; ++revision)
+        source.keep(change(revision, 300));
+    tick(10);
+    const std::optional<StoreEvents> read = deliver();
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->to == 30U);
+    BOOST_REQUIRE(read->items.size() == 20U);
+    BOOST_TEST((read->items.front().value == document));
+}
+
+// Load pattern: many hosts request a large configuration from one, whose link takes a second for all answers. Parts
+// that are still on their way must not be sent again.
+BOOST_FIXTURE_TEST_CASE(an_arriving_answer_is_not_requested_again, Fixture)
+{
+    source.keep(change(11, 100000));
+    std::optional<StoreEvents> read;
+    for (unsigned i = 0; i < 100 && !read; ++i) {
+        tick(10);
+        read = deliver(5);
+        now += milliseconds(50);
+    }
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST((now - Instant(seconds(1000)) > milliseconds(600))); // Longer than all tries at one host.
+    const auto isRequest = [](const FakePeerNetwork::Datagram& it) { return it.to == "teller"; };
+    BOOST_TEST(std::count_if(network.sent.begin(), network.sent.end(), isRequest) == 1);
+}
--- a/tests/unit_store_client.cpp
+++ b/tests/unit_store_client.cpp
@@ -1,11 +1,13 @@
 #include "store_client.h"
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/test/unit_test.hpp>
 #include <cpprest/json.h>
 #include <deque>
+#include <map>
 
 using namespace plantainwall;
 using namespace plantainwall::platform;
@@ -32,6 +34,18 @@
             + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     }
 
+    /// Adds an answer with status 200 that is sent in pieces, one after each interval.
+    /// @param complete Whether the last piece ends the answer; otherwise nothing follows it.
+    void prepareSlow(const std::string& body, size_t pieces, std::chrono::milliseconds interval, bool complete = true)
+    {
+        prepare(200, "", body);
+        SlowAnswer slow;
+        slow.pieceBytes = m_answers.back().size() / pieces + 1;
+        slow.interval = interval;
+        slow.complete = complete;
+        m_slowAnswers[m_answers.back()] = slow;
+    }
+
     size_t requests = 0;
     size_t connections = 0;
     std::string lastBody; ///< Body of the last request.
@@ -46,8 +60,34 @@
         boost::beast::flat_buffer buffer;
         http::request<http::string_body> request;
         std::string answer;
+        size_t sent = 0; ///< Bytes of a slow answer.
     };
 
+    struct SlowAnswer {
+        size_t pieceBytes = 0;
+        std::chrono::milliseconds interval { 0 };
+        bool complete = true;
+    };
+
+    void sendPiece(const std::shared_ptr<Connection>& it, const SlowAnswer& slow)
+    {
+        const size_t rest = it->answer.size() - it->sent;
+        if (rest == 0) {
+            read(it);
+            return;
+        }
+        if (rest <= slow.pieceBytes && !slow.complete)
+            return;
+        const boost::asio::const_buffer piece(it->answer.data() + it->sent, std::min(rest, slow.pieceBytes));
+        it->sent += piece.size();
+        boost::asio::async_write(it->socket, piece, [this, it, slow](const boost::system::error_code& ec, size_t) {
+            if (ec)
+                return;
+            const auto timer = std::make_shared<boost::asio::steady_timer>(it->socket.get_executor(), slow.interval);
+            timer->async_wait([this, it, slow, timer](const boost::system::error_code&) { sendPiece(it, slow); });
+        });
+    }
+
     void accept()
     {
         m_acceptor.async_accept([this](const boost::system::error_code& ec, tcp::socket socket) {
@@ -73,6 +113,12 @@
             }
             it->answer = m_answers.front();
             m_answers.pop_front();
+            it->sent = 0;
+            const auto slow = m_slowAnswers.find(it->answer);
+            if (slow != m_slowAnswers.end()) {
+                sendPiece(it, slow->second);
+                return;
+            }
             boost::asio::async_write(it->socket, boost::asio::buffer(it->answer),
                 [this, it](const boost::system::error_code&, size_t) { read(it); });
         });
@@ -80,23 +126,25 @@
 
     tcp::acceptor m_acceptor;
     std::deque<std::string> m_answers;
+    std::map<std::string, SlowAnswer> m_slowAnswers; ///< By answer.
 };
 
 struct Fixture {
-    /// Runs the loop until the condition holds. Returns false after a second.
-    template <typename Condition> bool runUntil(Condition condition)
+    /// Runs the loop until the condition holds. Returns false if it does not within the limit.
+    template <typename Condition>
+    bool runUntil(Condition condition, std::chrono::seconds limit = std::chrono::seconds(1))
     {
-        const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + std::chrono::seconds(1);
+        const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + limit;
         while (!condition() && std::chrono::steady_clock::now() < end)
             loop.run_for(std::chrono::milliseconds(1));
         return condition();
     }
 
-    StoreItems list()
+    StoreItems list(std::chrono::seconds limit = std::chrono::seconds(1))
     {
         std::optional<StoreItems> items;
         client.list({}, {}, [&](StoreItems read) { items = std::move(read); });
-        BOOST_REQUIRE(runUntil([&] { return items.has_value(); }));
+        BOOST_REQUIRE(runUntil([&] { return items.has_value(); }, limit));
         return *items;
     }
 
@@ -134,6 +182,29 @@
     }
 }
 
+// Guards against listings that are given up and begun anew for ever while many hosts share a link: a large answer takes
+// longer than a store may be silent.
+BOOST_FIXTURE_TEST_CASE(an_arriving_answer_is_not_given_up, Fixture)
+{
+    server.prepareSlow(R"({"items":[],"more_pages":false,"as_of":9})", 8, std::chrono::milliseconds(300));
+    const StoreItems items = list(std::chrono::seconds(5));
+    BOOST_TEST((items.outcome == StoreOutcome::Ok));
+    BOOST_TEST(items.asOf == 9U);
+    BOOST_TEST(server.requests == 1U);
+}
+
+// A connection that falls silent within an answer counts as lost after the same time as one without an answer.
+BOOST_FIXTURE_TEST_CASE(an_answer_that_stops_arriving_is_given_up, Fixture)
+{
+    server.prepareSlow(R"({"items":[],"more_pages":false,"as_of":9})", 2, std::chrono::milliseconds(1), false);
+    const StoreItems items = list(std::chrono::seconds(3));
+    BOOST_TEST((items.outcome == StoreOutcome::Unreachable));
+    BOOST_TEST(items.incompleteBytes > 0U);
+    server.prepare(200, "", R"({"items":[],"more_pages":false,"as_of":10})");
+    BOOST_TEST(list().asOf == 10U);
+    BOOST_TEST(server.connections == 2U);
+}
+
 // Without the condition a removal could remove another host's item.
 BOOST_FIXTURE_TEST_CASE(removals_and_writes_have_a_condition, Fixture)
 {
