Keep the largest value of the store for hosts that lack it

Callers got 404 for routes whose configuration had been acknowledged more than 6 s before. Hosts keep the last changes for others, up to 512 kB in all; a configuration with 4,200 added routes has over 700 kB, so the next change of any other item dropped it (changes_dropped). The other hosts' requests then remained unanswered, and all of them read it from the store, over a link that is too narrow for that. The limit is now four values of the largest size that a store takes; limits of the answer follow from it.

--- a/src/change_exchange.cpp
+++ b/src/change_exchange.cpp
@@ -12,8 +12,8 @@
     constexpr std::string_view requestWord = "changes? ";
     constexpr std::string_view partWord = "changes! ";
 
-    /// Largest accepted unpacked answer, in bytes: twice the limit of a store value, because of its encoding.
-    constexpr size_t maxUnpackedBytes = 2 * 1024 * 1024;
+    /// Largest accepted unpacked answer, in bytes: twice what a host keeps, because of its encoding.
+    constexpr size_t maxUnpackedBytes = 8 * 1024 * 1024;
 
     size_t bytesOf(const StoreItem& item) { return item.key.size() + item.value.size(); }
 
--- a/src/change_exchange.h
+++ b/src/change_exchange.h
@@ -28,14 +28,16 @@
         Duration answerTimeout = std::chrono::milliseconds(150); ///< More than a round trip between regions.
         unsigned tries = 4; ///< Requests to one host; all but the first list the missing parts.
         Duration avoidanceTime = std::chrono::seconds(2); ///< A host that did not answer gets no request for this long.
-        size_t maxKeptBytes = 512 * 1024; ///< Keys and values of past changes, the last of each key.
+        /// Keys and values of past changes, the last of each key. Several values of the largest size that a store
+        /// takes, a megabyte: a host that drops the newest configuration makes all others read it from the store.
+        size_t maxKeptBytes = 4 * 1024 * 1024;
         /// Packed answers that are reused. While changes come in quick succession, each host misses others, and asks
         /// again for lost parts of an answer that is no longer the newest.
         size_t maxPacked = 8;
         size_t maxWaiting = 64; ///< Hosts that wait for changes that this host does not know yet.
         Duration waitingTime = std::chrono::seconds(1); ///< A host that waits longer has asked another one.
         size_t partBytes = 1100; ///< Payload of one datagram, which is then not fragmented.
-        size_t maxParts = 1024; ///< Parts of one answer: enough for the store's limit of a megabyte per value.
+        size_t maxParts = 4096; ///< Parts of one answer: enough for maxKeptBytes that do not compress.
         /// A listing is packed once for all hosts that request it within this time, and for requests of lost parts.
         Duration listingReuse = std::chrono::seconds(2);
     };
