Don't give up an answer of the store that goes on arriving

Now the time limit applies until the answer begins and to each pause within it (1.5 s); a connection that falls silent is still replaced as soon as before. A whole answer may take 14 s.

--- a/src/http_channel.cpp
+++ b/src/http_channel.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
+#include <optional>
 
 namespace plantainwall {
 
@@ -85,11 +86,7 @@
         m_running = true;
         m_parser.reset();
         const uint64_t number = ++m_number;
-        m_timer.expires_after(m_calls.front().exchange.timeout);
-        m_timer.async_wait([self = shared_from_this(), number](const boost::system::error_code& ec) {
-            if (!ec && number == self->m_number)
-                self->giveUp();
-        });
+        giveUpAfter(m_calls.front().exchange.timeout);
         if (m_stream) {
             write();
             return;
@@ -105,6 +102,17 @@
         });
     }
 
+    /// Replaces the time after which the running call is given up.
+    void giveUpAfter(Duration timeout)
+    {
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([self = shared_from_this(), number = m_number](const boost::system::error_code& ec) {
+            // A wait whose time had passed before it was replaced ends without an error.
+            if (!ec && number == self->m_number && self->m_timer.expiry() <= std::chrono::steady_clock::now())
+                self->giveUp();
+        });
+    }
+
     void giveUp()
     {
         HttpOutcome outcome;
@@ -143,28 +151,50 @@
     void read()
     {
         m_parser = std::make_shared<http::response_parser<http::string_body>>();
+        m_parser->eager(true);
         m_parser->body_limit(maxResponseBytes);
         m_buffer = std::make_shared<beast::flat_buffer>();
-        const uint64_t number = m_number;
-        http::async_read(*m_stream, *m_buffer, *m_parser,
-            [self = shared_from_this(), stream = m_stream, parser = m_parser, buffer = m_buffer, number](
+        m_answerStartedAt.reset();
+        readSome();
+    }
+
+    void readSome()
+    {
+        http::async_read_some(*m_stream, *m_buffer, *m_parser,
+            [self = shared_from_this(), stream = m_stream, parser = m_parser, buffer = m_buffer, number = m_number](
                 const boost::system::error_code& ec, size_t) {
-                if (number != self->m_number)
-                    return;
-                HttpOutcome outcome;
-                if (!ec) {
-                    outcome.answered = true;
-                    outcome.status = parser->get().result_int();
-                    for (const http::fields::value_type& it : parser->get())
-                        outcome.headers.emplace_back(it.name_string(), it.value());
-                    outcome.body = std::move(parser->get().body());
-                    if (!parser->keep_alive())
-                        self->m_stream.reset();
-                }
-                self->finish(std::move(outcome));
+                if (number == self->m_number)
+                    self->someRead(ec);
             });
     }
 
+    void someRead(const boost::system::error_code& ec)
+    {
+        if (ec) {
+            giveUp();
+            return;
+        }
+        if (!m_parser->is_done()) {
+            const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
+            const HttpExchange& exchange = m_calls.front().exchange;
+            if (!m_answerStartedAt)
+                m_answerStartedAt = now;
+            const std::chrono::steady_clock::duration left = *m_answerStartedAt + exchange.answerTimeout - now;
+            giveUpAfter(std::min(exchange.pauseTimeout, std::chrono::duration_cast<Duration>(left)));
+            readSome();
+            return;
+        }
+        HttpOutcome outcome;
+        outcome.answered = true;
+        outcome.status = m_parser->get().result_int();
+        for (const http::fields::value_type& it : m_parser->get())
+            outcome.headers.emplace_back(it.name_string(), it.value());
+        outcome.body = std::move(m_parser->get().body());
+        if (!m_parser->keep_alive())
+            m_stream.reset();
+        finish(std::move(outcome));
+    }
+
     void finish(HttpOutcome outcome)
     {
         ++m_number;
@@ -190,6 +220,8 @@
     std::shared_ptr<beast::flat_buffer> m_buffer;
     http::request<http::string_body> m_request;
     std::deque<Call> m_calls;
+    std::optional<std::chrono::steady_clock::time_point>
+        m_answerStartedAt; ///< First bytes of the running call's answer.
     uint64_t m_number = 0; ///< Number of the running call. Callbacks of earlier calls are ignored.
     bool m_running = false; ///< The first call has been begun.
     bool m_stopped = false;
--- a/src/http_channel.h
+++ b/src/http_channel.h
@@ -13,7 +13,11 @@
     std::string target;
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body; ///< JSON.
-    Duration timeout { 0 };
+    Duration timeout { 0 }; ///< Until the first byte of the answer.
+    /// Longest pause within the answer. The time of a whole answer depends on its size and on what else uses the link.
+    Duration pauseTimeout = std::chrono::milliseconds(1500);
+    /// From the first byte of the answer to its end: twice the time of the largest answer on a link of 10 Mbit/s.
+    Duration answerTimeout = std::chrono::seconds(14);
 };
 
 /// Result of an HttpExchange.
@@ -28,8 +32,8 @@
     std::string_view header(std::string_view name) const;
 };
 
-/// Sends HTTP/1.1 calls to one address, one at a time over one connection, on an event loop. If a call is not answered
-/// within its timeout, the connection is closed and the next call opens a new one. No call is sent twice.
+/// Sends HTTP/1.1 calls to one address, one at a time over one connection, on an event loop. If an answer does not
+/// begin or go on arriving in time, the connection is closed and the next call opens a new one. No call is sent twice.
 class HttpChannel {
 public:
     /// @param address Address of the server, as ip:port.
