Wait for changes that another host is sending, and share one answer among several hosts

Transfers between hosts were given up by their total time, too: parts that were still on their way were requested again after 150 ms, and after four such requests another host was asked. A host whose source was still receiving a configuration itself read the store after 0.7 s, or as soon as the age of its last complete state reached 2.5 s. And each small change gave the hosts another answer that contained the large configuration again, so that the parts they had were of no use.

Now a request is repeated only after 150 ms without a part; a host that is receiving the changes itself says so (an empty part, which older hosts ignore); the store is read after 0.7 s without progress, or 2.5 s in all; an answer that lacks little of the newest is reused.

--- a/src/change_exchange.cpp
+++ b/src/change_exchange.cpp
@@ -114,7 +114,7 @@
         m_requestHost.clear();
         return;
     }
-    if (!m_requestHost.empty() && now - m_requestedAt < m_settings.answerTimeout)
+    if (!m_requestHost.empty() && now - std::max(m_requestedAt, m_partAt) < m_settings.answerTimeout)
         return;
     const bool same = !m_requestHost.empty() && m_requestAfter == *missingAfter;
     if (same && m_tries < m_settings.tries) {
@@ -137,11 +137,18 @@
         startRequest(source->first, source->second, *missingAfter);
 }
 
+bool ChangeExchange::isReceiving() const
+{
+    const Instant now = m_clock();
+    return !m_requestHost.empty() && (now - m_partAt < m_settings.answerTimeout * 2 || now < m_waitUntil);
+}
+
 void ChangeExchange::startRequest(const std::string& host, const std::string& address, uint64_t after)
 {
     m_requestHost = host;
     m_requestAddress = address;
     m_requestAfter = after;
+    m_waitUntil = Instant();
     m_tries = 0;
     m_parts.clear();
     ++m_requestNumber;
@@ -170,17 +177,44 @@
         return m_packedListing;
     const StoreEvents all = m_listing();
     if (all.to != 0 && all.era == m_era)
-        m_packedListing = { pack(encodeAllStoreEvents(all)), 0, all.to, m_clock() };
+        m_packedListing = { pack(encodeAllStoreEvents(all)), 0, all.to, m_clock(), 0 };
     return m_packedListing;
 }
 
-const ChangeExchange::Packed& ChangeExchange::changesAfter(uint64_t revision, uint64_t to)
+size_t ChangeExchange::keptBytesAfter(uint64_t revision) const
 {
-    static const Packed none;
+    size_t bytes = 0;
+    for (const auto& [key, item] : m_kept)
+        bytes += item.revision > revision ? bytesOf(item) : 0;
+    return bytes;
+}
+
+// Load pattern: a large configuration is followed by small changes every few milliseconds. With each change the hosts
+// would get another answer that contains the configuration again, and could not use the parts that they have.
+const ChangeExchange::Packed* ChangeExchange::packedAnswer(uint64_t revision, uint64_t to) const
+{
+    const Packed* repeated = nullptr;
+    const Packed* shared = nullptr;
+    const size_t needed = keptBytesAfter(revision);
     for (const Packed& packed : m_packedChanges) {
-        if (packed.from == revision && (packed.to == to || packed.to == m_keptTo))
-            return packed;
+        if (packed.from > revision || packed.to <= revision)
+            continue;
+        if (packed.to == to && (repeated == nullptr || repeated->from < packed.from))
+            repeated = &packed;
+        const bool isNewest = packed.from == revision && packed.to == m_keptTo;
+        const bool lacksLittle = keptBytesAfter(packed.to) <= packed.bytes / 4;
+        const bool repeatsLittle = packed.bytes <= needed * 2;
+        if (isNewest || (needed > m_settings.partBytes && lacksLittle && repeatsLittle))
+            shared = &packed;
     }
+    return repeated != nullptr ? repeated : shared;
+}
+
+const ChangeExchange::Packed& ChangeExchange::changesAfter(uint64_t revision, uint64_t to)
+{
+    static const Packed none;
+    if (const Packed* const packed = packedAnswer(revision, to))
+        return *packed;
     if (revision < m_keptFrom || revision >= m_keptTo)
         return none;
     StoreEvents all;
@@ -193,7 +227,8 @@
     }
     std::stable_sort(all.items.begin(), all.items.end(),
         [](const StoreItem& a, const StoreItem& b) { return a.revision < b.revision; });
-    m_packedChanges.push_back({ pack(encodeAllStoreEvents(all)), all.from, all.to, m_clock() });
+    m_packedChanges.push_back(
+        { pack(encodeAllStoreEvents(all)), all.from, all.to, m_clock(), keptBytesAfter(revision) });
     if (m_packedChanges.size() > m_settings.maxPacked)
         m_packedChanges.pop_front();
     return m_packedChanges.back();
@@ -249,6 +284,9 @@
     if (revision != 0 && revision >= m_keptTo) {
         if (m_waiting.size() < m_settings.maxWaiting || m_waiting.count(host) != 0)
             m_waiting[host] = { address, number, revision, m_clock() };
+        // Only parts count: two hosts that wait for each other would otherwise go on doing so.
+        if (m_clock() - m_partAt < m_settings.answerTimeout * 2)
+            m_channel.send(address, std::string(partWord) + std::to_string(number) + " 0 0 1 ");
         return;
     }
     const Packed& packed = revision == 0 ? listing() : changesAfter(revision, knownTo);
@@ -270,11 +308,21 @@
         throw std::runtime_error("part of changes is malformed");
     if (m_requestHost.empty() || number != m_requestNumber)
         return std::nullopt; // The part answers an earlier request.
+    const std::string data = part.substr(std::min(part.size(), static_cast<size_t>(text.tellg()) + 1));
+    if (data.empty()) {
+        m_waitUntil = m_clock() + m_settings.answerTimeout * 2;
+        m_tries = 1;
+        return std::nullopt;
+    }
     if (m_parts.size() != count || m_partsTo != to) {
         m_parts.assign(count, {});
         m_partsTo = to;
     }
-    m_parts[index] = part.substr(std::min(part.size(), static_cast<size_t>(text.tellg()) + 1));
+    if (m_parts[index].empty()) {
+        m_partAt = m_clock();
+        m_tries = 1;
+    }
+    m_parts[index] = data;
     if (std::any_of(m_parts.begin(), m_parts.end(), [](const std::string& it) { return it.empty(); }))
         return std::nullopt;
     std::string packed;
--- a/src/change_exchange.h
+++ b/src/change_exchange.h
@@ -18,15 +18,18 @@
 ///
 /// Only the last change of each key is kept and sent: in a series of configurations the requesting host needs none but
 /// the newest. A request for changes that this host is about to receive is answered when it has them, so that hosts can
-/// pass changes on in several steps without waiting for repeated requests.
+/// pass changes on in several steps without waiting for repeated requests. Meanwhile it answers with an empty part, so
+/// that the requesting host neither asks another one nor reads the store.
 ///
 /// A request for the changes after revision 0 is answered with a complete listing: hosts that the store refuses need
 /// one after it has been replaced by a copy.
 class ChangeExchange {
 public:
     struct Settings {
-        Duration answerTimeout = std::chrono::milliseconds(150); ///< More than a round trip between regions.
-        unsigned tries = 4; ///< Requests to one host; all but the first list the missing parts.
+        /// Time without a further part of the answer after which the request is repeated: more than a round trip
+        /// between regions.
+        Duration answerTimeout = std::chrono::milliseconds(150);
+        unsigned tries = 4; ///< Requests to one host without any part in between; all but the first list missing parts.
         Duration avoidanceTime = std::chrono::seconds(2); ///< A host that did not answer gets no request for this long.
         /// Keys and values of past changes, the last of each key. Several values of the largest size that a store
         /// takes, a megabyte: a host that drops the newest configuration makes all others read it from the store.
@@ -62,6 +65,9 @@
     /// milliseconds.
     void tick(std::optional<uint64_t> missingAfter, const Sources&);
 
+    /// Returns whether another host is sending missing changes, or is receiving them itself in order to send them.
+    bool isReceiving() const;
+
     /// Handles a request or a part of an answer. Returns false if the datagram is neither. Sets read when an answer is
     /// complete. Throws std::exception if it is malformed. addressOf returns an empty address for an unknown host.
     bool datagram(const std::string&, const AddressOf& addressOf, std::optional<StoreEvents>& read);
@@ -73,14 +79,18 @@
         uint64_t from = 0;
         uint64_t to = 0;
         Instant packedAt;
+        size_t bytes = 0; ///< Keys and values before they were packed.
     };
 
     void sendRequest();
     void startRequest(const std::string& host, const std::string& address, uint64_t after);
     void answerRequest(const std::string& request, const AddressOf&);
     std::optional<StoreEvents> receivePart(const std::string& part);
-    /// Returns the changes after a revision: the answer up to revision `to` if it is still kept, else the newest.
+    /// Returns the changes after a revision: the answer up to revision `to` if it is still kept, else one that lacks
+    /// little of the newest, else the newest.
     const Packed& changesAfter(uint64_t revision, uint64_t to);
+    const Packed* packedAnswer(uint64_t revision, uint64_t to) const;
+    size_t keptBytesAfter(uint64_t revision) const;
     const Packed& listing();
     void sendParts(const std::string& address, uint64_t number, const Packed&, const std::set<size_t>& missing);
     void answerWaiting();
@@ -111,6 +121,8 @@
     std::string m_requestAddress;
     uint64_t m_requestAfter = 0;
     Instant m_requestedAt;
+    Instant m_partAt; ///< When the last part that was missing was received.
+    Instant m_waitUntil; ///< The other host is receiving the changes itself.
     unsigned m_tries = 0;
     uint64_t m_partsTo = 0; ///< Last revision that the parts contain.
     std::vector<std::string> m_parts; ///< A part is empty until it is received.
--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -285,6 +285,8 @@
     }
     m_positionExchange.tick([this] { return watchingHosts(); });
     m_changeExchange.tick(m_follower.missingAfter(), [this] { return changeSources(); });
+    if (m_changeExchange.isReceiving())
+        m_follower.notePeerProgress();
     m_quota.tick();
     tickReplicaRecords();
     tickLeases();
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -136,13 +136,27 @@
 
 bool StoreFollower::acceptsRelayedState() const
 {
-    return m_source == StoreSource::Relay && m_clock() - m_stateAsOf < m_settings.relayedStateValidity;
+    // A host that receives changes hears from others, but the age of its state is known only once it has them all.
+    const Instant now = m_clock();
+    const bool receiving = m_changesMissingSince && now - m_peerProgressAt < m_settings.catchUpDelay;
+    return m_source == StoreSource::Relay && (receiving || now - m_stateAsOf < m_settings.relayedStateValidity);
+}
+
+// Load pattern: a large configuration passes from host to host for a second. If every host that waits for it read it
+// from the store, the links would be full for longer than that.
+bool StoreFollower::mustCatchUp() const
+{
+    if (!m_changesMissingSince)
+        return false;
+    const Instant now = m_clock();
+    return now - std::max(*m_changesMissingSince, m_peerProgressAt) >= m_settings.catchUpDelay
+        || now - *m_changesMissingSince >= m_settings.maxCatchUpDelay;
 }
 
 void StoreFollower::watch()
 {
     const Instant now = m_clock();
-    const bool catchUp = m_changesMissingSince && now - *m_changesMissingSince >= m_settings.catchUpDelay;
+    const bool catchUp = mustCatchUp();
     if (acceptsRelayedState() && !catchUp) {
         schedule(m_settings.relayCheckInterval, &StoreFollower::watch);
         return;
@@ -222,6 +236,8 @@
     m_observer.changesApplied(changes);
     if (m_revision >= m_reportedRevision)
         m_changesMissingSince.reset();
+    else if (!changes.items.empty())
+        m_changesMissingSince = m_clock();
     if (ownChanged)
         m_observer.ownItemsChanged();
 }
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -52,6 +52,9 @@
     /// Missing changes, whose content was not relayed or was lost, are read from the store after this time. It leaves
     /// time to request them from other hosts first, from some of those twice.
     Duration catchUpDelay = std::chrono::milliseconds(700);
+    /// The same while another host is sending them: with the call itself still less than the strictest time within
+    /// which configurations must be in force.
+    Duration maxCatchUpDelay = std::chrono::milliseconds(2500);
     /// Missing changes are requested from other hosts after this time; all watching hosts relay a change almost at
     /// once.
     Duration peerRequestDelay = std::chrono::milliseconds(40);
@@ -115,6 +118,9 @@
     /// complete listing is missing.
     std::optional<uint64_t> missingAfter() const;
 
+    /// Notes that another host is sending the missing changes.
+    void notePeerProgress() { m_peerProgressAt = m_clock(); }
+
     /// Returns the items of the store by key.
     const std::map<std::string, StoreItem>& items() const { return m_items; }
 
@@ -142,6 +148,7 @@
     /// no listing before, or the listing is not newer.
     StoreEvents changesTo(const std::vector<StoreItem>& listing, uint64_t revision) const;
     bool acceptsRelayedState() const;
+    bool mustCatchUp() const;
     bool listingMissing() const;
     void advance(const std::vector<StoreItem>&, uint64_t to);
     void storeCallFailed(const StoreItems&, std::string_view call);
@@ -166,7 +173,9 @@
     Instant m_startedAt;
     Instant m_stateAsOf; ///< Time as of which the store is known, through a call of this or another host.
     uint64_t m_reportedRevision = 0; ///< Newest revision that another host has reported.
-    std::optional<Instant> m_changesMissingSince; ///< Time since when m_reportedRevision is newer than m_revision.
+    /// Time since when m_reportedRevision is newer than m_revision, or the last changes were applied if that is later.
+    std::optional<Instant> m_changesMissingSince;
+    Instant m_peerProgressAt; ///< See notePeerProgress().
     std::optional<Instant> m_listingMissingSince; ///< Another host has relayed state of an era that is not listed here.
     std::vector<StoreItem> m_listing;
     std::map<std::string, StoreItem> m_items;
--- a/tests/unit_store_follower.cpp
+++ b/tests/unit_store_follower.cpp
@@ -308,3 +308,23 @@
     BOOST_TEST(changes.items[2].revision == 20U);
     BOOST_TEST(relayed.size() == 1U);
 }
+
+// Guards against hosts that all read a large configuration from the store while others are sending it, and against one
+// that waits for others for longer than a configuration may take.
+BOOST_FIXTURE_TEST_CASE(changes_that_another_host_sends_are_awaited_for_a_limited_time, FollowerFixture)
+{
+    store.answer(StoreOutcome::Ok, {}, 10);
+    follower.setSource(StoreSource::Relay);
+    store.answer(StoreOutcome::Ok, {}, 10); // The call that was in progress when the source changed.
+    follower.applyRelayed({ 12, 12, Duration(0), {} });
+    const Instant missingSince = now;
+    const size_t calls = store.watches.size();
+    while (store.watches.size() == calls && now - missingSince < std::chrono::seconds(10)) {
+        now += std::chrono::milliseconds(100);
+        follower.notePeerProgress();
+        runDelayedTask();
+    }
+    BOOST_TEST((now - missingSince > std::chrono::seconds(2)));
+    BOOST_TEST((now - missingSince <= std::chrono::milliseconds(2500)));
+    BOOST_TEST(store.watches.back() == 10U);
+}
