Close a connection to the store whose answer is given up

Found while tracing it: the operations in progress share the stream, so that dropping it left the connection open, and an abandoned answer went on arriving beside the next one until its end; a silent connection kept its descriptor. On a full link this doubles what has to arrive. The connection is now closed.

Measured: an_answer_that_stops_arriving_is_given_up (unit.store-client), which now expects that the server sees the end of the connection, failed before and passes.

--- a/src/change_exchange.cpp
+++ b/src/change_exchange.cpp
@@ -15,6 +15,9 @@
     /// Largest accepted unpacked answer, in bytes: twice what a host keeps, because of its encoding.
     constexpr size_t maxUnpackedBytes = 8 * 1024 * 1024;
 
+    /// Tells the requesting host that this one is receiving the changes itself. Older hosts count it as a lost part.
+    std::string emptyPart(uint64_t number) { return std::string(partWord) + std::to_string(number) + " 0 0 1 "; }
+
     size_t bytesOf(const StoreItem& item) { return item.key.size() + item.value.size(); }
 
     /// Returns the text's size, a blank and the compressed text.
@@ -286,7 +289,7 @@
             m_waiting[host] = { address, number, revision, m_clock() };
         // Only parts count: two hosts that wait for each other would otherwise go on doing so.
         if (m_clock() - m_partAt < m_settings.answerTimeout * 2)
-            m_channel.send(address, std::string(partWord) + std::to_string(number) + " 0 0 1 ");
+            m_channel.send(address, emptyPart(number));
         return;
     }
     const Packed& packed = revision == 0 ? listing() : changesAfter(revision, knownTo);
--- a/src/change_exchange.h
+++ b/src/change_exchange.h
@@ -89,7 +89,9 @@
     /// Returns the changes after a revision: the answer up to revision `to` if it is still kept, else one that lacks
     /// little of the newest, else the newest.
     const Packed& changesAfter(uint64_t revision, uint64_t to);
+    /// Returns the packed answer to send to a host that knows a revision, or null if none fits.
     const Packed* packedAnswer(uint64_t revision, uint64_t to) const;
+    /// Returns the size of the kept changes after a revision, in bytes.
     size_t keptBytesAfter(uint64_t revision) const;
     const Packed& listing();
     void sendParts(const std::string& address, uint64_t number, const Packed&, const std::set<size_t>& missing);
@@ -122,7 +124,7 @@
     uint64_t m_requestAfter = 0;
     Instant m_requestedAt;
     Instant m_partAt; ///< When the last part that was missing was received.
-    Instant m_waitUntil; ///< The other host is receiving the changes itself.
+    Instant m_waitUntil; ///< Until then the other host is expected to receive the changes itself.
     unsigned m_tries = 0;
     uint64_t m_partsTo = 0; ///< Last revision that the parts contain.
     std::vector<std::string> m_parts; ///< A part is empty until it is received.
--- a/src/http_channel.cpp
+++ b/src/http_channel.cpp
@@ -52,9 +52,7 @@
         ++m_number;
         m_running = false;
         m_timer.cancel();
-        if (m_stream)
-            m_stream->close();
-        m_stream.reset();
+        closeStream();
         const std::deque<Call> calls = std::move(m_calls);
         m_calls.clear();
         boost::asio::post(m_loop, [self = shared_from_this(), calls] {
@@ -70,7 +68,7 @@
         m_stopped = true;
         m_calls.clear();
         m_timer.cancel();
-        m_stream.reset();
+        closeStream();
     }
 
 private:
@@ -79,6 +77,14 @@
         std::function<void(HttpOutcome)> handler;
     };
 
+    /// Closes the connection. Operations in progress share the stream, so dropping it would leave it open.
+    void closeStream()
+    {
+        if (m_stream)
+            m_stream->close();
+        m_stream.reset();
+    }
+
     void begin()
     {
         if (m_stopped || m_running || m_calls.empty())
@@ -201,7 +207,7 @@
         m_running = false;
         m_timer.cancel();
         if (!outcome.answered)
-            m_stream.reset();
+            closeStream();
         if (m_calls.empty())
             return;
         const Call call = std::move(m_calls.front());
--- a/tests/unit_store_client.cpp
+++ b/tests/unit_store_client.cpp
@@ -48,6 +48,7 @@
 
     size_t requests = 0;
     size_t connections = 0;
+    size_t closedConnections = 0; ///< By the client.
     std::string lastBody; ///< Body of the last request.
 
 private:
@@ -76,8 +77,10 @@
             read(it);
             return;
         }
-        if (rest <= slow.pieceBytes && !slow.complete)
+        if (rest <= slow.pieceBytes && !slow.complete) {
+            read(it); // Ends when the client closes the connection.
             return;
+        }
         const boost::asio::const_buffer piece(it->answer.data() + it->sent, std::min(rest, slow.pieceBytes));
         it->sent += piece.size();
         boost::asio::async_write(it->socket, piece, [this, it, slow](const boost::system::error_code& ec, size_t) {
@@ -103,8 +106,10 @@
     {
         it->request = {};
         http::async_read(it->socket, it->buffer, it->request, [this, it](const boost::system::error_code& ec, size_t) {
-            if (ec)
+            if (ec) {
+                ++closedConnections;
                 return;
+            }
             ++requests;
             lastBody = it->request.body();
             if (m_answers.empty()) {
@@ -200,6 +205,7 @@
     const StoreItems items = list(std::chrono::seconds(3));
     BOOST_TEST((items.outcome == StoreOutcome::Unreachable));
     BOOST_TEST(items.incompleteBytes > 0U);
+    BOOST_TEST(runUntil([&] { return server.closedConnections == 1; }));
     server.prepare(200, "", R"({"items":[],"more_pages":false,"as_of":10})");
     BOOST_TEST(list().asOf == 10U);
     BOOST_TEST(server.connections == 2U);
