--- a/tests/unit_fleet_member.cpp
+++ b/tests/unit_fleet_member.cpp
@@ -264,11 +264,11 @@
 namespace {
 
 /// Returns a configuration that is too large for one datagram, even compressed.
-std::string largeConfiguration(uint64_t version)
+std::string largeConfiguration(uint64_t version, size_t bytes = 30000)
 {
     std::mt19937 random(7);
     std::string text = std::to_string(version) + " ";
-    while (text.size() < 30000)
+    while (text.size() < bytes)
         text += static_cast<char>('a' + random() % 26);
     return text;
 }
@@ -311,22 +311,24 @@
 // from the store all at once would fill the link between two regions for seconds.
 BOOST_AUTO_TEST_CASE(a_large_configuration_beside_registrations_is_not_read_by_every_host)
 {
-    FakeFleet fleet(60, 2, false);
-    fleet.pass(seconds(10));
-    for (const auto& host : fleet.hosts)
-        host->store.reads = 0;
-    std::mt19937 random(3);
-    fleet.lost = [&random](const FakePeerNetwork::Datagram&) { return random() % 10 == 0; };
-    fleet.store.put("config", configurationWithRoutes(2, 5000));
-    for (unsigned i = 0; i < 80; ++i) {
-        fleet.pass(milliseconds(40));
-        fleet.store.put("s/r" + std::to_string(i), "replica");
+    for (const std::string& document : { configurationWithRoutes(2, 5000), largeConfiguration(2, 900000) }) {
+        FakeFleet fleet(60, 2, false);
+        fleet.pass(seconds(10));
+        for (const auto& host : fleet.hosts)
+            host->store.reads = 0;
+        std::mt19937 random(3);
+        fleet.lost = [&random](const FakePeerNetwork::Datagram&) { return random() % 10 == 0; };
+        fleet.store.put("config", document);
+        for (unsigned i = 0; i < 80; ++i) {
+            fleet.pass(milliseconds(40));
+            fleet.store.put("s/r" + std::to_string(i), "replica");
+        }
+        fleet.pass(milliseconds(800));
+        for (size_t i = 0; i < 60; ++i)
+            BOOST_TEST(fleet.versionAt(i) == 2U);
+        const auto hasRead = [](const auto& host) { return host->store.reads > 0; };
+        BOOST_TEST(std::count_if(fleet.hosts.begin(), fleet.hosts.end(), hasRead) <= 6); // Three of each region watch.
     }
-    fleet.pass(milliseconds(800));
-    for (size_t i = 0; i < 60; ++i)
-        BOOST_TEST(fleet.versionAt(i) == 2U);
-    const auto hasRead = [](const auto& host) { return host->store.reads > 0; };
-    BOOST_TEST(std::count_if(fleet.hosts.begin(), fleet.hosts.end(), hasRead) <= 6); // Three of each region watch.
 }
 
 // In a small fleet every host watches the store itself; a host that the store refuses receives changes from the others.
