--- a/review/standin/key_move.cpp
+++ b/review/standin/key_move.cpp
@@ -1,4 +1,4 @@
-// Stand-ins for the platform's store, a service of three databases and one client, for review case 3.
+// Stand-ins for the platform's store, a service of three databases and one client, for review case 4.
 //
 // The client holds a transaction open while the operator moves its key from one tenant to another.
 // Usage: key_move DIRECTORY RECORD TROUBLE. Writes the settings of one entry host to DIRECTORY/node.toml and plays the
