--- a/review/standin/key_move.cpp
+++ b/review/standin/key_move.cpp
@@ -4,8 +4,8 @@
 // Usage: key_move DIRECTORY RECORD TROUBLE. Writes the settings of one entry host to DIRECTORY/node.toml and plays the
 // case once the host is ready. Exit code: 1 if UNASKED was broken, 0 if it held, 2 if the case could not run.
 
-#include "support_kv_store.h"
-#include "support_line_group.h"
+#include "../../tests/support_kv_store.h"
+#include "../../tests/support_line_group.h"
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -36,7 +36,7 @@
 
 class Case {
 public:
-    Case(std::string directory, std::string record, bool trouble)
+    Case(std::string directory, const std::string& record, bool trouble)
         : m_directory(std::move(directory))
         , m_record(record)
         , m_trouble(trouble)
@@ -225,7 +225,7 @@
         m_exit = exitCode;
         note("end: " + reason);
         for (const auto& [id, signature] : m_ledger.signatures)
-            note("run: " + id + ", signed " + signature);
+            note(std::string("run: ").append(id).append(", signed ").append(signature));
         for (const std::string& violation : m_ledger.violations)
             note("database: " + violation);
         for (const std::string& statement : m_broken)
