--- a/tests/integration_soak.cpp
+++ b/tests/integration_soak.cpp
@@ -12,6 +12,7 @@
 //
 // To run more seeds by hand: SOAK_SEEDS=50 SOAK_FIRST=1 SOAK_SECONDS=30 build/integration_soak
 // SOAK_FAULTS=wipe,crash runs only the faults with these names. SOAK_HOSTS=60 runs that many entry hosts.
+// SOAK_REPEATS=20 repeats that many of a thousand answers of the databases, SOAK_BUSY=20 answers BUSY to as many.
 
 namespace plantainwall::test {
 
@@ -35,6 +36,7 @@
     /// Time after a fault until hosts count as undisturbed again.
     constexpr seconds settleTime(5);
     constexpr size_t maxProbeLine = 65536;
+    constexpr milliseconds maxRepeatDelay(300);
 
     /// Time at the end of a run in which at least nine of ten operations must be served.
     constexpr seconds finalPhase(4);
@@ -55,6 +57,8 @@
     }
 
     const size_t hostCount = numberFromEnvironment("SOAK_HOSTS", 3);
+    const unsigned repeatedPerThousand = numberFromEnvironment("SOAK_REPEATS", 20);
+    const unsigned busyPerThousand = numberFromEnvironment("SOAK_BUSY", 10);
 
     /// Returns whether SOAK_FAULTS (names with commas between them) allows a fault.
     bool faultEnabled(const std::string& name)
@@ -135,6 +139,7 @@
         void cutRegistrations();
         void wipeServer();
         void delayReceiving();
+        void repeatAnswers();
         void restoreStore();
         void returnStore();
         void restoreAgainLater();
@@ -150,9 +155,10 @@
         /// Used for faults between hosts. Separate, because these faults were added later and must not change the
         /// schedule that a seed gives for the others.
         std::mt19937_64 m_peerRandom;
-        // Separate for the same reason: faults of servers, restores of the store.
+        // Separate for the same reason: faults of servers, restores of the store, repeated answers.
         std::mt19937_64 m_serverRandom;
         std::mt19937_64 m_restoreRandom;
+        std::mt19937_64 m_repeatRandom;
         boost::asio::io_context m_loop;
         Ledger m_ledger;
         Acknowledgements m_acknowledgements;
@@ -186,6 +192,7 @@
         , m_peerRandom(seed)
         , m_serverRandom(seed)
         , m_restoreRandom(seed)
+        , m_repeatRandom(seed)
     {
         std::vector<std::string> arguments { "--control", loopback(m_controlPort) };
         const auto route = [&](uint16_t from, uint16_t to) {
@@ -564,6 +571,21 @@
             [this] { configure(!m_faultsOver && m_restoreRandom() % 2 == 0, m_restoreRandom); });
     }
 
+    // A server may send an answer a second time, late, or lack a slot. Goes on after the other faults: no time limit
+    // depends on it.
+    void Soak::repeatAnswers()
+    {
+        if (faultEnabled("busy"))
+            m_group->setBusy([this](std::string_view) { return m_repeatRandom() % 1000 < busyPerThousand; });
+        if (!faultEnabled("repeat"))
+            return;
+        m_group->setRepeats([this](std::string_view) -> std::optional<milliseconds> {
+            if (m_repeatRandom() % 1000 >= repeatedPerThousand)
+                return std::nullopt;
+            return milliseconds(m_repeatRandom() % static_cast<uint64_t>(maxRepeatDelay.count()));
+        });
+    }
+
     void Soak::restoreAgainLater()
     {
         if (m_faultsOver || !faultEnabled("restore"))
@@ -739,6 +761,7 @@
         after(milliseconds(4000 + m_restoreRandom() % 4000), [this] { restoreAgainLater(); });
         after(seconds(1), [this] { watchConfiguration(); });
         after(milliseconds(500), [this] { watchProcesses(); });
+        repeatAnswers();
         after(m_faultDuration, [this] { heal(); });
         const seconds lastFault = m_faultDuration + (faultEnabled("restore") ? restoreTime : seconds(0));
         after(lastFault + recoveryTime + finalPhase, [this] { m_loop.stop(); });
@@ -788,7 +811,8 @@
 
     std::string Soak::summary() const
     {
-        std::string text = "seed " + std::to_string(m_seed) + ": promotions " + std::to_string(m_group->promotions());
+        std::string text = "seed " + std::to_string(m_seed) + ": promotions " + std::to_string(m_group->promotions())
+            + ", repeated answers " + std::to_string(m_group->repeated());
         for (const auto& [name, count] : m_counts)
             text += ", " + name + " " + std::to_string(count);
         return text;
--- a/tests/support_line_client.cpp
+++ b/tests/support_line_client.cpp
@@ -78,6 +78,7 @@
     m_ready = false;
     m_id.clear();
     m_values.clear();
+    m_prepared.clear();
     m_ownPosition = 0;
     m_socket = std::make_shared<LineSocket>(tcp::socket(m_loop), platform::maxMessageBytes);
     LineSocket::Handlers handlers;
@@ -141,22 +142,51 @@
     m_needed = m_fleet.acknowledgements.before(now - staleness);
     if (m_route == LineRoute::OwnWrites)
         m_needed = std::max(m_needed, m_ownPosition);
-    const unsigned choice = m_fleet.random() % 10;
-    const std::string item = "item" + std::to_string(m_fleet.random() % 20);
-    m_steps.clear();
-    if (m_values.empty())
-        m_steps = { "SET zone " + m_name };
-    else if (choice < 5)
-        m_steps = { "READ " + item };
-    else if (choice < 7)
-        m_steps = { "WRITE " + item + " data" };
-    else
-        m_steps = { "BEGIN", "READ " + item, "WRITE " + item + " data", choice == 9 ? "ROLLBACK" : "COMMIT" };
+    m_steps = chooseSteps();
     if (m_steps.size() > 1)
         m_transaction = ++m_sent;
     send(m_steps.front());
 }
 
+// All callers use the same two names, each for shapes of its own that change from time to time.
+std::deque<std::string> LineClient::chooseSteps()
+{
+    const unsigned choice = m_fleet.random() % 10;
+    const std::string item = "item" + std::to_string(m_fleet.random() % 20);
+    const std::string shape = "q" + std::to_string(m_fleet.random() % 6);
+    if (m_values.empty())
+        return { "SET zone " + m_name };
+    if (m_prepared.count("s0") == 0 || m_fleet.random() % 20 == 0)
+        return { "PREPARE s0 READ " + shape };
+    if (m_prepared.count("s1") == 0 || m_fleet.random() % 20 == 0)
+        return { "PREPARE s1 WRITE " + shape };
+    const std::string read = (m_fleet.random() % 2 == 0 ? "READ " : "EXECUTE s0 ") + item;
+    const std::string write = (m_fleet.random() % 2 == 0 ? "WRITE " : "EXECUTE s1 ") + item + " data";
+    if (choice < 5)
+        return { read };
+    if (choice < 7)
+        return { write };
+    return { "BEGIN", read, write, choice == 9 ? "ROLLBACK" : "COMMIT" };
+}
+
+// Returns mode and shape of the statement that a text executes; empty if it executes none.
+std::string LineClient::preparedUnder(const std::string& text) const
+{
+    constexpr std::string_view execute = "EXECUTE ";
+    if (text.rfind(execute, 0) != 0)
+        return {};
+    const auto it = m_prepared.find(text.substr(execute.size(), text.find(' ', execute.size()) - execute.size()));
+    return it == m_prepared.end() ? std::string() : it->second;
+}
+
+// Returns the verb of a text, for a prepared statement its mode.
+std::string LineClient::verbOf(const std::string& text) const
+{
+    const std::string prepared = preparedUnder(text);
+    const std::string& words = prepared.empty() ? text : prepared;
+    return words.substr(0, words.find(' '));
+}
+
 void LineClient::send(const std::string& text)
 {
     m_id = m_name + "-" + std::to_string(++m_sent);
@@ -164,14 +194,14 @@
     m_row.clear();
     m_signature.clear();
     m_error.clear();
-    const std::string verb = text.substr(0, text.find(' '));
+    const std::string verb = verbOf(text);
     if (verb == "WRITE")
         m_writes.push_back(m_id);
     if (verb == "READ" || verb == "WRITE" || verb == "COMMIT") {
         // Transactions of different callers must not look alike.
         const uint64_t transaction
             = m_transaction == 0 ? 0 : std::hash<std::string> {}(m_name + std::to_string(m_transaction)) | 1U;
-        m_fleet.ledger.ask(m_id, { m_customer, text, transaction, m_values });
+        m_fleet.ledger.ask(m_id, { m_customer, text, transaction, m_values, preparedUnder(text) });
     }
     m_socket->send("QUERY " + m_id + " " + text + "\r\n");
     armTimeout(answerTimeout);
@@ -190,15 +220,16 @@
 void LineClient::checkSuccess()
 {
     Ledger& ledger = m_fleet.ledger;
-    const std::string verb = m_text.substr(0, m_text.find(' '));
+    const std::string verb = verbOf(m_text);
     if (verb != "READ" && verb != "WRITE" && verb != "COMMIT")
         return;
     const auto [first, last] = ledger.signatures.equal_range(m_id);
     if (std::none_of(first, last, [&](const auto& it) { return it.second == m_signature; }))
-        ledger.violation("MIXED", m_id + " " + m_text + " with signature " + m_signature);
+        ledger.violation("MIXED",
+            m_id + " " + m_text + " with signature " + m_signature + " of " + ledger.signedFor(m_signature));
     if (verb == "READ" && (m_row.empty() || std::stoull(m_row) < m_needed))
         ledger.violation("STALE",
-            m_id + " on " + lineRouteName(m_route) + " read at " + m_row + ", needed " + std::to_string(m_needed)
+            m_id + " " + m_text + " on " + lineRouteName(m_route) + " read at " + m_row + ", needed " + std::to_string(m_needed)
                 + ", answered by " + m_signature);
     const bool commits = verb == "COMMIT" || (verb == "WRITE" && m_transaction == 0);
     if (!commits)
@@ -222,11 +253,23 @@
     advance(state);
 }
 
+// Notes what an acknowledged SET or PREPARE leaves in the session.
+void LineClient::noteSessionState()
+{
+    constexpr std::string_view prepare = "PREPARE ";
+    if (m_text.rfind("SET ", 0) == 0)
+        m_values["zone"] = m_name;
+    if (m_text.rfind(prepare, 0) != 0)
+        return;
+    const size_t end = m_text.find(' ', prepare.size());
+    m_prepared[m_text.substr(prepare.size(), end - prepare.size())] = m_text.substr(end + 1);
+}
+
 void LineClient::advance(const std::string& state)
 {
     const bool failed = !m_error.empty();
-    if (!failed && m_text.rfind("SET ", 0) == 0)
-        m_values["zone"] = m_name;
+    if (!failed)
+        noteSessionState();
     m_steps.pop_front();
     if (failed && state != "I") {
         m_steps.clear();
--- a/tests/support_line_client.h
+++ b/tests/support_line_client.h
@@ -74,6 +74,10 @@
     void advance(const std::string& state);
     void finish(bool served);
     void noteRefusal();
+    void noteSessionState();
+    std::deque<std::string> chooseSteps();
+    std::string preparedUnder(const std::string& text) const;
+    std::string verbOf(const std::string& text) const;
 
     boost::asio::io_context& m_loop;
     Fleet& m_fleet;
@@ -85,6 +89,7 @@
     bool m_stopped = false;
     bool m_ready = false;
     std::map<std::string, std::string> m_values;
+    std::map<std::string, std::string> m_prepared; ///< Acknowledged mode and shape, by name.
     uint64_t m_sent = 0;
     uint64_t m_ownPosition = 0;
     // The operation in progress.
--- a/tests/support_line_group.cpp
+++ b/tests/support_line_group.cpp
@@ -27,6 +27,13 @@
 
 void Ledger::note(const std::string& event) { events += std::to_string(unixMilliseconds()) + " " + event + "\n"; }
 
+std::string Ledger::signedFor(const std::string& signature) const
+{
+    const auto it = std::find_if(
+        signatures.begin(), signatures.end(), [&](const auto& given) { return given.second == signature; });
+    return it == signatures.end() ? std::string() : it->first;
+}
+
 /// One connection of an entry host to a server.
 class LineGroup::Connection : public std::enable_shared_from_this<LineGroup::Connection> {
 public:
@@ -103,29 +110,45 @@
             m_socket->closeAfterSend();
             return;
         }
-        ready();
+        m_command = "STARTUP";
+        answer({});
     }
 
-    void ready()
+    void answer(std::string text)
     {
         const std::string state = m_open ? (m_failed ? "E " : "T ") : "I ";
-        m_socket->send("READY " + state + m_group.position(server()) + "\r\n");
+        text += "READY " + state + m_group.position(server()) + "\r\n";
+        m_socket->send(text);
+        const std::optional<std::chrono::milliseconds> delay
+            = m_group.m_repeats ? m_group.m_repeats(m_command) : std::nullopt;
+        if (!delay)
+            return;
+        m_group.after(*delay, [self = shared_from_this(), text = std::move(text), command = m_command] {
+            LineGroup& group = self->m_group;
+            ++group.m_repeated;
+            group.m_ledger.note("repeat " + self->server().id + " " + command + ": " + text.substr(0, text.find('\r')));
+            self->m_socket->send(text);
+        });
     }
 
     void complete(const std::string& row = {}, const std::string& signature = "-")
     {
-        std::string text;
-        if (!row.empty())
-            text = "DATAROW " + row + "\r\n";
-        m_socket->send(text + "COMPLETE " + signature + "\r\n");
-        ready();
+        answer((row.empty() ? std::string() : "DATAROW " + row + "\r\n") + "COMPLETE " + signature + "\r\n");
     }
 
     void error(const std::string& code)
     {
         m_failed = m_failed || m_open;
-        m_socket->send("ERROR " + code + " " + server().id + "\r\n");
-        ready();
+        answer("ERROR " + code + " " + server().id + "\r\n");
+    }
+
+    /// Answers BUSY if there is no free slot. The state of a transaction stays.
+    bool refuseForLackOfSlot()
+    {
+        if (!m_group.m_busyRule || !m_group.m_busyRule(m_command))
+            return false;
+        answer("ERROR BUSY " + server().id + "\r\n");
+        return true;
     }
 
     void end()
@@ -147,9 +170,11 @@
             // A later term holds all that an earlier one kept.
             needs = std::stoull(position.substr(0, dot)) > m_group.m_term ? UINT64_MAX
                                                                           : std::stoull(position.substr(dot + 1));
-            text = std::string(rest);
+            text.erase(0, text.size() - rest.size());
+            rest = text;
             verb = nextWord(rest);
         }
+        m_command = verb;
         if (id == "-")
             own(verb, rest, needs);
         else
@@ -160,6 +185,8 @@
     {
         if (verb == "BEGIN") {
             const bool readOnly = rest == "READ";
+            if (refuseForLackOfSlot())
+                return;
             if (needs && *needs > server().applied)
                 error("LAGGING");
             else if (!readOnly && !leads())
@@ -177,8 +204,13 @@
             const std::string name = nextWord(rest);
             m_values[name] = std::string(rest);
             complete();
+        } else if (verb == "PREPARE") {
+            const std::string name = nextWord(rest);
+            m_prepared[name] = std::string(rest);
+            complete();
         } else if (verb == "RESET") {
             m_values.clear();
+            m_prepared.clear();
             complete();
         } else if (verb == "STATUS" || verb == "PAUSE" || verb == "RESUME" || verb == "DEMOTE")
             control(verb, rest);
@@ -213,11 +245,50 @@
     {
         Ledger& ledger = m_group.m_ledger;
         const Ledger::Asked* const asked = ledger.find(id);
-        if (asked == nullptr || asked->text != text || asked->customer != m_customer) {
+        if (asked == nullptr || !sameStatement(asked->text, text) || asked->customer != m_customer) {
             ledger.violation("UNASKED", id + " " + text + " as " + m_customer);
             error("MALFORMED");
             return;
         }
+        if (verb == "EXECUTE") {
+            executePrepared(id, *asked, rest, needs);
+            return;
+        }
+        check(id, *asked, verb, rest, needs);
+    }
+
+    /// Returns whether two texts are the same but for the name of a prepared statement.
+    static bool sameStatement(std::string_view asked, std::string_view run)
+    {
+        const auto withoutName = [](std::string_view text) {
+            if (nextWord(text) == "EXECUTE")
+                nextWord(text);
+            return text;
+        };
+        constexpr std::string_view execute = "EXECUTE ";
+        const bool both = asked.substr(0, execute.size()) == execute && run.substr(0, execute.size()) == execute;
+        return asked == run || (both && withoutName(asked) == withoutName(run));
+    }
+
+    void executePrepared(const std::string& id, const Ledger::Asked& asked, std::string_view rest,
+        const std::optional<uint64_t>& needs)
+    {
+        const auto it = m_prepared.find(nextWord(rest));
+        if (it == m_prepared.end() || it->second != asked.shape) {
+            m_group.m_ledger.violation("PINNED",
+                id + ": prepared " + asked.shape + ", runs " + (it == m_prepared.end() ? "no shape" : it->second));
+            error("NOSTMT");
+            return;
+        }
+        std::string_view shape = it->second;
+        check(id, asked, nextWord(shape), rest, needs);
+    }
+
+    void check(const std::string& id, const Ledger::Asked& request, const std::string& verb, std::string_view rest,
+        const std::optional<uint64_t>& needs)
+    {
+        Ledger& ledger = m_group.m_ledger;
+        const Ledger::Asked* const asked = &request;
         if (asked->values != m_values)
             ledger.violation("PINNED", id + " runs with other session values");
         if (asked->transaction != 0 && (!m_open || (m_transaction != 0 && m_transaction != asked->transaction)))
@@ -235,6 +306,8 @@
             error("READONLY");
             return;
         }
+        if (refuseForLackOfSlot())
+            return;
         m_busy = true;
         m_group.after(m_group.m_settings.work,
             [self = shared_from_this(), id, verb, rest = std::string(rest)] { self->run(id, verb, rest); });
@@ -297,6 +370,8 @@
     uint64_t m_transaction = 0; ///< Of the caller, as the ledger numbers it.
     std::vector<std::pair<std::string, std::string>> m_writes;
     std::map<std::string, std::string> m_values;
+    std::map<std::string, std::string> m_prepared; ///< Mode and shape, by name.
+    std::string m_command; ///< First word of what is being answered.
 };
 
 LineGroup::LineGroup(
--- a/tests/support_line_group.h
+++ b/tests/support_line_group.h
@@ -10,6 +10,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace plantainwall::test {
@@ -22,6 +23,8 @@
         std::string text;
         uint64_t transaction = 0; ///< 0: a single statement.
         std::map<std::string, std::string> values; ///< Session values that were acknowledged before.
+        /// For EXECUTE: mode and shape that the caller prepared under the name, for example "READ q1".
+        std::string shape = {};
     };
 
     void ask(const std::string& id, Asked asked) { m_asked[id] = std::move(asked); }
@@ -31,6 +34,9 @@
         return it == m_asked.end() ? nullptr : &it->second;
     }
 
+    /// Returns the id of the request to which a signature was given; empty if there is none.
+    std::string signedFor(const std::string& signature) const;
+
     /// Notes a broken promise.
     void violation(const std::string& rule, const std::string& detail)
     {
@@ -103,6 +109,20 @@
     size_t size() const { return m_servers.size(); }
     size_t primary() const { return m_primary; }
 
+    /// Returns after which delay an answer is sent a second time, if at all.
+    /// @param command First words of what is answered: "STARTUP", or the statement's verb.
+    using RepeatRule = std::function<std::optional<std::chrono::milliseconds>(std::string_view command)>;
+
+    /// Makes servers repeat whole answers; an empty rule ends it.
+    void setRepeats(RepeatRule rule) { m_repeats = std::move(rule); }
+    uint64_t repeated() const { return m_repeated; }
+
+    /// Returns whether a command finds no free slot and is answered with BUSY.
+    using BusyRule = std::function<bool(std::string_view command)>;
+
+    /// Applies to BEGIN and to callers' statements; an empty rule ends it.
+    void setBusy(BusyRule rule) { m_busyRule = std::move(rule); }
+
     /// Makes replicas apply this much later.
     void setApplyDelay(std::chrono::milliseconds delay) { m_settings.apply = delay; }
 
@@ -171,6 +191,9 @@
     uint64_t m_promotions = 0;
     uint64_t m_crashes = 0;
     uint64_t m_signatures = 0;
+    RepeatRule m_repeats;
+    BusyRule m_busyRule;
+    uint64_t m_repeated = 0;
     std::list<Pending> m_pending;
     std::set<size_t> m_replicating;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
