--- a/src/gateway.h
+++ b/src/gateway.h
@@ -209,6 +209,7 @@
     // Connections (gateway_backend.cpp).
     void connectionOpened(GatewayConnection&);
     void connectionReplied(GatewayConnection&, BackendReply);
+    void noteUnexpected(const GatewayConnection&, const BackendReply&);
     void connectionClosed(GatewayConnection&, BackendCloseReason);
     void run(GatewayConnection&, Job&);
     void sendSetup(GatewayConnection&, const Session&, const Job&);
--- a/src/gateway_backend.cpp
+++ b/src/gateway_backend.cpp
@@ -39,6 +39,16 @@
             subset.begin(), subset.end(), [&](const auto& value) { return all.count(value.first) != 0; });
     }
 
+    constexpr std::string_view roleNames[] = { "setup", "begin", "statement", "ending", "check" };
+    static_assert(sizeof(roleNames) / sizeof(roleNames[0]) == static_cast<size_t>(CommandRole::Count),
+        "one entry for each CommandRole");
+
+    /// Only callers' statements are answered with a signature.
+    bool fits(CommandRole role, const BackendReply& reply)
+    {
+        return reply.error != BackendError::None || reply.signature.empty() == (role != CommandRole::Statement);
+    }
+
 } // namespace
 
 std::string_view backendErrorName(BackendError error) { return errorNames[static_cast<size_t>(error)]; }
@@ -190,13 +200,30 @@
         m_primaryPositions[server.service].note(position, std::min(requestedAt, until));
 }
 
+void Gateway::noteUnexpected(const GatewayConnection& connection, const BackendReply& reply)
+{
+    const bool none = connection.unansweredCommands.empty();
+    m_metrics.count(MetricCounter::UnexpectedReplies);
+    logEvent(LogEvent::ReplyUnexpected,
+        { { "service", connection.server.service }, { "server", connection.server.id },
+            { "lender", connection.lender() },
+            { "expected",
+                none ? "nothing" : roleNames[static_cast<size_t>(connection.unansweredCommands.front().role)] },
+            { "unanswered", connection.unansweredCommands.size() }, { "signature", reply.signature },
+            { "error", backendErrorName(reply.error) }, { "term", reply.position.term },
+            { "position", reply.position.position }, { "transaction_of", connection.session } });
+}
+
 void Gateway::connectionReplied(GatewayConnection& connection, BackendReply reply)
 {
     if (connection.unansweredCommands.empty()) {
+        noteUnexpected(connection, reply);
         dropConnection(connection);
         return;
     }
     const GatewayConnection::SentCommand command = connection.unansweredCommands.front();
+    if (!fits(command.role, reply))
+        noteUnexpected(connection, reply);
     connection.unansweredCommands.pop_front();
     connection.usedAt = m_clock();
     connection.server.speed.noteSuccess();
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -76,6 +76,7 @@
     ChangesDropped,
     PrimaryRevoked,
     RevocationInForce,
+    ReplyUnexpected,
     Count
 };
 
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -95,6 +95,9 @@
         { 64, "revocation_in_force", LogLevel::Warn,
             "All hosts know that a primary is being replaced; the fields count the hosts that were not waited for "
             "any longer." },
+        { 65, "reply_unexpected", LogLevel::Warn,
+            "A server sent a reply that does not fit the command to which it would belong in order, or one to no "
+            "command; servers may send a reply twice." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -32,6 +32,7 @@
         BackendConnects,
         StatementLatency,
         StoreEra,
+        UnexpectedReplies,
         Count
     };
 
@@ -64,6 +65,8 @@
         { "plantainwall_store_era", MetricType::Gauge, "",
             "Newest era of the metadata store that this host has seen; it rises when the store is restored from a "
             "copy." },
+        { "plantainwall_unexpected_replies_total", MetricType::Counter, "",
+            "Replies of backend servers that fit no unanswered command." },
     };
     static_assert(sizeof(families) / sizeof(families[0]) == static_cast<size_t>(Family::Count), "one for each Family");
 
@@ -82,6 +85,7 @@
         { Family::ConnectionsRefused, "" },
         { Family::SpansDropped, "" },
         { Family::BackendConnects, "" },
+        { Family::UnexpectedReplies, "" },
     };
     static_assert(sizeof(counters) / sizeof(counters[0]) == static_cast<size_t>(MetricCounter::Count),
         "one for each MetricCounter");
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -16,6 +16,7 @@
     ConnectionsRefused,
     SpansDropped,
     BackendConnects,
+    UnexpectedReplies,
     Count
 };
 
