--- a/tests/support_line_client.cpp
+++ b/tests/support_line_client.cpp
@@ -225,12 +225,12 @@
         return;
     const auto [first, last] = ledger.signatures.equal_range(m_id);
     if (std::none_of(first, last, [&](const auto& it) { return it.second == m_signature; }))
-        ledger.violation("MIXED",
-            m_id + " " + m_text + " with signature " + m_signature + " of " + ledger.signedFor(m_signature));
+        ledger.violation(
+            "MIXED", m_id + " " + m_text + " with signature " + m_signature + " of " + ledger.signedFor(m_signature));
     if (verb == "READ" && (m_row.empty() || std::stoull(m_row) < m_needed))
         ledger.violation("STALE",
-            m_id + " " + m_text + " on " + lineRouteName(m_route) + " read at " + m_row + ", needed " + std::to_string(m_needed)
-                + ", answered by " + m_signature);
+            m_id + " " + m_text + " on " + lineRouteName(m_route) + " read at " + m_row + ", needed "
+                + std::to_string(m_needed) + ", answered by " + m_signature);
     const bool commits = verb == "COMMIT" || (verb == "WRITE" && m_transaction == 0);
     if (!commits)
         return;
--- a/tests/support_line_group.cpp
+++ b/tests/support_line_group.cpp
@@ -270,8 +270,8 @@
         return asked == run || (both && withoutName(asked) == withoutName(run));
     }
 
-    void executePrepared(const std::string& id, const Ledger::Asked& asked, std::string_view rest,
-        const std::optional<uint64_t>& needs)
+    void executePrepared(
+        const std::string& id, const Ledger::Asked& asked, std::string_view rest, const std::optional<uint64_t>& needs)
     {
         const auto it = m_prepared.find(nextWord(rest));
         if (it == m_prepared.end() || it->second != asked.shape) {
