--- a/src/gateway_backend.cpp
+++ b/src/gateway_backend.cpp
@@ -218,7 +218,7 @@
 {
     if (connection.unansweredCommands.empty()) {
         noteUnexpected(connection, reply);
-        dropConnection(connection);
+        connectionClosed(connection, BackendCloseReason::ProtocolError);
         return;
     }
     const GatewayConnection::SentCommand command = connection.unansweredCommands.front();
