Match replies of servers by signature, kind and log position instead of order alone

Callers got answers of other statements, also of other callers (MIXED), commits counted as confirmed that were in no log (LOST, STALE), and statements ran outside their transaction (PINNED, UNASKED, TWICE). Cause: replies carry no id and were matched to commands by order alone; a server may repeat an answer, late, and each surplus one shifted all that followed by one.

ReplyMatcher, one for each connection to a server and below all its users (gateway, pool of lent connections, probes, status of the coordinator), assigns replies by evidence: a signature belongs to one run, a log position never falls, and each command allows some replies only. Copies are ignored. What remains in doubt is marked where it decides: a caller's transaction is begun on another connection, an error closes the connection instead of counting as not run, a position is not noted, and a read of the primary counts only if its own reply shows the open transaction around it. A second answer to the startup line is ignored.

Tests changed: unit.line-codec expected a lone READY to be invalid; it is the second answer to the startup line now, and invalid within a reply, which is checked too.

--- a/src/connection_pool.cpp
+++ b/src/connection_pool.cpp
@@ -334,7 +334,10 @@
     connection.unanswered -= std::min<size_t>(connection.unanswered, 1);
     connection.state = reply.state;
     if (connection.stage == PhysicalConnection::Stage::Lent) {
-        if (connection.borrower != nullptr && connection.borrower->observer != nullptr)
+        // The command's own reply may still come, after the connection has been lent again.
+        if (reply.mayBeCopy && reply.error != BackendError::None)
+            physicalClosed(connection, BackendCloseReason::ProtocolError);
+        else if (connection.borrower != nullptr && connection.borrower->observer != nullptr)
             connection.borrower->observer->backendReplied(std::move(reply));
         return;
     }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -209,7 +209,8 @@
     // Connections (gateway_backend.cpp).
     void connectionOpened(GatewayConnection&);
     void connectionReplied(GatewayConnection&, BackendReply);
-    void noteUnexpected(const GatewayConnection&, const BackendReply&);
+    /// Returns whether a reply that may be a copy can be used nevertheless.
+    bool usableInDoubt(const GatewayConnection&, CommandRole, const BackendReply&) const;
     void connectionClosed(GatewayConnection&, BackendCloseReason);
     void run(GatewayConnection&, Job&);
     void sendSetup(GatewayConnection&, const Session&, const Job&);
--- a/src/gateway_backend.cpp
+++ b/src/gateway_backend.cpp
@@ -39,16 +39,6 @@
             subset.begin(), subset.end(), [&](const auto& value) { return all.count(value.first) != 0; });
     }
 
-    constexpr std::string_view roleNames[] = { "setup", "begin", "statement", "ending", "check" };
-    static_assert(sizeof(roleNames) / sizeof(roleNames[0]) == static_cast<size_t>(CommandRole::Count),
-        "one entry for each CommandRole");
-
-    /// Only callers' statements are answered with a signature.
-    bool fits(CommandRole role, const BackendReply& reply)
-    {
-        return reply.error != BackendError::None || reply.signature.empty() == (role != CommandRole::Statement);
-    }
-
 } // namespace
 
 std::string_view backendErrorName(BackendError error) { return errorNames[static_cast<size_t>(error)]; }
@@ -137,6 +127,7 @@
     job.sentAt = now;
     sendSetup(connection, *session, job);
     const bool readsOnPrimary = !job.inTransaction && !job.writes && job.onPrimary;
+    connection.wrapsRead = readsOnPrimary;
     const bool needsCheck = job.writes && !job.inTransaction && now - connection.usedAt > m_settings.validateAfter;
     connection.usedAt = now;
     if (job.opensTransaction || readsOnPrimary) {
@@ -200,34 +191,31 @@
         m_primaryPositions[server.service].note(position, std::min(requestedAt, until));
 }
 
-void Gateway::noteUnexpected(const GatewayConnection& connection, const BackendReply& reply)
+// An error decides whether a statement is run again, and a caller's transaction must be open before it is used. A BEGIN
+// that only proves something is proved by the reply to the statement after it as well.
+bool Gateway::usableInDoubt(const GatewayConnection& connection, CommandRole role, const BackendReply& reply) const
 {
-    const bool none = connection.unansweredCommands.empty();
-    m_metrics.count(MetricCounter::UnexpectedReplies);
-    logEvent(LogEvent::ReplyUnexpected,
-        { { "service", connection.server.service }, { "server", connection.server.id },
-            { "lender", connection.lender() },
-            { "expected",
-                none ? "nothing" : roleNames[static_cast<size_t>(connection.unansweredCommands.front().role)] },
-            { "unanswered", connection.unansweredCommands.size() }, { "signature", reply.signature },
-            { "error", backendErrorName(reply.error) }, { "term", reply.position.term },
-            { "position", reply.position.position }, { "transaction_of", connection.session } });
+    const auto it = m_jobs.find(connection.job);
+    const bool opensTransaction = role == CommandRole::Begin && it != m_jobs.end() && it->second.opensTransaction;
+    const bool decides = role == CommandRole::Begin || role == CommandRole::Statement || role == CommandRole::Check;
+    return !opensTransaction && (!decides || reply.error == BackendError::None);
 }
 
 void Gateway::connectionReplied(GatewayConnection& connection, BackendReply reply)
 {
     if (connection.unansweredCommands.empty()) {
-        noteUnexpected(connection, reply);
         connectionClosed(connection, BackendCloseReason::ProtocolError);
         return;
     }
     const GatewayConnection::SentCommand command = connection.unansweredCommands.front();
-    if (!fits(command.role, reply))
-        noteUnexpected(connection, reply);
+    if (reply.mayBeCopy && !usableInDoubt(connection, command.role, reply)) {
+        connectionClosed(connection, BackendCloseReason::ProtocolError);
+        return;
+    }
     connection.unansweredCommands.pop_front();
     connection.usedAt = m_clock();
     connection.server.speed.noteSuccess();
-    if (reply.position != LogPosition()) {
+    if (reply.position != LogPosition() && !reply.mayBeCopy) {
         connection.server.applied = reply.position;
         connection.server.appliedAt = connection.usedAt;
     }
@@ -270,7 +258,9 @@
     const bool check = command.role == CommandRole::Check;
     Job* const job = connection.job != 0 ? findJob(connection.job) : nullptr;
     const bool provesPrimary = check || (job != nullptr && job->onPrimary);
-    if (reply.error == BackendError::None && provesPrimary)
+    if (reply.error == BackendError::None)
+        connection.began = reply.position;
+    if (reply.error == BackendError::None && provesPrimary && !reply.mayBeCopy)
         notePrimary(connection.server, reply.position, command.sentAt);
     if (reply.error == BackendError::ReadOnly)
         m_directory.noteNotPrimary(connection.server.service, connection.server.id, m_clock());
@@ -324,6 +314,14 @@
     }
     Session* const session = findSession(job.session);
     const bool commit = job.statement.kind == StatementKind::Commit;
+    const bool needsTransaction = connection.wrapsRead || (job.inTransaction && !commit);
+    if (needsTransaction && reply.state != TransactionState::Open) {
+        // The BEGIN before it failed, so that another server may lead.
+        connectionClosed(connection, BackendCloseReason::ProtocolError);
+        return;
+    }
+    if (connection.wrapsRead)
+        notePrimary(connection.server, reply.position, sentAt);
     if (job.writes || (commit && session != nullptr && session->wrote)) {
         if (!job.inTransaction || commit) {
             const std::string& service = connection.server.service;
--- a/src/gateway_connection.h
+++ b/src/gateway_connection.h
@@ -36,6 +36,9 @@
     std::string_view lender() const { return link != nullptr ? link->lender() : std::string_view(); }
     bool idle() const { return open && unansweredCommands.empty() && job == 0 && session == 0; }
 
+    /// Returns whether the reply to a BEGIN will differ from those before it, as the server's log has grown since.
+    bool beginIsProvable() const;
+
     Gateway& gateway;
     GatewayServer& server;
     std::string customer;
@@ -44,11 +47,13 @@
     std::deque<SentCommand> unansweredCommands; ///< Unanswered commands in the order in which they were sent.
     uint64_t job = 0; ///< Job that uses the connection; 0: none.
     uint64_t session = 0; ///< Session whose transaction is open on the connection; 0: none.
+    bool wrapsRead = false; ///< The statement is a read inside a transaction that only a primary accepts.
     bool statementSent = false; ///< The caller's statement itself has been sent, not only commands before it.
     bool valueChangedInTransaction = false;
     bool valuesKnown = true; ///< Whether `values` is what the server has; if not, they are reset before the next use.
     std::map<std::string, std::string> values; ///< Session values set on the connection.
     std::set<std::string> prepared; ///< Names of the prepared statements on the connection.
+    LogPosition began; ///< Position in the reply to the last BEGIN.
     Instant usedAt;
 };
 
@@ -69,4 +74,6 @@
     Instant retryConnectAt;
 };
 
+inline bool GatewayConnection::beginIsProvable() const { return began == LogPosition() || began < server.applied; }
+
 } // namespace plantainwall
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -1,6 +1,7 @@
 #include "gateway.h"
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace plantainwall {
 
@@ -180,32 +181,34 @@
     return candidate;
 }
 
+// Load pattern: transactions follow each other on a connection while nothing is committed. The reply to a BEGIN would
+// then look like the one before; another connection is used, or a new one.
 GatewayConnection* Gateway::takeConnection(GatewayServer& server, const Job& job)
 {
     const Session* const session = findSession(job.session);
     GatewayConnection* best = nullptr;
     GatewayConnection* oldest = nullptr;
+    const auto rank = [&](const GatewayConnection& connection) {
+        const bool provable = !job.opensTransaction || connection.beginIsProvable();
+        const bool matches = connection.valuesKnown && session != nullptr && connection.values == session->values;
+        return std::make_tuple(provable, matches, connection.usedAt);
+    };
     for (const std::unique_ptr<GatewayConnection>& it : server.connections) {
         GatewayConnection& connection = *it;
         if (!connection.idle())
             continue;
         if (oldest == nullptr || connection.usedAt < oldest->usedAt)
             oldest = &connection;
-        if (connection.customer != job.customer)
-            continue;
-        const bool matches = connection.valuesKnown && session != nullptr && connection.values == session->values;
-        const bool bestMatches
-            = best != nullptr && best->valuesKnown && session != nullptr && best->values == session->values;
-        if (best == nullptr || (matches && !bestMatches)
-            || (matches == bestMatches && best->usedAt < connection.usedAt))
+        if (connection.customer == job.customer && (best == nullptr || rank(*best) < rank(connection)))
             best = &connection;
     }
-    if (best != nullptr)
+    if (best != nullptr && (!job.opensTransaction || best->beginIsProvable()))
         return best;
     if (connectionsFull(server)) {
-        if (oldest == nullptr)
+        GatewayConnection* const replaced = best != nullptr ? best : oldest;
+        if (replaced == nullptr)
             return nullptr;
-        dropConnection(*oldest);
+        dropConnection(*replaced);
     }
     return openConnection(server, job.customer);
 }
--- a/src/gateway_ports.h
+++ b/src/gateway_ports.h
@@ -71,6 +71,9 @@
     std::string detail;
     TransactionState state = TransactionState::Idle;
     LogPosition position;
+    /// The reply to a command that decides what is done next, such as BEGIN, or an error: it may be a copy of an
+    /// earlier reply, so that the command's own reply is still to come (see ReplyMatcher).
+    bool mayBeCopy = false;
 };
 
 enum class BackendCloseReason : uint8_t {
--- /dev/null
+++ b/src/reply_matcher.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "gateway_ports.h"
+#include <deque>
+#include <set>
+
+namespace plantainwall {
+
+/// Assigns the replies on one connection to the commands that were sent on it. A decision object.
+///
+/// Replies carry no request id and arrive in the order of the commands, but a server may repeat a reply later, so that
+/// a copy can arrive in place of any later reply. A copy equals the original in every byte, which gives this evidence:
+///
+/// - The reply to a caller's statement carries a signature that belongs to one run only. A signature seen before marks
+///   a copy; a new one belongs to the statement, and all earlier commands have been answered.
+/// - Replies to the host's own commands and errors carry the server's log position, which never falls. A reply at a
+///   greater position than any before it, or unlike every reply at the greatest one, is not a copy.
+/// - Commands differ in the replies that they allow: rows, signature, transaction state, errors.
+///
+/// A reply that remains in doubt is passed on for commands whose outcome the server's order of execution ensures, and
+/// marked (BackendReply::mayBeCopy) where the outcome decides what is done next.
+///
+/// Load pattern: servers repeat some percent of their replies by up to seconds, while connections are in use without a
+/// pause. Memory is bounded: a few replies at one position, and the last signatures.
+class ReplyMatcher {
+public:
+    enum class Verdict : uint8_t {
+        Answer, ///< Answers the oldest unanswered command, or may do so.
+        Copy, ///< Repeats an earlier reply; to be ignored.
+        Unsolicited, ///< Fits neither; the connection is unusable.
+        Count
+    };
+
+    /// Notes a command that has been sent.
+    void sent(const BackendCommand&);
+
+    /// Classifies a reply, and sets its mayBeCopy. Verdict::Answer completes the oldest unanswered command.
+    Verdict received(BackendReply&);
+
+    /// Returns the oldest unanswered command, or nothing if there is none.
+    std::optional<BackendCommandKind> expected() const;
+
+private:
+    /// What a doubtful reply may leave to be answered later than it seems.
+    enum class Doubt : uint8_t {
+        None,
+        Setup, ///< Commands that cannot fail in ways that a caller's statement can.
+        Outcome, ///< Also commands that can.
+        Statement, ///< Also a caller's statement.
+        Count
+    };
+
+    bool seenBefore(const BackendReply&);
+    bool signatureSeenBefore(const std::string& signature);
+    bool fits(BackendCommandKind, const BackendReply&, bool seen) const;
+    Verdict receivedSigned(const BackendReply&);
+    void accept(BackendCommandKind, BackendReply&, bool seen);
+
+    std::deque<BackendCommandKind> m_unanswered;
+    TransactionState m_state = TransactionState::Idle; ///< After the last accepted reply.
+    Doubt m_doubt = Doubt::None;
+    LogPosition m_greatest; ///< Greatest position in a reply.
+    std::set<size_t> m_atGreatest; ///< Hashes of the replies without signature at that position.
+    std::set<size_t> m_withoutPosition; ///< Likewise for replies without a position.
+    std::deque<size_t> m_signatures; ///< Hashes of the last signatures.
+};
+
+} // namespace plantainwall
--- a/tests/unit_line_codec.cpp
+++ b/tests/unit_line_codec.cpp
@@ -80,6 +80,9 @@
     const BackendReply error = decoder.take();
     BOOST_TEST((error.error == BackendError::ReadOnly));
     BOOST_TEST((error.state == TransactionState::Failed));
+    // Such a line alone only repeats the answer to the startup line. It ends no reply that has begun.
+    BOOST_TEST((decoder.feed("READY I 1.1") == ReplyDecoder::Result::Startup));
+    BOOST_TEST((decoder.feed("DATAROW qhz") == ReplyDecoder::Result::Incomplete));
     BOOST_TEST((decoder.feed("READY I 1.1") == ReplyDecoder::Result::Invalid));
     BOOST_TEST((ReplyDecoder().feed("NONSENSE") == ReplyDecoder::Result::Invalid));
 }
--- /dev/null
+++ b/tests/unit_reply_matcher.cpp
@@ -0,0 +1,253 @@
+#include "link_message.h"
+#include "matched_connector.h"
+#include "reply_matcher.h"
+#include "support_gateway.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace plantainwall;
+
+namespace {
+
+constexpr LogPosition earlier { 3, 10 };
+constexpr LogPosition later { 3, 11 };
+
+BackendReply ownReply(TransactionState state, LogPosition position)
+{
+    BackendReply reply;
+    reply.state = state;
+    reply.position = position;
+    return reply;
+}
+
+BackendReply signedReply(
+    const std::string& signature, LogPosition position, TransactionState state = TransactionState::Idle)
+{
+    BackendReply reply = ownReply(state, position);
+    reply.signature = signature;
+    return reply;
+}
+
+BackendReply failure(BackendError error, LogPosition position)
+{
+    BackendReply reply = ownReply(TransactionState::Idle, position);
+    reply.error = error;
+    return reply;
+}
+
+BackendReply statusReply(LogPosition position)
+{
+    BackendReply reply = ownReply(TransactionState::Idle, position);
+    reply.rows = { "replica 3 3.10 0 0 0 1" };
+    return reply;
+}
+
+/// A connection as the host sees it.
+struct Matching {
+    void send(BackendCommandKind kind)
+    {
+        BackendCommand command;
+        command.kind = kind;
+        matcher.sent(command);
+    }
+
+    ReplyMatcher::Verdict receive(BackendReply reply)
+    {
+        const ReplyMatcher::Verdict verdict = matcher.received(reply);
+        last = std::move(reply);
+        return verdict;
+    }
+
+    /// Sends a command and receives its reply, which must count as one.
+    void run(BackendCommandKind kind, BackendReply reply)
+    {
+        send(kind);
+        BOOST_TEST((receive(std::move(reply)) == ReplyMatcher::Verdict::Answer));
+    }
+
+    ReplyMatcher matcher;
+    BackendReply last;
+};
+
+using Verdict = ReplyMatcher::Verdict;
+using Kind = BackendCommandKind;
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(copy_on_an_idle_connection_is_ignored, Matching)
+{
+    run(Kind::Forward, signedReply("s1", earlier));
+    run(Kind::Reset, ownReply(TransactionState::Idle, earlier));
+    run(Kind::Forward, failure(BackendError::Busy, earlier));
+    run(Kind::Status, statusReply(earlier));
+    run(Kind::Forward, signedReply("s2", later));
+    BOOST_TEST((receive(signedReply("s1", earlier)) == Verdict::Copy));
+    BOOST_TEST((receive(ownReply(TransactionState::Idle, earlier)) == Verdict::Copy));
+    BOOST_TEST((receive(failure(BackendError::Busy, earlier)) == Verdict::Copy));
+}
+
+BOOST_FIXTURE_TEST_CASE(reply_that_nothing_explains_closes_an_idle_connection, Matching)
+{
+    run(Kind::Forward, signedReply("s1", earlier));
+    BOOST_TEST((receive(signedReply("s2", later)) == Verdict::Unsolicited));
+    BOOST_TEST((receive(ownReply(TransactionState::Idle, { 3, 12 })) == Verdict::Unsolicited));
+}
+
+BOOST_FIXTURE_TEST_CASE(statement_is_answered_by_its_own_signature_only, Matching)
+{
+    run(Kind::SetValue, ownReply(TransactionState::Idle, earlier));
+    run(Kind::Forward, signedReply("s1", earlier));
+    send(Kind::Forward);
+    BOOST_TEST((receive(signedReply("s1", earlier)) == Verdict::Copy));
+    BOOST_TEST((receive(ownReply(TransactionState::Idle, earlier)) == Verdict::Copy));
+    BOOST_TEST((receive(signedReply("s2", earlier)) == Verdict::Answer));
+}
+
+// The copy is taken for the reply to SET, whose own one is then one too many: the statement waits for its signature.
+BOOST_FIXTURE_TEST_CASE(copy_during_setup_does_not_answer_the_statement, Matching)
+{
+    run(Kind::Reset, ownReply(TransactionState::Idle, earlier));
+    send(Kind::SetValue);
+    send(Kind::Prepare);
+    send(Kind::Execute);
+    for (int i = 0; i < 2; ++i)
+        BOOST_TEST((receive(ownReply(TransactionState::Idle, earlier)) == Verdict::Answer));
+    BOOST_TEST((receive(ownReply(TransactionState::Idle, earlier)) == Verdict::Copy));
+    BOOST_TEST((receive(signedReply("s1", earlier)) == Verdict::Answer));
+    BOOST_TEST(!matcher.expected().has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(begin_is_proved_by_a_later_position, Matching)
+{
+    run(Kind::Begin, ownReply(TransactionState::Open, earlier));
+    BOOST_TEST(!last.mayBeCopy);
+    run(Kind::Rollback, ownReply(TransactionState::Idle, earlier));
+    send(Kind::Begin);
+    BOOST_TEST((receive(ownReply(TransactionState::Idle, earlier)) == Verdict::Copy));
+    BOOST_TEST((receive(ownReply(TransactionState::Open, later)) == Verdict::Answer));
+    BOOST_TEST(!last.mayBeCopy);
+}
+
+BOOST_FIXTURE_TEST_CASE(begin_at_the_same_position_is_in_doubt, Matching)
+{
+    run(Kind::Begin, ownReply(TransactionState::Open, earlier));
+    run(Kind::Rollback, ownReply(TransactionState::Idle, earlier));
+    run(Kind::Begin, ownReply(TransactionState::Open, earlier));
+    BOOST_TEST(last.mayBeCopy);
+}
+
+// The reply to a command within a transaction looks like that to BEGIN.
+BOOST_FIXTURE_TEST_CASE(setup_within_a_transaction_does_not_prove_the_next_begin, Matching)
+{
+    run(Kind::Begin, ownReply(TransactionState::Open, earlier));
+    run(Kind::Prepare, ownReply(TransactionState::Open, earlier));
+    run(Kind::Rollback, ownReply(TransactionState::Idle, earlier));
+    run(Kind::Begin, ownReply(TransactionState::Open, later));
+    BOOST_TEST(last.mayBeCopy);
+}
+
+BOOST_FIXTURE_TEST_CASE(repeated_error_of_a_statement_is_in_doubt, Matching)
+{
+    run(Kind::Forward, failure(BackendError::Busy, earlier));
+    BOOST_TEST(!last.mayBeCopy);
+    run(Kind::Forward, failure(BackendError::Busy, earlier));
+    BOOST_TEST(last.mayBeCopy);
+    // Either of the two statements may get it.
+    send(Kind::Forward);
+    BOOST_TEST((receive(signedReply("s1", later)) == Verdict::Unsolicited));
+}
+
+BOOST_FIXTURE_TEST_CASE(error_of_a_statement_at_a_later_position_is_its_own, Matching)
+{
+    run(Kind::Forward, failure(BackendError::Behind, earlier));
+    run(Kind::Forward, failure(BackendError::Behind, later));
+    BOOST_TEST(!last.mayBeCopy);
+}
+
+// No slot is needed for a reset, so the error is a copy.
+BOOST_FIXTURE_TEST_CASE(error_of_a_statement_does_not_answer_a_reset, Matching)
+{
+    run(Kind::Forward, failure(BackendError::Busy, earlier));
+    send(Kind::Reset);
+    BOOST_TEST((receive(failure(BackendError::Busy, earlier)) == Verdict::Copy));
+    BOOST_TEST((receive(ownReply(TransactionState::Idle, earlier)) == Verdict::Answer));
+}
+
+BOOST_FIXTURE_TEST_CASE(status_row_does_not_answer_a_begin, Matching)
+{
+    const BackendReply row = statusReply(earlier);
+    run(Kind::Status, row);
+    send(Kind::Begin);
+    BOOST_TEST((receive(row) == Verdict::Copy));
+    send(Kind::Status);
+    BOOST_TEST((receive(ownReply(TransactionState::Open, earlier)) == Verdict::Answer));
+    BOOST_TEST((receive(row) == Verdict::Answer));
+}
+
+BOOST_FIXTURE_TEST_CASE(log_that_went_back_is_in_doubt_at_most, Matching)
+{
+    run(Kind::Forward, signedReply("s1", later));
+    run(Kind::Reset, ownReply(TransactionState::Idle, earlier));
+    run(Kind::Begin, ownReply(TransactionState::Open, earlier));
+    BOOST_TEST(last.mayBeCopy);
+    send(Kind::Forward);
+    BOOST_TEST((receive(signedReply("s2", earlier)) == Verdict::Unsolicited));
+}
+
+namespace {
+
+/// Two connectors: one that the test answers, and the matched one over it.
+struct MatchedFixture {
+    struct Observer final : BackendObserver {
+        void backendOpened() override { }
+        void backendReplied(BackendReply reply) override { replies.push_back(std::move(reply)); }
+        void backendClosed(BackendCloseReason reason) override { closed = reason; }
+
+        std::vector<BackendReply> replies;
+        std::optional<BackendCloseReason> closed;
+    };
+
+    MatchedFixture()
+    {
+        ServerEntry entry;
+        entry.id = "p";
+        link = matched.open(entry, "hatter", observer);
+    }
+
+    Metrics metrics;
+    FakeConnector sockets;
+    MatchedConnector matched { sockets, metrics };
+    Observer observer;
+    std::unique_ptr<BackendLink> link;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(observer_gets_one_reply_for_each_command, MatchedFixture)
+{
+    BackendCommand command;
+    command.kind = Kind::Forward;
+    link->send(command);
+    sockets.reply(0, signedReply("s1", earlier));
+    BackendObserver* const socket = sockets.links[0].observer;
+    socket->backendReplied(signedReply("s1", earlier));
+    link->send(command);
+    socket->backendReplied(signedReply("s1", earlier));
+    BOOST_TEST(observer.replies.size() == 1U);
+    sockets.reply(0, signedReply("s2", earlier));
+    BOOST_REQUIRE(observer.replies.size() == 2U);
+    BOOST_TEST(observer.replies.back().signature == "s2");
+    BOOST_TEST(!observer.closed.has_value());
+    BOOST_TEST(metrics.metricsText().find("plantainwall_unexpected_replies_total 2") != std::string::npos);
+    socket->backendReplied(signedReply("s3", later));
+    BOOST_TEST((observer.closed == BackendCloseReason::ProtocolError));
+}
+
+BOOST_AUTO_TEST_CASE(doubt_is_passed_on_to_borrowers)
+{
+    LinkMessage message;
+    message.kind = LinkMessageKind::Reply;
+    message.reply = ownReply(TransactionState::Open, earlier);
+    BOOST_TEST(!decodeLinkMessage(encodeLinkMessage(message)).reply.mayBeCopy);
+    message.reply.mayBeCopy = true;
+    BOOST_TEST(decodeLinkMessage(encodeLinkMessage(message)).reply.mayBeCopy);
+}
