Bound what a reply matcher keeps, and keep more signatures while the log does not change

By reading: a copy that came after 128 further reads at the same log position counted as new, and rows of status replies, which differ by the lag, were kept without a limit while a server's log did not change.

Failed before: copy_after_thousands_of_statements_is_ignored of unit.reply-matcher.

--- a/src/reply_matcher.cpp
+++ b/src/reply_matcher.cpp
@@ -5,8 +5,14 @@
 
 namespace {
 
-    /// Signatures kept. Copies come after a handful of later replies at most; an older one is told by its position.
-    constexpr size_t maxSignatures = 128;
+    /// Signatures kept from before the log's last change, so that their copies need not close the connection, which the
+    /// lower position of others does.
+    constexpr size_t maxOldSignatures = 128;
+    /// Signatures kept while the log does not change: seconds of reads without a pause.
+    constexpr size_t maxSignatures = 4096;
+
+    /// Replies kept that differ while the log does not change, such as status rows.
+    constexpr size_t maxReplies = 1024;
 
     constexpr unsigned unknownNumber = 1000;
 
@@ -74,15 +80,24 @@
 // one are not kept.
 unsigned ReplyMatcher::noteAndCountAlike(const BackendReply& reply)
 {
-    if (reply.position == LogPosition())
-        return m_withoutPosition[hashOf(reply)]++;
-    if (reply.position < m_greatest)
+    if (reply.position != LogPosition() && reply.position < m_greatest)
         return unknownNumber;
-    if (m_greatest < reply.position) {
-        m_greatest = reply.position;
-        m_atGreatest.clear();
-    }
-    return m_atGreatest[hashOf(reply)]++;
+    notePosition(reply.position);
+    std::map<size_t, unsigned>& replies = reply.position == LogPosition() ? m_withoutPosition : m_atGreatest;
+    const size_t hash = hashOf(reply);
+    if (replies.size() >= maxReplies && replies.count(hash) == 0)
+        return unknownNumber;
+    return replies[hash]++;
+}
+
+void ReplyMatcher::notePosition(const LogPosition& position)
+{
+    if (!(m_greatest < position))
+        return;
+    m_greatest = position;
+    m_atGreatest.clear();
+    if (m_signatures.size() > maxOldSignatures)
+        m_signatures.erase(m_signatures.begin(), m_signatures.end() - static_cast<std::ptrdiff_t>(maxOldSignatures));
 }
 
 bool ReplyMatcher::signatureSeenBefore(const std::string& signature)
@@ -127,10 +142,7 @@
     const bool expectsStatement = !m_unanswered.empty() && classOf(m_unanswered.front()) == CommandClass::Statement;
     if (old || !expectsStatement || m_doubt == Doubt::Statement)
         return Verdict::Unsolicited;
-    if (m_greatest < reply.position) {
-        m_greatest = reply.position;
-        m_atGreatest.clear();
-    }
+    notePosition(reply.position);
     m_unanswered.pop_front();
     m_state = reply.state;
     m_doubt = Doubt::None;
--- a/src/reply_matcher.h
+++ b/src/reply_matcher.h
@@ -23,7 +23,7 @@
 /// of them is no copy.
 ///
 /// Load pattern: servers repeat some percent of their replies by up to seconds, while connections are in use without a
-/// pause. Memory is bounded: a few replies at one position, and the last signatures.
+/// pause. Memory is bounded: the replies at one position, and the last signatures.
 class ReplyMatcher {
 public:
     enum class Verdict : uint8_t {
@@ -53,6 +53,7 @@
     };
 
     unsigned noteAndCountAlike(const BackendReply&);
+    void notePosition(const LogPosition&);
     bool signatureSeenBefore(const std::string& signature);
     bool fits(BackendCommandKind, const BackendReply&, bool seen) const;
     Verdict receivedSigned(const BackendReply&);
--- a/tests/unit_reply_matcher.cpp
+++ b/tests/unit_reply_matcher.cpp
@@ -116,6 +116,20 @@
     BOOST_TEST(!matcher.expected().has_value());
 }
 
+// Load pattern: reads without a pause on a server whose log does not change.
+BOOST_FIXTURE_TEST_CASE(copy_after_thousands_of_statements_is_ignored, Matching)
+{
+    constexpr int n = 4000;
+    for (int i = 0; i < n; ++i)
+        run(Kind::Forward, signedReply("s" + std::to_string(i), earlier));
+    send(Kind::Forward);
+    BOOST_TEST((receive(signedReply("s0", earlier)) == Verdict::Copy));
+    BOOST_TEST((receive(signedReply("own", later)) == Verdict::Answer));
+    send(Kind::Forward);
+    BOOST_TEST((receive(signedReply("s" + std::to_string(n - 1), earlier)) == Verdict::Copy));
+    BOOST_TEST((receive(signedReply("s1", earlier)) == Verdict::Unsolicited));
+}
+
 BOOST_FIXTURE_TEST_CASE(begin_is_proved_by_a_later_position, Matching)
 {
     run(Kind::Begin, ownReply(TransactionState::Open, earlier));
