--- a/tests/unit_repeated_reply.cpp
+++ b/tests/unit_repeated_reply.cpp
@@ -1,3 +1,5 @@
+#include "connection_pool.h"
+#include "matched_connector.h"
 #include "support_gateway.h"
 #include <boost/test/unit_test.hpp>
 
@@ -172,3 +174,128 @@
     BOOST_TEST(connector.links[0].closed);
     BOOST_TEST(connector.links[0].commands.empty());
 }
+
+namespace {
+
+struct Borrower final : BackendObserver {
+    void backendOpened() override { ++opened; }
+    void backendReplied(BackendReply reply) override { replies.push_back(std::move(reply)); }
+    void backendClosed(BackendCloseReason reason) override { closed = reason; }
+
+    unsigned opened = 0;
+    std::vector<BackendReply> replies;
+    std::optional<BackendCloseReason> closed;
+};
+
+/// A pool over one server, whose socket the test answers.
+struct PoolFixture {
+    PoolFixture()
+    {
+        entry.id = "p";
+        entry.service = "orders";
+        pool.setLimit("orders", 40, 10);
+    }
+
+    std::unique_ptr<BackendLink> open(Borrower& borrower)
+    {
+        std::unique_ptr<BackendLink> link = pool.open(entry, "hatter", borrower);
+        sockets.acceptAll();
+        runTasks();
+        return link;
+    }
+
+    void runTasks()
+    {
+        while (!tasks.empty()) {
+            const std::function<void()> task = std::move(tasks.front());
+            tasks.pop_front();
+            task();
+        }
+    }
+
+    static BackendCommand statement()
+    {
+        BackendCommand command;
+        command.id = "1";
+        return command;
+    }
+
+    static BackendReply ownReply()
+    {
+        BackendReply reply;
+        reply.position = { 1, 5 };
+        return reply;
+    }
+
+    static BackendReply signedReply(const std::string& signature)
+    {
+        BackendReply reply = ownReply();
+        reply.signature = signature;
+        return reply;
+    }
+
+    /// Sends a reply that answers no command.
+    void repeat(BackendReply reply) { sockets.links[0].observer->backendReplied(std::move(reply)); }
+
+    Instant now { std::chrono::seconds(1000) };
+    ServerEntry entry;
+    Metrics metrics;
+    FakeConnector sockets;
+    MatchedConnector connector { sockets, metrics };
+    std::deque<std::function<void()>> tasks;
+    ConnectionPool pool { connector, [this](const std::string&) { return &entry; }, [this] { return now; },
+        [this](std::function<void()> task) { tasks.push_back(std::move(task)); } };
+};
+
+} // namespace
+
+// The copy comes while the connection is reset, idle, tested and lent to the next borrower.
+BOOST_FIXTURE_TEST_CASE(copy_on_a_pooled_connection_reaches_no_borrower, PoolFixture)
+{
+    Borrower first;
+    std::unique_ptr<BackendLink> link = open(first);
+    link->send(statement());
+    sockets.reply(0, signedReply("s1"));
+    BOOST_TEST(first.replies.size() == 1U);
+    link.reset();
+    BOOST_REQUIRE(sockets.links[0].commands.size() == 1U);
+    repeat(signedReply("s1"));
+    sockets.reply(0, ownReply());
+    repeat(signedReply("s1"));
+    repeat(ownReply());
+    now += std::chrono::milliseconds(600);
+    Borrower second;
+    link = open(second);
+    BOOST_TEST(second.opened == 0U); // The connection is tested first.
+    repeat(signedReply("s1"));
+    BOOST_TEST(second.opened == 0U);
+    sockets.reply(0, ownReply());
+    runTasks();
+    BOOST_REQUIRE(second.opened == 1U);
+    link->send(statement());
+    repeat(signedReply("s1"));
+    repeat(ownReply());
+    BOOST_TEST(second.replies.empty());
+    sockets.reply(0, signedReply("s2"));
+    BOOST_REQUIRE(second.replies.size() == 1U);
+    BOOST_TEST(second.replies[0].signature == "s2");
+    BOOST_TEST(!second.closed.has_value());
+    BOOST_TEST(sockets.links.size() == 1U);
+}
+
+// The statement's own reply may still come, when another borrower has the connection.
+BOOST_FIXTURE_TEST_CASE(pooled_connection_with_an_error_in_doubt_is_closed, PoolFixture)
+{
+    Borrower borrower;
+    const std::unique_ptr<BackendLink> link = open(borrower);
+    BackendReply busy = ownReply();
+    busy.error = BackendError::Busy;
+    link->send(statement());
+    sockets.reply(0, busy);
+    BOOST_TEST(borrower.replies.size() == 1U);
+    link->send(statement());
+    sockets.reply(0, busy);
+    BOOST_TEST(borrower.replies.size() == 1U);
+    BOOST_TEST((borrower.closed == BackendCloseReason::ProtocolError));
+    BOOST_TEST(sockets.links[0].closed);
+}
