Match the store's answers to calls by more than order

A copy of an answer that arrived while no call was in progress, or before the next call's own answer, counted as the next call's: a write that the store had refused seemed done with an old revision, two items could get one lease, an ended lease seemed renewed, a promotion seemed ordered, and a listing or watch missed changes. The rest of a copy whose beginning came in one segment with the answer failed the next call.

Change, in HttpChannel: a connection with bytes that no call asked for is not used again (looked for before a call is sent and after each answer), nor is one with any answer but a 200, which names no call. On a connection that has carried answers, a call decides whether a 200 can be its own: a write by a newer revision, a lease by a new id, a watch by a newer revision or its whole wait behind it, a further page by its keys. First pages, renewals and promotions have no such mark and get connections that have carried nothing; the one for the next renewal is opened in advance. A write with a foreign answer ends unanswered, a read is sent once more over a new connection. The first answer of a connection is always its call's, so that revisions that go back block nothing.

A store that closed the connection while it was idle no longer fails a call.

removals_and_writes_have_a_condition gave two writes one revision, which no store does; the second now has the next one, and is compared as before.

--- a/src/http_channel.cpp
+++ b/src/http_channel.cpp
@@ -1,5 +1,6 @@
 #include "http_channel.h"
 #include "endpoint.h"
+#include "log_event.h"
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -7,6 +8,7 @@
 #include <boost/beast/http.hpp>
 #include <deque>
 #include <optional>
+#include <sys/socket.h>
 
 namespace plantainwall {
 
@@ -85,27 +87,64 @@
         m_stream.reset();
     }
 
+    /// Opens a connection. If a call is in progress, it is sent then.
+    void connect()
+    {
+        m_open = false;
+        m_answers = 0;
+        m_stream = std::make_shared<beast::tcp_stream>(m_loop);
+        m_stream->async_connect(
+            m_endpoint, [self = shared_from_this(), stream = m_stream](const boost::system::error_code& ec) {
+                if (stream == self->m_stream)
+                    self->connected(ec);
+            });
+    }
+
+    void connected(const boost::system::error_code& ec)
+    {
+        m_open = !ec;
+        if (ec)
+            closeStream();
+        if (m_running && ec)
+            finish({});
+        else if (m_running)
+            write();
+    }
+
+    /// Returns whether the next call can be sent over the connection. Bytes that have arrived on it answer no call.
+    bool isUsable(const HttpExchange& next)
+    {
+        if (!m_stream || !m_open || (next.fresh && m_answers > 0))
+            return false;
+        char byte = 0;
+        const ssize_t n = ::recv(m_stream->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (n > 0)
+            logUnexpected(next, "before the call was sent");
+        return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
+    void logUnexpected(const HttpExchange& exchange, std::string_view arrived) const
+    {
+        logEvent(LogEvent::AnswerUnexpected,
+            { { "address", m_address }, { "call", exchange.target.substr(0, exchange.target.find('?')) },
+                { "arrived", arrived }, { "answers", m_answers } });
+    }
+
     void begin()
     {
         if (m_stopped || m_running || m_calls.empty())
             return;
         m_running = true;
         m_parser.reset();
-        const uint64_t number = ++m_number;
-        giveUpAfter(m_calls.front().exchange.timeout);
-        if (m_stream) {
+        ++m_number;
+        const HttpExchange& exchange = m_calls.front().exchange;
+        giveUpAfter(exchange.timeout);
+        if (isUsable(exchange)) {
             write();
             return;
         }
-        m_stream = std::make_shared<beast::tcp_stream>(m_loop);
-        m_stream->async_connect(m_endpoint, [self = shared_from_this(), number](const boost::system::error_code& ec) {
-            if (number != self->m_number)
-                return;
-            if (ec)
-                self->finish({});
-            else
-                self->write();
-        });
+        closeStream();
+        connect();
     }
 
     /// Replaces the time after which the running call is given up.
@@ -190,15 +229,48 @@
             readSome();
             return;
         }
+        answered();
+    }
+
+    void answered()
+    {
         HttpOutcome outcome;
         outcome.answered = true;
         outcome.status = m_parser->get().result_int();
         for (const http::fields::value_type& it : m_parser->get())
             outcome.headers.emplace_back(it.name_string(), it.value());
         outcome.body = std::move(m_parser->get().body());
-        if (!m_parser->keep_alive())
-            m_stream.reset();
+        const HttpExchange& exchange = m_calls.front().exchange;
+        if (m_answers > 0 && outcome.status == 200 && exchange.fits && !exchange.fits(outcome)) {
+            foreignAnswer(exchange);
+            return;
+        }
+        ++m_answers;
+        const bool surplus = m_buffer->size() > 0;
+        if (surplus)
+            logUnexpected(exchange, "after the answer");
+        const bool renew = exchange.renew;
+        // A copy of an answer with another status could not be told from the answer to a later call.
+        if (!m_parser->keep_alive() || surplus || renew || outcome.status != 200)
+            closeStream();
         finish(std::move(outcome));
+        if (renew && m_calls.empty() && !m_stream && !m_stopped)
+            connect();
+    }
+
+    /// An answer of an earlier call arrived in place of that of the call in progress, which may still follow.
+    void foreignAnswer(const HttpExchange& exchange)
+    {
+        logUnexpected(exchange, "in place of the answer");
+        if (exchange.method != "GET") {
+            finish({});
+            return;
+        }
+        ++m_number;
+        m_parser.reset();
+        giveUpAfter(exchange.timeout);
+        closeStream();
+        connect();
     }
 
     void finish(HttpOutcome outcome)
@@ -229,6 +301,8 @@
     std::optional<std::chrono::steady_clock::time_point>
         m_answerStartedAt; ///< First bytes of the running call's answer.
     uint64_t m_number = 0; ///< Number of the running call. Callbacks of earlier calls are ignored.
+    size_t m_answers = 0; ///< Answers on the connection. All but the last have status 200.
+    bool m_open = false; ///< The connection has been opened.
     bool m_running = false; ///< The first call has been begun.
     bool m_stopped = false;
 };
--- a/src/http_channel.h
+++ b/src/http_channel.h
@@ -7,6 +7,8 @@
 
 namespace plantainwall {
 
+struct HttpOutcome;
+
 /// HTTP request of an HttpChannel.
 struct HttpExchange {
     std::string method;
@@ -18,6 +20,14 @@
     Duration pauseTimeout = std::chrono::milliseconds(1500);
     /// From the first byte of the answer to its end: twice the time of the largest answer on a link of 10 Mbit/s.
     Duration answerTimeout = std::chrono::seconds(14);
+    /// Nothing in the answer tells whose it is, so the call needs a connection that has carried no other call.
+    bool fresh = false;
+    /// The connection is replaced after the answer, and the next one opened at once: the next fresh call then need not
+    /// wait for a connection, of which each lost packet costs a second.
+    bool renew = false;
+    /// Returns whether an answer with status 200 can be this call's. Asked only if the connection has carried other
+    /// answers, of which it may be a copy. Not set: any can.
+    std::function<bool(const HttpOutcome&)> fits;
 };
 
 /// Result of an HttpExchange.
@@ -33,7 +43,12 @@
 };
 
 /// Sends HTTP/1.1 calls to one address, one at a time over one connection, on an event loop. If an answer does not
-/// begin or go on arriving in time, the connection is closed and the next call opens a new one. No call is sent twice.
+/// begin or go on arriving in time, the connection is closed and the next call opens a new one.
+///
+/// A server may send an answer a second time, late. Order alone therefore does not tell whose an answer is: a
+/// connection with bytes that no call asked for, or with any answer but a 200, is not used again, and an answer that
+/// cannot be that of the call in progress ends it without an answer (see HttpExchange::fits). A GET is then sent once
+/// more, over a new connection. No other call is sent twice.
 class HttpChannel {
 public:
     /// @param address Address of the server, as ip:port.
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -77,6 +77,7 @@
     PrimaryRevoked,
     RevocationInForce,
     ReplyUnexpected,
+    AnswerUnexpected,
     Count
 };
 
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -98,6 +98,9 @@
         { 65, "reply_unexpected", LogLevel::Warn,
             "A server sent a reply that does not fit the command to which it would belong in order, or one to no "
             "command; servers may send a reply twice." },
+        { 66, "answer_unexpected", LogLevel::Warn,
+            "An HTTP answer arrived that belongs to no call, or to an earlier one; its connection is not used again. "
+            "The field call names the path of the call that it could have been taken for." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/tests/unit_store_client.cpp
+++ b/tests/unit_store_client.cpp
@@ -27,11 +27,38 @@
 
     std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
 
+    static std::string answerText(unsigned status, const std::string& headers, const std::string& body)
+    {
+        return "HTTP/1.1 " + std::to_string(status) + " x\r\n" + headers
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
     /// Adds an answer. headers are complete lines.
     void prepare(unsigned status, const std::string& headers, const std::string& body)
     {
-        m_answers.push_back("HTTP/1.1 " + std::to_string(status) + " x\r\n" + headers
-            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        m_answers.push_back(answerText(status, headers, body));
+    }
+
+    /// Adds an answer with status 200, which is followed at once by other bytes.
+    void prepareWithSurplus(const std::string& body, const std::string& surplus)
+    {
+        m_answers.push_back(answerText(200, "", body) + surplus);
+    }
+
+    /// Adds an answer with status 200. Before it, the connection on which the last answer was sent, if it is still
+    /// open, gets a copy of an earlier one.
+    void prepareAfterCopy(const std::string& copiedBody, const std::string& body)
+    {
+        prepare(200, "", body);
+        m_copies[m_answers.back()] = answerText(200, "", copiedBody);
+    }
+
+    /// Sends bytes that no request asked for over the connection on which the last answer was sent.
+    void sendUnasked(const std::string& text)
+    {
+        boost::system::error_code ec;
+        if (const std::shared_ptr<Connection> it = m_answered.lock())
+            boost::asio::write(it->socket, boost::asio::buffer(text), ec);
     }
 
     /// Adds an answer with status 200 that is sent in pieces, one after each interval.
@@ -46,6 +73,13 @@
         m_slowAnswers[m_answers.back()] = slow;
     }
 
+    /// Closes the connection on which the last answer was sent.
+    void closeAnswered()
+    {
+        if (const std::shared_ptr<Connection> it = m_answered.lock())
+            it->socket.close();
+    }
+
     size_t requests = 0;
     size_t connections = 0;
     size_t closedConnections = 0; ///< By the client.
@@ -119,6 +153,12 @@
             it->answer = m_answers.front();
             m_answers.pop_front();
             it->sent = 0;
+            const auto copy = m_copies.find(it->answer);
+            if (copy != m_copies.end()) {
+                sendUnasked(copy->second);
+                m_copies.erase(copy);
+            }
+            m_answered = it;
             const auto slow = m_slowAnswers.find(it->answer);
             if (slow != m_slowAnswers.end()) {
                 sendPiece(it, slow->second);
@@ -132,6 +172,8 @@
     tcp::acceptor m_acceptor;
     std::deque<std::string> m_answers;
     std::map<std::string, SlowAnswer> m_slowAnswers; ///< By answer.
+    std::map<std::string, std::string> m_copies; ///< Earlier answers that precede an answer, by the latter.
+    std::weak_ptr<Connection> m_answered; ///< Connection on which the last answer was sent.
 };
 
 struct Fixture {
@@ -153,6 +195,40 @@
         return *items;
     }
 
+    StoreItems watch(uint64_t after, Duration wait = std::chrono::milliseconds(600))
+    {
+        std::optional<StoreItems> items;
+        client.watch({}, after, wait, [&](StoreItems read) { items = std::move(read); });
+        BOOST_REQUIRE(runUntil([&] { return items.has_value(); }));
+        return *items;
+    }
+
+    template <typename Start> StoreResult result(const Start& start)
+    {
+        std::optional<StoreResult> read;
+        start([&](const StoreResult& it) { read = it; });
+        BOOST_REQUIRE(runUntil([&] { return read.has_value(); }));
+        return *read;
+    }
+
+    StoreResult write()
+    {
+        return result([&](const auto& handler) { client.write({ "k", "v", 11, 7, false }, handler); });
+    }
+
+    StoreResult createLease()
+    {
+        return result([&](const auto& handler) { client.createLease(std::chrono::seconds(3), handler); });
+    }
+
+    StoreResult keepLease()
+    {
+        return result([&](const auto& handler) { client.keepLease(7, handler); });
+    }
+
+    /// Time for bytes to arrive that no call reads.
+    void passTime() { loop.run_for(std::chrono::milliseconds(30)); }
+
     boost::asio::io_context loop;
     ScriptedServer server { loop };
     StoreClient client { loop, server.address() };
@@ -215,12 +291,13 @@
 BOOST_FIXTURE_TEST_CASE(removals_and_writes_have_a_condition, Fixture)
 {
     for (const bool removes : { false, true }) {
-        server.prepare(200, "Store-Era: 3\r\n", R"({"revision":12})");
+        const unsigned revision = removes ? 13 : 12; // Each change has a revision of its own.
+        server.prepare(200, "Store-Era: 3\r\n", R"({"revision":)" + std::to_string(revision) + "}");
         std::optional<StoreResult> result;
         client.write({ "k", "v", 11, 7, removes }, [&](const StoreResult& read) { result = read; });
         BOOST_REQUIRE(runUntil([&] { return result.has_value(); }));
         BOOST_TEST((result->outcome == StoreOutcome::Ok));
-        BOOST_TEST(result->number == 12U);
+        BOOST_TEST(result->number == revision);
         const web::json::value body = web::json::value::parse(server.lastBody);
         BOOST_REQUIRE(body.at("expected_rev").size() == 1U);
         BOOST_TEST(body.at("expected_rev").at(0).at("key").as_string() == "k");
@@ -322,3 +399,191 @@
     BOOST_CHECK_THROW(decoder.server({ "servers/i-1", "\xff\xfe", 5, false }), std::exception);
     BOOST_CHECK_THROW(decoder.server({ "servers/", textWith("", ""), 5, false }), std::exception);
 }
+
+// Issue 38 outside the servers' line protocol: a store that sends an answer twice, the second time late. Before the fix
+// the copy counted as the answer to the next call.
+BOOST_FIXTURE_TEST_CASE(a_copy_that_arrives_at_idle_answers_no_later_write, Fixture)
+{
+    server.prepare(200, "", R"({"revision":12})");
+    BOOST_TEST(write().number == 12U);
+    server.sendUnasked(ScriptedServer::answerText(200, "", R"({"revision":12})"));
+    passTime();
+    server.prepare(412, "", R"({"items":[]})");
+    BOOST_TEST((write().outcome == StoreOutcome::Conflict));
+    BOOST_TEST(server.requests == 2U);
+    BOOST_TEST(server.connections == 2U);
+}
+
+// The rest of a copy whose beginning arrived together with the answer.
+BOOST_FIXTURE_TEST_CASE(surplus_bytes_after_an_answer_end_the_connection, Fixture)
+{
+    const std::string copy = ScriptedServer::answerText(200, "", R"({"revision":12})");
+    for (const size_t part : { copy.size(), copy.size() / 2, size_t(1) }) {
+        const size_t before = server.connections;
+        server.prepareWithSurplus(R"({"revision":12})", copy.substr(0, part));
+        BOOST_TEST(write().number == 12U);
+        passTime();
+        server.sendUnasked(copy.substr(part));
+        passTime();
+        server.prepare(412, "", R"({"items":[]})");
+        BOOST_TEST((write().outcome == StoreOutcome::Conflict), part);
+        BOOST_TEST(server.connections == before + 2, part);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_copy_during_the_next_write_is_not_its_answer, Fixture)
+{
+    server.prepare(200, "Store-Era: 3\r\n", R"({"revision":12})");
+    BOOST_TEST(write().number == 12U);
+    server.prepareAfterCopy(R"({"revision":12})", R"({"revision":13})");
+    BOOST_TEST((write().outcome == StoreOutcome::Unreachable)); // It may have been carried out.
+    server.prepare(200, "Store-Era: 3\r\n", R"({"revision":14})");
+    BOOST_TEST(write().number == 14U);
+    BOOST_TEST(server.requests == 3U);
+    BOOST_TEST(server.connections == 2U);
+}
+
+// Revisions and leases of a restored store go back.
+BOOST_FIXTURE_TEST_CASE(the_first_answer_of_a_connection_is_its_calls, Fixture)
+{
+    for (const unsigned revision : { 12U, 5U }) {
+        server.prepare(200, "", R"({"revision":)" + std::to_string(revision) + "}");
+        BOOST_TEST(write().number == revision);
+        server.prepare(200, "", R"({"lease_id":9,"ttl_ms":3000})");
+        BOOST_TEST(createLease().number == 9U);
+        server.prepare(429, "", "{}");
+        BOOST_TEST((write().outcome == StoreOutcome::Refused));
+    }
+    server.prepare(200, "Store-Era: 4\r\n", R"({"revision":30})");
+    BOOST_TEST(write().number == 30U);
+    server.prepare(200, "Store-Era: 5\r\n", R"({"revision":6})");
+    BOOST_TEST(write().number == 6U);
+    BOOST_TEST(server.connections == 3U);
+}
+
+// A refusal names no call, so the next one must not be able to get a copy of it. Before the fix the answer to the
+// second write counted as that to the third.
+BOOST_FIXTURE_TEST_CASE(a_copy_of_a_refusal_answers_no_later_write, Fixture)
+{
+    server.prepare(429, "", "{}");
+    BOOST_TEST((write().outcome == StoreOutcome::Refused));
+    server.sendUnasked(ScriptedServer::answerText(429, "", "{}"));
+    server.prepare(200, "", R"({"revision":12})");
+    BOOST_TEST((write().outcome == StoreOutcome::Ok));
+    server.prepare(200, "", R"({"revision":13})");
+    BOOST_TEST(write().number == 13U);
+    BOOST_TEST(server.connections == 2U);
+}
+
+// Two hosts' items under one lease would live as long as the wrong one of them.
+BOOST_FIXTURE_TEST_CASE(a_copy_is_not_the_answer_to_the_next_lease, Fixture)
+{
+    server.prepare(200, "", R"({"lease_id":9,"ttl_ms":3000})");
+    BOOST_TEST(createLease().number == 9U);
+    server.prepareAfterCopy(R"({"lease_id":9,"ttl_ms":3000})", R"({"lease_id":10,"ttl_ms":3000})");
+    BOOST_TEST((createLease().outcome == StoreOutcome::Unreachable));
+    server.prepare(200, "", R"({"lease_id":11,"ttl_ms":3000})");
+    BOOST_TEST(createLease().number == 11U);
+}
+
+// Nothing in the answer to a renewal tells which one it answers: a coordinator would take its ended lease for renewed.
+BOOST_FIXTURE_TEST_CASE(a_copy_is_not_the_answer_to_the_next_renewal, Fixture)
+{
+    server.prepare(200, "", R"({"ttl_ms":3000})");
+    BOOST_TEST((keepLease().outcome == StoreOutcome::Ok));
+    passTime();
+    BOOST_TEST(server.connections == 2U); // Opened before the next renewal is due.
+    server.prepareAfterCopy(R"({"ttl_ms":3000})", "{}");
+    server.prepare(404, "", "{}");
+    BOOST_TEST((keepLease().outcome == StoreOutcome::Ok));
+    BOOST_TEST((keepLease().outcome == StoreOutcome::NotFound));
+    BOOST_TEST(server.requests == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_copy_is_not_the_answer_to_the_next_promotion, Fixture)
+{
+    PromotionClient promotions(loop, server.address());
+    const auto promote = [&](const std::string& service) {
+        std::optional<PromotionOutcome> outcome;
+        promotions.promote(service, "i-1", "h", 5, [&](PromotionOutcome read) { outcome = read; });
+        BOOST_REQUIRE(runUntil([&] { return outcome.has_value(); }));
+        return *outcome;
+    };
+    server.prepare(200, "", "{}");
+    BOOST_TEST((promote("a") == PromotionOutcome::Done));
+    server.sendUnasked(ScriptedServer::answerText(200, "", "{}"));
+    server.prepare(409, "", "{}");
+    BOOST_TEST((promote("b") == PromotionOutcome::Rejected));
+    BOOST_TEST(server.requests == 2U);
+}
+
+// Reads are sent again, because a failed one makes the store count as unreachable.
+BOOST_FIXTURE_TEST_CASE(a_copy_is_not_the_answer_to_the_next_watch, Fixture)
+{
+    const std::string changed = R"({"events":[{"key":"k","revision":12,"tombstone":true}],"as_of":12})";
+    const std::string unchanged = R"({"events":[],"as_of":12})";
+    const std::string next = R"({"events":[{"key":"k","revision":13,"tombstone":true}],"as_of":13})";
+    for (const std::string& copy : { changed, unchanged }) {
+        const size_t requests = server.requests;
+        server.prepare(200, "", copy);
+        BOOST_TEST(watch(copy == changed ? 11 : 12, std::chrono::milliseconds(0)).asOf == 12U);
+        server.prepareAfterCopy(copy, R"({"events":[],"as_of":12})");
+        server.prepare(200, "", next);
+        const StoreItems items = watch(12);
+        BOOST_TEST((items.outcome == StoreOutcome::Ok));
+        BOOST_TEST(items.asOf == 13U);
+        BOOST_TEST(items.items.size() == 1U);
+        BOOST_TEST(server.requests == requests + 3);
+    }
+}
+
+// Without a change a watch lasts as long as its wait.
+BOOST_FIXTURE_TEST_CASE(a_watch_without_changes_ends_with_its_wait, Fixture)
+{
+    server.prepare(200, "", R"({"events":[],"as_of":12})");
+    BOOST_TEST(watch(12).asOf == 12U);
+    server.prepareSlow(R"({"events":[],"as_of":12})", 2, std::chrono::milliseconds(220));
+    const StoreItems items = watch(12, std::chrono::milliseconds(200));
+    BOOST_TEST((items.outcome == StoreOutcome::Ok));
+    BOOST_TEST(server.requests == 2U);
+    BOOST_TEST(server.connections == 1U);
+}
+
+// Leases on the word of primaries rest on the time at which a listing was requested, which a copy does not show.
+BOOST_FIXTURE_TEST_CASE(a_copy_is_not_the_answer_to_the_next_listing, Fixture)
+{
+    server.prepare(200, "", R"({"items":[],"more_pages":false,"as_of":9})");
+    BOOST_TEST(list().asOf == 9U);
+    server.sendUnasked(ScriptedServer::answerText(200, "", R"({"items":[],"more_pages":false,"as_of":9})"));
+    server.prepare(200, "", R"({"items":[],"more_pages":false,"as_of":10})");
+    BOOST_TEST(list().asOf == 10U);
+    BOOST_TEST(server.requests == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_copy_of_a_page_is_not_the_next_page, Fixture)
+{
+    const std::string page
+        = R"({"items":[{"key":"a","revision":3,"value":""},{"key":"b","revision":4,"value":""}],"more_pages":true,"as_of":9})";
+    const std::string next = R"({"items":[{"key":"c","revision":5,"value":""}],"more_pages":false,"as_of":9})";
+    server.prepare(200, "", page);
+    BOOST_TEST(list().items.size() == 2U);
+    server.prepareAfterCopy(page, next);
+    server.prepare(200, "", next);
+    std::optional<StoreItems> items;
+    client.list({}, "b", [&](StoreItems read) { items = std::move(read); });
+    BOOST_REQUIRE(runUntil([&] { return items.has_value(); }));
+    BOOST_REQUIRE(items->items.size() == 1U);
+    BOOST_TEST(items->items.front().key == "c");
+    BOOST_TEST(!items->more);
+}
+
+// A connection that the store has closed while it was idle fails no call.
+BOOST_FIXTURE_TEST_CASE(a_connection_closed_at_idle_is_replaced, Fixture)
+{
+    server.prepare(200, "", R"({"revision":12})");
+    BOOST_TEST(write().number == 12U);
+    server.closeAnswered();
+    passTime();
+    server.prepare(200, "", R"({"revision":13})");
+    BOOST_TEST(write().number == 13U);
+}
