Take one token for a repeated quota request

Cause: a request for a token is sent again when its answer is late, and the network may repeat datagrams; the counting host took a token for each copy, so that later operations of the customer were refused although its rate was not used up. And requests were numbered from 1 in each process, so that a late answer to an earlier process of a host could admit an operation of another customer.

Change: the counting host keeps its answers for a second and gives a request that it knows (host, number, customer) the same one. The first request of a process is numbered by its start.

--- a/src/quota_exchange.cpp
+++ b/src/quota_exchange.cpp
@@ -33,10 +33,11 @@
 
 } // namespace
 
-QuotaExchange::QuotaExchange(std::string host, PeerChannel& channel, Clock clock)
+QuotaExchange::QuotaExchange(std::string host, PeerChannel& channel, Clock clock, uint64_t firstRequest)
     : m_host(std::move(host))
     , m_channel(channel)
     , m_clock(std::move(clock))
+    , m_nextNumber(firstRequest)
 {
 }
 
@@ -135,6 +136,21 @@
     return m_buckets.take(customer, countedHosts / static_cast<double>(m_fleetSize), m_clock());
 }
 
+// The requesting host sends a request again if the answer is late, and the network may repeat a datagram. Only one
+// operation runs.
+QuotaBuckets::Verdict QuotaExchange::answerTo(const RequestId& id, const std::string& customer)
+{
+    const Instant now = m_clock();
+    const auto known = m_answered.find(id);
+    if (known != m_answered.end() && known->second.customer == customer
+        && now - known->second.at < m_settings.answerReuse)
+        return known->second.verdict;
+    const QuotaBuckets::Verdict verdict = takeLocally(customer);
+    m_answered[id] = { customer, verdict, now };
+    m_answeredOrder.emplace_back(now, id);
+    return verdict;
+}
+
 void QuotaExchange::requestToken(const std::string& customer, std::function<void(QuotaBuckets::Verdict)> handler)
 {
     const auto refusal = m_refusedUntil.find(customer);
@@ -198,7 +214,7 @@
         const std::string& expected = quotaHost(customer);
         if (expected != m_host)
             probe(expected);
-        const QuotaBuckets::Verdict verdict = takeLocally(customer);
+        const QuotaBuckets::Verdict verdict = answerTo({ sender, parseNumber(number) }, customer);
         m_channel.send(peer->second,
             std::string(answerPrefix) + number + (verdict.admitted ? " 1 " : " 0 ")
                 + std::to_string(verdict.retryAfter.count()));
@@ -232,6 +248,12 @@
         changed = changed || expired;
         it = expired ? m_unresponsiveUntil.erase(it) : std::next(it);
     }
+    for (; !m_answeredOrder.empty() && now - m_answeredOrder.front().first >= m_settings.answerReuse;
+         m_answeredOrder.pop_front()) {
+        const auto it = m_answered.find(m_answeredOrder.front().second);
+        if (it != m_answered.end() && it->second.at == m_answeredOrder.front().first)
+            m_answered.erase(it);
+    }
     const Duration gap = std::chrono::duration_cast<Duration>(now - m_tickedAt);
     const bool late = m_tickedAt != Instant() && gap > m_settings.maxTickGap;
     m_tickedAt = now;
--- a/src/quota_exchange.h
+++ b/src/quota_exchange.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "gateway_ports.h"
+#include "peer_request_number.h"
 #include "quota_buckets.h"
+#include <deque>
 #include <set>
 
 namespace plantainwall {
@@ -32,11 +34,14 @@
         unsigned maxHosts = 2; ///< Hosts tried for one request before this host decides it by its own bucket.
         /// After a refusal, further operations of the customer are refused on this host for up to this long.
         Duration refusalCacheTime = std::chrono::milliseconds(40);
+        /// A request that arrives again within this time gets the same answer. Longer than requests are repeated.
+        Duration answerReuse = std::chrono::seconds(1);
     };
 
     using Clock = std::function<Instant()>;
 
-    QuotaExchange(std::string host, PeerChannel&, Clock);
+    /// @param firstRequest Number of the first request; see firstPeerRequest().
+    QuotaExchange(std::string host, PeerChannel&, Clock, uint64_t firstRequest = 1);
 
     void setLimit(const GatewayCustomer&) override;
     void removeCustomer(const std::string& customer) override;
@@ -73,6 +78,17 @@
         unsigned hostsTried = 0;
     };
 
+    /// Host and number of a request.
+    using RequestId = std::pair<std::string, uint64_t>;
+
+    /// Answer to a request of another host.
+    struct Answered {
+        std::string customer;
+        QuotaBuckets::Verdict verdict;
+        Instant at;
+    };
+
+    QuotaBuckets::Verdict answerTo(const RequestId&, const std::string& customer);
     std::string chooseQuotaHost(const std::string& customer) const;
     QuotaBuckets::Verdict takeLocally(const std::string& customer);
     void updateQuotaHosts();
@@ -93,7 +109,9 @@
     std::set<std::string> m_weakHosts;
     Instant m_tickedAt; ///< Last call of tick(); zero before the first.
     size_t m_fleetSize = 1;
-    uint64_t m_nextNumber = 1;
+    uint64_t m_nextNumber;
+    std::map<RequestId, Answered> m_answered;
+    std::deque<std::pair<Instant, RequestId>> m_answeredOrder; ///< The same, oldest first.
     std::map<uint64_t, TokenRequest> m_requests;
 };
 
--- a/tests/unit_revocation_exchange.cpp
+++ b/tests/unit_revocation_exchange.cpp
@@ -62,6 +62,16 @@
         }
     }
 
+    /// Returns the last datagram that is on its way to a host.
+    std::string lastTo(size_t host) const
+    {
+        std::string text;
+        for (const auto& [at, datagram] : inFlight)
+            text = datagram.first == host ? datagram.second : text;
+        BOOST_REQUIRE(!text.empty());
+        return text;
+    }
+
     bool inForce() const { return all[0]->exchange.inForceSince("orders").has_value(); }
 
     Instant now { seconds(1000) };
@@ -187,3 +197,70 @@
     BOOST_TEST(it.all[1]->exchange.datagram(R"(revoke? {"h":"9","n":1,"s":[["orders",2,1,7,"",0]]})", unknown));
     BOOST_TEST(!it.all[1]->revoked(1));
 }
+
+// A notice may arrive again, late. Before the fix one that had been withdrawn took effect again, and no withdrawal
+// followed any more.
+BOOST_AUTO_TEST_CASE(a_late_notice_does_not_revoke_again)
+{
+    Hosts it(2);
+    it.all[0]->exchange.setRevocation("orders", revoked, token);
+    it.pass(milliseconds(10));
+    const std::string notice = it.lastTo(1);
+    it.pass(seconds(1));
+    it.all[0]->exchange.setRevocation("orders", std::nullopt, token);
+    it.pass(seconds(3));
+    BOOST_TEST(!it.all[1]->revoked(1));
+    it.all[1]->exchange.datagram(notice, [](const std::string& host) { return host; });
+    BOOST_TEST(!it.all[1]->revoked(1));
+}
+
+// The coordinator counts a revocation as in force once the host has acknowledged it.
+BOOST_AUTO_TEST_CASE(a_late_withdrawal_does_not_end_a_revocation)
+{
+    Hosts it(2);
+    it.all[0]->exchange.setRevocation("orders", revoked, token);
+    it.pass(milliseconds(100));
+    it.all[0]->exchange.setRevocation("orders", std::nullopt, token);
+    it.pass(milliseconds(10));
+    const std::string withdrawal = it.lastTo(1);
+    it.pass(milliseconds(100));
+    BOOST_TEST(!it.all[1]->revoked(1));
+    it.all[0]->exchange.setRevocation("orders", revoked, token);
+    it.pass(milliseconds(100));
+    BOOST_TEST(it.inForce());
+    it.all[1]->exchange.datagram(withdrawal, [](const std::string& host) { return host; });
+    BOOST_TEST(it.all[1]->revoked(1));
+}
+
+// A later coordinator may be another process of the same host, whose numbers may be lower.
+BOOST_AUTO_TEST_CASE(a_notice_of_a_later_coordinator_counts)
+{
+    Hosts it(2);
+    it.all[0]->exchange.setRevocation("orders", revoked, token);
+    it.pass(milliseconds(100));
+    for (const char* text : { R"(revoke? {"h":"0","n":1,"s":[["orders",0,0,8,"",0]]})",
+             R"(revoke? {"h":"0","n":1,"s":[["orders",2,1,9,"",0]]})" }) {
+        const bool before = it.all[1]->revoked(1);
+        it.all[1]->exchange.datagram(text, [](const std::string& host) { return host; });
+        BOOST_TEST(it.all[1]->revoked(1) == !before);
+    }
+}
+
+// An acknowledgement of a notice of the coordinator's earlier process must not count for the present one.
+BOOST_AUTO_TEST_CASE(an_acknowledgement_to_an_earlier_process_does_not_count)
+{
+    Hosts it(2);
+    for (int i = 0; i < 3; ++i) {
+        it.all[0]->exchange.setRevocation("orders", std::nullopt, token);
+        it.all[0]->exchange.setRevocation("orders", revoked, token);
+    }
+    it.pass(milliseconds(30));
+    const std::string acknowledgement = it.lastTo(0);
+    it.all[0] = std::make_unique<Hosts::Host>(it, 0, 2);
+    it.lost = { 1 };
+    it.all[0]->exchange.setRevocation("orders", revoked, token + 1);
+    it.pass(milliseconds(10));
+    it.all[0]->exchange.datagram(acknowledgement, [](const std::string& host) { return host; });
+    it.pass(milliseconds(100));
+    BOOST_TEST(!it.inForce());
+}
