Ignore revocation notices that arrive after later ones

Cause: a notice of the coordinator took effect whenever it arrived. A copy of one that had been withdrawn revoked the primary again, with nobody left to withdraw it before it ended; a copy of a withdrawal ended a revocation that the coordinator counted as in force, until its next renewal, so that a host could go on acknowledging commits of the primary being replaced. And notices were numbered from 0 in each process, so that a late acknowledgement to an earlier process of the coordinator's host counted for a notice that the other host had not seen.

Change: a host remembers token and number of the last notice of a service and ignores one of the same token with a lower number. The numbers of a process begin with its start.

--- a/src/revocation_exchange.cpp
+++ b/src/revocation_exchange.cpp
@@ -1,6 +1,7 @@
 #include "revocation_exchange.h"
 #include "json_number.h"
 #include "log_event.h"
+#include "peer_request_number.h"
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
 #include <cpprest/json.h>
@@ -28,6 +29,7 @@
     , m_channel(channel)
     , m_clock(std::move(clock))
     , m_gateway(gateway)
+    , m_number(firstPeerRequest(incarnation))
 {
 }
 
@@ -68,6 +70,16 @@
         m_gateway.serversChanged();
 }
 
+// A notice may arrive again, after later ones of the same coordinator.
+bool RevocationExchange::isOutdated(const std::string& service, uint64_t token, uint64_t number)
+{
+    std::pair<uint64_t, uint64_t>& last = m_heard[service];
+    if (token == last.first && number < last.second)
+        return true;
+    last = { token, number };
+    return false;
+}
+
 bool RevocationExchange::hasAcknowledged(const RevocationTarget& target, uint64_t number) const
 {
     const auto it = m_acknowledgements.find(target.host);
@@ -162,11 +174,14 @@
     const std::string address = addressOf(coordinator);
     if (address.empty())
         return true;
+    const uint64_t number = unsignedFrom(notice.at("n"));
     for (const value& entry : notice.at("s").as_array()) {
         const std::string service = entry.at(0).as_string();
         const PrimaryRevocation revocation { unsignedFrom(entry.at(1)),
             static_cast<RevocationScope>(unsignedFrom(entry.at(2), lastScope)) };
         const uint64_t token = unsignedFrom(entry.at(3));
+        if (isOutdated(service, token, number))
+            continue;
         m_gateway.directory().noteReportedPrimary(service, entry.at(4).as_string(), unsignedFrom(entry.at(5)));
         apply(service, revocation.term != 0 ? std::make_optional(revocation) : std::nullopt, token, coordinator);
     }
--- a/src/revocation_exchange.h
+++ b/src/revocation_exchange.h
@@ -73,6 +73,7 @@
         Instant sentAt; ///< Of the last message to it.
     };
 
+    bool isOutdated(const std::string& service, uint64_t token, uint64_t number);
     bool hasAcknowledged(const RevocationTarget&, uint64_t number) const;
     void apply(const std::string& service, const std::optional<PrimaryRevocation>&, uint64_t token,
         const std::string& coordinator);
@@ -85,7 +86,8 @@
     Gateway::Clock m_clock;
     Gateway& m_gateway;
     Settings m_settings;
-    uint64_t m_number = 0; ///< Of the newest change of a notice.
+    uint64_t m_number; ///< Of the newest change of a notice.
+    std::map<std::string, std::pair<uint64_t, uint64_t>> m_heard; ///< By service: token and number of the last notice.
     std::map<std::string, Notice> m_notices; ///< By service.
     std::map<std::string, Acknowledgement> m_acknowledgements; ///< By host.
 };
