Number requests between hosts by process and ignore repeated lease requests

Cause: requests for leases and for primary positions were numbered from 1 in each process. A late answer to an earlier process of a host was taken for that to a request of the present one: a lease was extended to a time after the coordinator's word, and a position seemed newer than it was, because its age counts from the request. A copy of a lease request counted as contact to a host that may have had none since, and set back whether it reaches the store; the coordinator extends its term while no host does.

Change: the first request of a process is numbered by its start, and the coordinator ignores a lease request whose number is not above that of the last one of the host's process.

Tests: two new cases of unit.primary-lease and one of unit.position-exchange failed before (11 and 1 checks; the latter with the numbers of before).

--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -41,10 +41,11 @@
     , m_incarnation(incarnation)
     , m_random(seed)
     , m_follower(store, decoder, *this, m_after, m_clock, followerSettings())
-    , m_positionExchange(settings.host, channel, m_clock, gateway)
+    , m_positionExchange(settings.host, channel, m_clock, gateway, firstPeerRequest(incarnation))
     , m_changeExchange(settings.host, channel, m_clock, [this] { return m_follower.listing(); })
     , m_revocations(settings.host, incarnation, channel, m_clock, gateway)
     , m_leaseGrantor(settings.primaryLease)
+    , m_leaseRequest(firstPeerRequest(incarnation) - 1)
 {
     m_coordinator.setRevocations(m_revocations);
     if (m_gateway.primaryLeases().required())
@@ -186,6 +187,9 @@
         peer.listedAt = m_clock();
     if (peer.registered && peer.incarnation != registration.incarnation)
         peer.endedIncarnations.insert(peer.incarnation);
+    // The numbers of a process may be lower than those of the one before, if the time of day was set back.
+    if (peer.incarnation != registration.incarnation)
+        peer.leaseRequest = 0;
     peer.endedIncarnations.erase(registration.incarnation);
     peer.registered = true;
     peer.incarnation = registration.incarnation;
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -136,6 +136,7 @@
         bool probeFailed = false; ///< Silent because it did not answer a probe.
         uint64_t firstReportIncarnation = 0; ///< Incarnation to which the first report was sent.
         Instant leaseRequestedAt; ///< When it last requested a lease on the word of primaries.
+        uint64_t leaseRequest = 0; ///< Number of that request; 0 if its process has made none.
     };
     /// Coordinator item that was claimed in an earlier era.
     struct OutdatedClaim {
@@ -244,7 +245,7 @@
     bool m_granting = false; ///< m_leaseGrantor has been activated since this host became the coordinator.
     std::string m_lastCoordinator; ///< Host of the last claim that was read; empty if none was.
     Instant m_leaseRequestAt;
-    uint64_t m_leaseRequest = 0; ///< Number of the last request to the coordinator.
+    uint64_t m_leaseRequest; ///< Number of the last request to the coordinator.
     Instant m_leaseRequestedAt;
     Instant m_recordReadAt; ///< When the primary record is read next, at the earliest.
     bool m_readingRecord = false;
--- a/src/fleet_member_leases.cpp
+++ b/src/fleet_member_leases.cpp
@@ -241,13 +241,16 @@
         const auto it = m_peers.find(host);
         if (it == m_peers.end() || !m_granting)
             return true;
+        const uint64_t number = unsignedFrom(request.at("n"));
+        if (number <= it->second.leaseRequest)
+            return true; // It has been answered, or a later one has.
         const PrimaryRecordVersion held { unsignedFrom(request.at("e")), unsignedFrom(request.at("r")) };
         it->second.storeReachable = request.at("s").as_bool();
+        it->second.leaseRequest = number;
         it->second.leaseRequestedAt = m_clock();
         m_leaseGrantor.acknowledged(host, held);
         if (mayGrantLeases())
-            m_channel.send(
-                it->second.address, leaseReply(unsignedFrom(request.at("n")), !(held == m_leaseGrantor.version())));
+            m_channel.send(it->second.address, leaseReply(number, !(held == m_leaseGrantor.version())));
         return true;
     }
     if (!boost::algorithm::starts_with(text, replyWord))
--- a/src/position_exchange.cpp
+++ b/src/position_exchange.cpp
@@ -18,11 +18,13 @@
 
 } // namespace
 
-PositionExchange::PositionExchange(std::string host, PeerChannel& channel, Clock clock, PositionHolder& holder)
+PositionExchange::PositionExchange(
+    std::string host, PeerChannel& channel, Clock clock, PositionHolder& holder, uint64_t firstRequest)
     : m_host(std::move(host))
     , m_channel(channel)
     , m_clock(std::move(clock))
     , m_holder(holder)
+    , m_number(firstRequest - 1)
 {
 }
 
--- a/src/position_exchange.h
+++ b/src/position_exchange.h
@@ -2,6 +2,7 @@
 
 #include "avoided_hosts.h"
 #include "gateway_ports.h"
+#include "peer_request_number.h"
 #include "primary_positions.h"
 #include <map>
 
@@ -34,7 +35,8 @@
     /// Returns the hosts that may be asked (name and address), in order of preference.
     using Sources = std::function<std::vector<std::pair<std::string, std::string>>()>;
 
-    PositionExchange(std::string host, PeerChannel&, Clock, PositionHolder&);
+    /// @param firstRequest Number of the first request; see firstPeerRequest().
+    PositionExchange(std::string host, PeerChannel&, Clock, PositionHolder&, uint64_t firstRequest);
 
     /// Sends a request when one is due. Must be called every few milliseconds. sources is called only when a request is
     /// due: ranking a large fleet in every call would cost more than the requests.
@@ -50,7 +52,7 @@
     Clock m_clock;
     PositionHolder& m_holder;
     Settings m_settings;
-    uint64_t m_number = 0;
+    uint64_t m_number; ///< Of the last request.
     bool m_requestPending = false; ///< The last request is unanswered.
     std::string m_requestHost; ///< Host to which it was sent.
     Instant m_requestedAt;
--- a/tests/unit_position_exchange.cpp
+++ b/tests/unit_position_exchange.cpp
@@ -47,8 +47,8 @@
     FakeHolder source;
     FakeChannel fromRequester;
     FakeChannel fromSource;
-    PositionExchange a { "a", fromRequester, [this] { return now; }, requester };
-    PositionExchange b { "b", fromSource, [this] { return now; }, source };
+    PositionExchange a { "a", fromRequester, [this] { return now; }, requester, firstPeerRequest(1) };
+    PositionExchange b { "b", fromSource, [this] { return now; }, source, firstPeerRequest(1) };
     PositionExchange::Sources sources = [] {
         return std::vector<std::pair<std::string, std::string>> { { "b", "2" }, { "c", "3" } };
     };
@@ -111,3 +111,20 @@
         BOOST_CHECK_THROW(a.datagram(text, addressOf), std::exception);
     BOOST_TEST(!a.datagram("quota? 1", addressOf));
 }
+
+// The age in an answer to an earlier process of this host would be subtracted from a later request's time, so that the
+// position would seem newer than it is.
+BOOST_FIXTURE_TEST_CASE(an_answer_to_an_earlier_process_is_ignored, Pair)
+{
+    requester.servicesToRequest = { "orders" };
+    source.known = PrimaryPositions::Observation { { 1, 5 }, now };
+    a.tick(sources);
+    BOOST_TEST(b.datagram(take(fromRequester, "2"), addressOf));
+    const std::string answer = take(fromSource, "1");
+    now += seconds(1);
+    PositionExchange restarted(
+        "a", fromRequester, [this] { return now; }, requester, firstPeerRequest(2));
+    restarted.tick(sources);
+    BOOST_TEST(restarted.datagram(answer, addressOf));
+    BOOST_TEST(requester.received.empty());
+}
--- a/tests/unit_primary_lease.cpp
+++ b/tests/unit_primary_lease.cpp
@@ -1,5 +1,6 @@
 #include "support_fleet.h"
 #include <boost/test/unit_test.hpp>
+#include <cpprest/json.h>
 
 using namespace plantainwall;
 using std::chrono::milliseconds;
@@ -48,6 +49,22 @@
         return dead.count(host) == 0 && hosts[host]->fixture.gateway.primaryLeases().until("orders", server) >= now;
     }
 
+    /// Returns the messages with the given first word that a host has sent.
+    std::vector<std::string> leaseMessages(size_t from, const std::string& word) const
+    {
+        std::vector<std::string> texts;
+        for (const FakePeerNetwork::Datagram& datagram : channel.sent) {
+            if (datagram.from == std::to_string(from) && datagram.text.rfind(word, 0) == 0)
+                texts.push_back(datagram.text);
+        }
+        return texts;
+    }
+
+    static std::string numberOf(const std::string& message)
+    {
+        return web::json::value::parse(message.substr(message.find('{'))).at("n").serialize();
+    }
+
     size_t trusting(const std::string& server) const
     {
         size_t n = 0;
@@ -270,3 +287,42 @@
     BOOST_REQUIRE(f.connector.statementLink() < f.connector.links.size());
     BOOST_TEST(f.connector.links[f.connector.statementLink()].server == "r1");
 }
+
+// A request may arrive again, late. It would count as contact to a host that has none any more, and tell of an earlier
+// time whether the host reaches the store: the coordinator extends its term while no host does.
+BOOST_AUTO_TEST_CASE(a_late_lease_request_is_no_contact)
+{
+    UnfencedFleet fleet(3);
+    fleet.confirmPrimary("p", 1, seconds(8));
+    const size_t other = (fleet.coordinator() + 1) % 3;
+    const std::vector<std::string> requests = fleet.leaseMessages(other, "lease? ");
+    BOOST_REQUIRE(requests.size() > 2U);
+    const size_t answers = fleet.leaseMessages(fleet.coordinator(), "lease! ").size();
+    for (size_t i = requests.size() - 2; i < requests.size(); ++i)
+        fleet.hosts[fleet.coordinator()]->member.peerDatagram(requests[i]);
+    BOOST_TEST(fleet.leaseMessages(fleet.coordinator(), "lease! ").size() == answers);
+}
+
+// A late answer to an earlier process must not extend the lease of the present one. The time of day may have been set
+// back in between.
+BOOST_AUTO_TEST_CASE(lease_requests_of_each_process_have_numbers_of_their_own)
+{
+    UnfencedFleet fleet(3);
+    fleet.confirmPrimary("p", 1, seconds(8));
+    const size_t other = (fleet.coordinator() + 1) % 3;
+    std::set<std::string> numbers;
+    for (const uint64_t incarnation : { 1, 7, 5 }) {
+        if (incarnation != 1)
+            fleet.restart(other, incarnation);
+        fleet.channel.sent.clear();
+        fleet.confirmPrimary("p", 1, seconds(6));
+        const std::vector<std::string> requests = fleet.leaseMessages(other, "lease? ");
+        BOOST_TEST(requests.size() > 2U);
+        for (const std::string& request : requests)
+            BOOST_TEST(numbers.insert(UnfencedFleet::numberOf(request)).second);
+        size_t answered = 0;
+        for (const std::string& answer : fleet.leaseMessages(fleet.coordinator(), "lease! "))
+            answered += numbers.count(UnfencedFleet::numberOf(answer));
+        BOOST_TEST(answered > 2U);
+    }
+}
