Compare the id of a JSON-RPC response with that of its request

Cause: every request between hosts' control planes had the id 1 and no response was compared with it, so that on a connection on which an answer was sent twice each call would get the answer to the one before.

Change: each request of a process has an id of its own. HttpCall::fits lets a call reject an answer that cannot be its own; HttpCaller then reports that the call may have been sent, and does not use the connection again.

--- a/src/http_caller.cpp
+++ b/src/http_caller.cpp
@@ -344,7 +344,10 @@
             const PendingCallPtr& pending, const ConnectionPtr& connection, const pplx::task<HttpReply>& task)
         {
             try {
-                finish(pending, true, task.get());
+                HttpReply reply = task.get();
+                if (pending->call.fits && !pending->call.fits(reply))
+                    throw std::runtime_error("the answer is not that of this call");
+                finish(pending, true, std::move(reply));
             } catch (const std::exception& error) {
                 // The guard stopped this request before anything was sent, so it can be sent on a new connection.
                 if (connection->guard->foundClosed())
--- a/src/http_caller.h
+++ b/src/http_caller.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include "database.h"
+#include <functional>
 #include <map>
 
 namespace plantainwall {
 
+struct HttpReply;
+
 /// HTTP request to the endpoint of an HttpCaller.
 struct HttpCall {
     std::string method = "GET";
@@ -12,9 +15,12 @@
     std::map<std::string, std::string> headers;
     std::string body; ///< JSON.
     Duration timeout = std::chrono::seconds(2);
+    /// Returns whether a whole answer can be this call's. A server may send one twice, the second time late, so that it
+    /// precedes the next call's own. Not set: any can.
+    std::function<bool(const HttpReply&)> fits {};
 };
 
-/// Result of a call. sendState is Answered only if the whole body arrived; otherwise status is 0.
+/// Result of a call. sendState is Answered only if the whole body arrived and the answer fits; otherwise status is 0.
 struct HttpReply {
     SendState sendState = SendState::NotSent;
     int status = 0;
--- a/src/jsonrpc_server.cpp
+++ b/src/jsonrpc_server.cpp
@@ -108,7 +108,7 @@
 
 std::string JsonRpcServer::handle(const std::string& request) { return m_impl->handle(request); }
 
-std::string makeJsonRpcRequest(const std::string& method, const std::string& params)
+std::string makeJsonRpcRequest(const std::string& method, const std::string& params, uint64_t id)
 {
     Json::Value data(Json::objectValue);
     data["data"] = parseJson(params);
@@ -116,13 +116,30 @@
     connector.response = R"({"jsonrpc":"2.0","id":1,"result":null})";
     jsonrpc::Client client(connector, jsonrpc::JSONRPC_CLIENT_V2);
     client.CallMethod(method, data);
-    return connector.request;
+    // The library gives every request the same id.
+    Json::Value request = parseJson(connector.request);
+    request["id"] = Json::Value::UInt64(id);
+    return writeJson(request);
 }
 
-std::string parseJsonRpcResponse(const std::string& response)
+bool isJsonRpcResponseTo(const std::string& response, uint64_t id)
 {
+    try {
+        const Json::Value value = parseJson(response);
+        return value.isObject() && value["id"].isUInt64() && value["id"].asUInt64() == id;
+    } catch (const std::exception&) {
+        return false;
+    }
+}
+
+std::string parseJsonRpcResponse(const std::string& response, uint64_t id)
+{
+    if (!isJsonRpcResponseTo(response, id))
+        throw std::runtime_error("JSON-RPC call failed: the response belongs to another request");
     TextClientConnector connector;
-    connector.response = response;
+    Json::Value value = parseJson(response);
+    value["id"] = 1; // The library expects the id that it gives.
+    connector.response = writeJson(value);
     jsonrpc::Client client(connector, jsonrpc::JSONRPC_CLIENT_V2);
     try {
         return writeJson(client.CallMethod("response", Json::Value(Json::objectValue)));
--- a/src/jsonrpc_server.h
+++ b/src/jsonrpc_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 // Plain C++14 interface: libjsonrpccpp's headers do not compile as C++17.
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -31,11 +32,15 @@
 };
 
 /// Returns the text of a JSON-RPC 2.0 request whose parameters are {"data": <params>}.
+/// @param id Identifies the request in its response.
 /// @throws std::invalid_argument if params is not JSON.
-std::string makeJsonRpcRequest(const std::string& method, const std::string& params);
+std::string makeJsonRpcRequest(const std::string& method, const std::string& params, uint64_t id);
+
+/// Returns whether a text is a response to the request with the given id.
+bool isJsonRpcResponseTo(const std::string& response, uint64_t id);
 
 /// Returns the result of a JSON-RPC 2.0 response as JSON text.
-/// @throws std::runtime_error if the response is an error or not a JSON-RPC response.
-std::string parseJsonRpcResponse(const std::string& response);
+/// @throws std::runtime_error if the response is an error or not a JSON-RPC response to the request with the given id.
+std::string parseJsonRpcResponse(const std::string& response, uint64_t id);
 
 } // namespace plantainwall
--- a/src/peer_rpc.cpp
+++ b/src/peer_rpc.cpp
@@ -55,15 +55,17 @@
         HttpCall call;
         call.method = "POST";
         call.path = path;
-        call.body = makeJsonRpcRequest(method, jsonParams);
+        const uint64_t id = m_nextId++;
+        call.body = makeJsonRpcRequest(method, jsonParams, id);
         call.timeout = timeout;
+        call.fits = [id](const HttpReply& reply) { return reply.status != 200 || isJsonRpcResponseTo(reply.body, id); };
         signPeerRequest(call.headers, m_secret, m_self, call.method, call.path, call.body);
-        return callerFor(address)->call(std::move(call)).then([method](const HttpReply& reply) {
+        return callerFor(address)->call(std::move(call)).then([method, id](const HttpReply& reply) {
             if (reply.status != 200) {
                 throw std::runtime_error("call of " + method
                     + " failed: " + (reply.status ? "HTTP status " + std::to_string(reply.status) : reply.error));
             }
-            return parseJsonRpcResponse(reply.body);
+            return parseJsonRpcResponse(reply.body, id);
         });
     } catch (const std::exception& error) {
         return pplx::task_from_exception<std::string>(std::runtime_error(error.what()));
--- a/src/peer_rpc.h
+++ b/src/peer_rpc.h
@@ -3,6 +3,7 @@
 #include "http_caller.h"
 #include "jsonrpc_server.h"
 #include "peer_auth.h"
+#include <atomic>
 #include <mutex>
 
 namespace plantainwall {
@@ -50,6 +51,7 @@
     AddressOf m_addressOf;
     JsonRpcServer m_server;
     std::mutex m_mutex;
+    std::atomic<uint64_t> m_nextId { 1 };
     std::map<std::string, std::shared_ptr<HttpCaller>, std::less<>> m_callers;
 };
 
--- a/tests/unit_http_caller.cpp
+++ b/tests/unit_http_caller.cpp
@@ -228,3 +228,60 @@
     BOOST_TEST((running.get().sendState == SendState::MaybeSent));
     BOOST_TEST(fake.requests == 1);
 }
+
+// Issue 38 outside the servers' line protocol: an answer that is sent twice must not be taken for the next call's.
+BOOST_AUTO_TEST_CASE(a_copy_that_arrives_at_idle_answers_no_later_call)
+{
+    std::atomic<bool> copied { false };
+    TcpFake fake([&](tcp::socket& socket, int n) {
+        if (n > 1 || copied.exchange(true))
+            return send(socket, "HTTP/1.1 201 OK\r\nContent-Length: 0\r\n\r\n");
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        send(socket, okAnswer);
+        std::this_thread::sleep_for(std::chrono::milliseconds(30));
+        return send(socket, okAnswer);
+    });
+    const std::shared_ptr<HttpCaller> caller = makeHttpCaller(fake.address(), 1);
+    BOOST_TEST(caller->call(post()).get().status == 200);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    BOOST_TEST(caller->call(post()).get().status == 201);
+    BOOST_TEST(fake.accepted == 2);
+}
+
+// Bytes in the segment of the answer are dropped with it; the rest of them must not begin the next answer.
+BOOST_AUTO_TEST_CASE(surplus_bytes_after_an_answer_are_not_the_next_answer)
+{
+    for (const size_t part : { okAnswer.size(), okAnswer.size() / 2, size_t(1) }) {
+        std::atomic<bool> copied { false };
+        TcpFake fake([&](tcp::socket& socket, int n) {
+            if (n > 1 || copied.exchange(true))
+                return send(socket, "HTTP/1.1 201 OK\r\nContent-Length: 0\r\n\r\n");
+            send(socket, okAnswer + okAnswer.substr(0, part));
+            std::this_thread::sleep_for(std::chrono::milliseconds(30));
+            return part == okAnswer.size() || send(socket, okAnswer.substr(part));
+        });
+        const std::shared_ptr<HttpCaller> caller = makeHttpCaller(fake.address(), 1);
+        BOOST_TEST(caller->call(post()).get().status == 200);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        BOOST_TEST(caller->call(post()).get().status == 201, part);
+    }
+}
+
+// A copy that precedes the call's own answer shows only by what it contains.
+BOOST_AUTO_TEST_CASE(an_answer_that_does_not_fit_is_no_answer)
+{
+    TcpFake fake([](tcp::socket& socket, int n) {
+        return n == 1 ? send(socket, okAnswer)
+                      : send(socket, okAnswer + "HTTP/1.1 201 OK\r\nContent-Length: 0\r\n\r\n");
+    });
+    const std::shared_ptr<HttpCaller> caller = makeHttpCaller(fake.address(), 1);
+    BOOST_TEST(caller->call(post()).get().status == 200);
+    HttpCall second = post();
+    second.fits = [](const HttpReply& reply) { return reply.status == 201; };
+    const HttpReply reply = caller->call(second).get();
+    BOOST_TEST((reply.sendState == SendState::MaybeSent));
+    BOOST_TEST(reply.status == 0);
+    BOOST_TEST(!reply.error.empty());
+    BOOST_TEST(caller->call(post()).get().status == 200); // On a new connection.
+    BOOST_TEST(fake.accepted == 2);
+}
--- a/tests/unit_peer_rpc.cpp
+++ b/tests/unit_peer_rpc.cpp
@@ -66,7 +66,7 @@
     BOOST_CHECK_THROW(pair.client.call("b", "echo", "{", std::chrono::seconds(1)).get(), std::runtime_error);
     Pair stranger("another secret of 32 characters!");
     BOOST_CHECK_THROW(stranger.client.call("b", "echo", "{}", std::chrono::seconds(1)).get(), std::runtime_error);
-    BOOST_TEST(!parseJsonRpcResponse(R"({"jsonrpc":"2.0","id":1,"result":4})").empty());
+    BOOST_TEST(!parseJsonRpcResponse(R"({"jsonrpc":"2.0","id":1,"result":4})", 1).empty());
     for (const char* text : { "", "{", "[]", "{}", R"({"jsonrpc":"2.0","id":1,"method":5})" })
         BOOST_TEST(pair.server.handle({}, text).status == 401);
 }
@@ -119,3 +119,46 @@
     const HttpReply reply = pair.server.handle(headers, body);
     BOOST_TEST((reply.status == 400 || reply.body.find("error") != std::string::npos));
 }
+
+namespace {
+
+/// Answers each call with the answer to the one before, as a connection does on which an answer was sent twice.
+class LaggingCaller final : public HttpCaller {
+public:
+    explicit LaggingCaller(PeerRpc& target)
+        : m_target(target)
+    {
+    }
+
+    pplx::task<HttpReply> call(HttpCall call) override
+    {
+        HttpReply reply = m_target.handle(call.headers, call.body);
+        std::swap(reply, m_last);
+        if (call.fits)
+            judged.push_back(call.fits(reply));
+        return pplx::task_from_result(reply);
+    }
+
+    std::vector<bool> judged; ///< What the calls said of their answers.
+
+private:
+    PeerRpc& m_target;
+    HttpReply m_last;
+};
+
+} // namespace
+
+// Before the fix every request had the id 1, and no response was compared with it.
+BOOST_AUTO_TEST_CASE(a_response_to_another_call_is_an_error)
+{
+    Pair pair;
+    const std::shared_ptr<LaggingCaller> caller = std::make_shared<LaggingCaller>(pair.server);
+    PeerRpc client(secret, { "a", 5 }, [&](std::string_view) { return caller; });
+    BOOST_CHECK_THROW(client.callAddress("b", "echo", "1", std::chrono::seconds(1)).get(), std::runtime_error);
+    BOOST_CHECK_THROW(client.callAddress("b", "echo", "2", std::chrono::seconds(1)).get(), std::runtime_error);
+    BOOST_TEST((caller->judged == std::vector<bool> { true, false })); // No answer, then a foreign one.
+    for (const char* text : { "", "{}", R"({"jsonrpc":"2.0","result":4})", R"({"jsonrpc":"2.0","id":null,"result":4})",
+             R"({"jsonrpc":"2.0","id":"7","result":4})", R"({"jsonrpc":"2.0","id":8,"result":4})" })
+        BOOST_CHECK_THROW(parseJsonRpcResponse(text, 7), std::runtime_error);
+    BOOST_TEST(parseJsonRpcResponse(R"({"jsonrpc":"2.0","id":7,"result":4})", 7) == "4");
+}
