Reject answers to other requests from databases and the store over HTTP

Cause: on the product's own interfaces, too, HttpCaller matches answers to calls by connection and order. An answer that was sent twice and whose copy arrived before the next call's own was taken for it: another caller's results for a statement, or an earlier change for a compare-and-swap.

An applied change must have a revision above the expected one that no earlier change of this process had, a rejected one another revision than the expected one, and an entry the key that was read. Otherwise the outcome is unknown and the connection is not used again.

Tests: a new case each of unit.database-http and unit.store-http failed before.

--- a/src/database_http.cpp
+++ b/src/database_http.cpp
@@ -121,9 +121,25 @@
         return outcome;
     }
 
+    /// Returns whether an answer names the request, or none.
+    bool namesRequest(const value& json, const std::string& requestId)
+    {
+        return !json.has_field("request_id")
+            || (json.has_string_field("request_id") && json.at("request_id").as_string() == requestId);
+    }
+
+    bool answersRequest(const HttpReply& reply, const std::string& requestId)
+    {
+        try {
+            return namesRequest(value::parse(reply.body), requestId);
+        } catch (const web::json::json_exception&) {
+            return true; // It has no valid form, whosever it is.
+        }
+    }
+
     /// Only an answer with "not_run" proves that nothing ran; after any other failure the outcome is unknown, unless
     /// the call was never sent.
-    ExecuteOutcome parseExecute(const HttpReply& reply)
+    ExecuteOutcome parseExecute(const HttpReply& reply, const std::string& requestId)
     {
         ExecuteOutcome outcome;
         outcome.sendState = reply.sendState;
@@ -133,6 +149,10 @@
             return outcome;
         try {
             const value json = value::parse(reply.body);
+            if (!namesRequest(json, requestId)) {
+                outcome.message = "database: the answer is that of another request";
+                return outcome;
+            }
             if (reply.status != 200)
                 return parseRefusal(json);
             outcome.results = parseResults(json.at("results"));
@@ -217,7 +237,11 @@
                 statements[i] = value::string(request.statements[i]);
             json["statements"] = statements;
             const std::string path = "/v1/connections/" + segment(request.connection) + "/execute";
-            return send("POST", path, json.serialize(), request.timeLeft).then(parseExecute);
+            HttpCall call = makeCall("POST", path, json.serialize(), request.timeLeft);
+            call.fits = [id = request.requestId](const HttpReply& reply) { return answersRequest(reply, id); };
+            return m_caller->call(std::move(call)).then([id = request.requestId](const HttpReply& reply) {
+                return parseExecute(reply, id);
+            });
         }
 
         pplx::task<ExecuteOutcome> outcome(std::string_view requestId, Duration timeout) override
@@ -238,6 +262,11 @@
 
     private:
         pplx::task<HttpReply> send(const char* method, std::string path, std::string content, Duration timeout)
+        {
+            return m_caller->call(makeCall(method, std::move(path), std::move(content), timeout));
+        }
+
+        HttpCall makeCall(const char* method, std::string path, std::string content, Duration timeout) const
         {
             HttpCall call;
             call.method = method;
@@ -247,7 +276,7 @@
                 call.headers["Content-Type"] = "application/json";
             call.body = std::move(content);
             call.timeout = timeout;
-            return m_caller->call(std::move(call));
+            return call;
         }
 
         static std::string candidateBody(uint64_t term, std::string_view candidate)
--- a/src/store_http.cpp
+++ b/src/store_http.cpp
@@ -1,6 +1,8 @@
 #include "store_http.h"
 #include <cpprest/base_uri.h>
 #include <cpprest/json.h>
+#include <mutex>
+#include <set>
 
 namespace plantainwall {
 
@@ -48,8 +50,50 @@
         throw CallFailed(state, "store answered with status " + std::to_string(reply.status));
     }
 
+    /// Returns whether an entry read under a key can be the answer.
+    bool isEntryOf(const HttpReply& reply, const std::string& key)
+    {
+        if (reply.status != 200)
+            return true;
+        const value json = value::parse(reply.body);
+        return json.has_string_field("key") && json.at("key").as_string() == key;
+    }
+
     value parseBody(const HttpReply& reply) { return reply.body.empty() ? value::object() : value::parse(reply.body); }
 
+    /// Revisions of the changes that this process has made. Each change has a revision of its own, so an answer with a
+    /// known one is a copy. Safe to use from any thread.
+    class AppliedRevisions {
+    public:
+        /// Returns whether the reply can be that to a change that has not been answered yet, and records its revision.
+        bool isNew(const HttpReply& reply, uint64_t expectedRevision)
+        {
+            if (reply.status != 200 && reply.status != 409)
+                return true;
+            const value json = value::parse(reply.body);
+            if (!json.has_boolean_field("applied"))
+                return false;
+            const uint64_t revision = json.at("revision").as_number().to_uint64();
+            if (!json.at("applied").as_bool())
+                return revision != expectedRevision;
+            std::lock_guard<std::mutex> lock(m_mutex);
+            if (revision <= expectedRevision)
+                return false;
+            // Revisions of a restored store go back: a second attempt succeeds.
+            if (m_revisions.erase(revision) != 0)
+                return false;
+            m_revisions.insert(revision);
+            if (m_revisions.size() > maxRevisions)
+                m_revisions.erase(m_revisions.begin());
+            return true;
+        }
+
+    private:
+        static constexpr size_t maxRevisions = 1024; ///< Copies are late by less than so many changes take.
+        std::mutex m_mutex;
+        std::set<uint64_t> m_revisions;
+    };
+
     class HttpStore final : public Store {
     public:
         HttpStore(std::shared_ptr<HttpCaller> caller, Duration timeout)
@@ -60,8 +104,10 @@
 
         pplx::task<std::optional<StoreEntry>> get(std::string_view key) override
         {
+            Request request { "GET", keyPath(key) };
+            request.fits = [key = std::string(key)](const HttpReply& reply) { return isEntryOf(reply, key); };
             return callStore<std::optional<StoreEntry>>(
-                { "GET", keyPath(key) }, { 200, 404 }, [](const HttpReply& reply) -> std::optional<StoreEntry> {
+                request, { 200, 404 }, [](const HttpReply& reply) -> std::optional<StoreEntry> {
                     if (reply.status == 404)
                         return std::nullopt;
                     return readEntry(parseBody(reply));
@@ -81,11 +127,13 @@
             body["value"] = newValue ? value::string(*newValue) : value::null();
             body["expected_revision"] = value::number(expectedRevision);
             body["lease"] = value::string(std::string(lease));
-            return callStore<SwapResult>(
-                { "PUT", keyPath(key), body.serialize() }, { 200, 409 }, [](const HttpReply& reply) {
-                    const value json = parseBody(reply);
-                    return SwapResult { json.at("applied").as_bool(), json.at("revision").as_number().to_uint64() };
-                });
+            Request request { "PUT", keyPath(key), body.serialize() };
+            request.fits = [applied = m_applied, expectedRevision](
+                               const HttpReply& reply) { return applied->isNew(reply, expectedRevision); };
+            return callStore<SwapResult>(request, { 200, 409 }, [](const HttpReply& reply) {
+                const value json = parseBody(reply);
+                return SwapResult { json.at("applied").as_bool(), json.at("revision").as_number().to_uint64() };
+            });
         }
 
         pplx::task<StoreListing> watch(std::string_view prefix, uint64_t afterRevision, Duration wait) override
@@ -140,6 +188,7 @@
             std::string path;
             std::string body {};
             Duration extraTimeout {};
+            std::function<bool(const HttpReply&)> fits {}; ///< See HttpCall.
         };
 
         static std::string keyPath(std::string_view key)
@@ -155,6 +204,15 @@
             call.path = request.path;
             call.body = request.body;
             call.timeout = m_timeout + request.extraTimeout;
+            if (request.fits) {
+                call.fits = [fits = request.fits](const HttpReply& reply) {
+                    try {
+                        return fits(reply);
+                    } catch (const web::json::json_exception&) {
+                        return true; // It has no valid form, whosever it is.
+                    }
+                };
+            }
             if (!request.body.empty())
                 call.headers["Content-Type"] = "application/json";
             return m_caller->call(std::move(call)).then([statuses, reader](const HttpReply& reply) -> Result {
@@ -170,6 +228,7 @@
 
         std::shared_ptr<HttpCaller> m_caller;
         Duration m_timeout;
+        std::shared_ptr<AppliedRevisions> m_applied = std::make_shared<AppliedRevisions>();
     };
 
 } // namespace
--- a/tests/unit_database_http.cpp
+++ b/tests/unit_database_http.cpp
@@ -79,3 +79,27 @@
     caller->answer(404, "{}");
     BOOST_CHECK_NO_THROW(database->closeConnection("c1").get());
 }
+
+// Issue 38 outside the servers' line protocol: on a connection on which an answer was sent twice, the copy precedes the
+// next request's own.
+BOOST_FIXTURE_TEST_CASE(an_answer_to_another_request_does_not_fit, Fixture)
+{
+    ExecuteRequest request;
+    request.requestId = "r2";
+    for (const int status : { 200, 409 }) {
+        for (const char* id : { R"("r1")", R"("r2")", "7" }) {
+            caller->answer(status,
+                R"({"results":["v"],"term":3,"position":9,"error":"stale_term","run":"not_run","request_id":)"
+                    + std::string(id) + "}");
+            const ExecuteOutcome outcome = database->execute(request).get();
+            const bool own = std::string(id) == R"("r2")";
+            BOOST_TEST((outcome.code == ResultCode::OutcomeUnknown) == !own);
+            BOOST_REQUIRE(caller->lastCall.fits);
+            BOOST_TEST(caller->lastCall.fits(caller->reply) == own);
+        }
+    }
+    // Databases may leave it out.
+    caller->answer(200, R"({"results":["v"],"term":3,"position":9})");
+    BOOST_TEST((database->execute(request).get().code == ResultCode::Ok));
+    BOOST_TEST(caller->lastCall.fits(caller->reply));
+}
--- a/tests/unit_store_http.cpp
+++ b/tests/unit_store_http.cpp
@@ -80,3 +80,36 @@
     caller->answer(200, "{");
     BOOST_TEST((swapFailure() == SendState::MaybeSent));
 }
+
+// Issue 38 outside the servers' line protocol: a copy of an earlier answer that precedes the call's own.
+BOOST_FIXTURE_TEST_CASE(a_copy_does_not_fit_another_call, Fixture)
+{
+    const auto fits = [&](int status, const std::string& body) {
+        caller->answer(status, body);
+        BOOST_REQUIRE(caller->last.fits);
+        return caller->last.fits(caller->reply);
+    };
+    const auto swap = [&](uint64_t expectedRevision) {
+        caller->answer(500, "");
+        BOOST_CHECK_THROW(store->compareAndSwap("config/a", expectedRevision, "v", "").get(), CallFailed);
+    };
+    swap(11);
+    BOOST_TEST(!fits(200, R"({"applied":true,"revision":11})"));
+    BOOST_TEST(fits(200, R"({"applied":true,"revision":12})"));
+    swap(3);
+    BOOST_TEST(!fits(200, R"({"applied":true,"revision":12})")); // The answer before.
+    BOOST_TEST(!fits(200, R"({"key":"config/b","value":"v","revision":14})"));
+    BOOST_TEST(!fits(409, R"({"applied":false,"revision":3})"));
+    BOOST_TEST(fits(409, R"({"applied":false,"revision":4})"));
+    BOOST_TEST(fits(200, R"({"applied":true,"revision":13})"));
+    // A store whose revisions go back is not locked out.
+    swap(3);
+    BOOST_TEST(!fits(200, R"({"applied":true,"revision":13})"));
+    swap(3);
+    BOOST_TEST(fits(200, R"({"applied":true,"revision":13})"));
+    caller->answer(404, "");
+    store->get("config/a").get();
+    BOOST_TEST(!fits(200, R"({"key":"config/b","value":"v","revision":14})"));
+    BOOST_TEST(fits(200, R"({"key":"config/a","value":"v","revision":14})"));
+    BOOST_TEST(fits(404, ""));
+}
--- a/tools/database_standin_execute.cpp
+++ b/tools/database_standin_execute.cpp
@@ -178,8 +178,12 @@
     return false;
 }
 
-void Member::execute(const std::string& id, const value& body, const Reply& reply)
+void Member::execute(const std::string& id, const value& body, const Reply& plainReply)
 {
+    const Reply reply = [plainReply, requestId = stringField(body, "request_id")](int status, value answer) {
+        answer["request_id"] = value::string(requestId);
+        plainReply(status, answer);
+    };
     std::lock_guard<std::mutex> lock(m_mutex);
     const std::map<std::string, ConnectionPtr>::const_iterator it = m_connections.find(id);
     if (it == m_connections.end() || !it->second->open) {
