Reject entries of servers that lack a field

Without born or seq_no, a late entry cannot be told from the newest.

The stand-ins' entries carry all fields.

--- a/tests/support_line_fleet.cpp
+++ b/tests/support_line_fleet.cpp
@@ -70,8 +70,10 @@
     entry["service"] = value::string("ledger");
     entry["address"] = value::string(loopback(port));
     entry["zone"] = value::string("dc");
+    entry["version"] = value::string("v1");
     entry["slots"] = value::number(6);
     entry["state"] = value::string("ready");
+    entry["warmup_left_ms"] = value::number(0);
     entry["db_role"] = value::string(registration.primary ? "primary" : "replica");
     entry["born"] = value::number(registration.bornUnixMs);
     entry["seq_no"] = value::number(registration.sequence);
--- a/tests/unit_odd_input.cpp
+++ b/tests/unit_odd_input.cpp
@@ -73,7 +73,8 @@
 }
 
 const std::string serverEntry
-    = R"({"service":"orders","address":"127.0.0.1:8000","zone":"z","slots":5,"state":"ready","db_role":"replica","born":1700000000123,"seq_no":41})";
+    = R"({"service":"orders","address":"127.0.0.1:8000","zone":"z","version":"v1","slots":5,"state":"ready",)"
+      R"("warmup_left_ms":0,"db_role":"replica","born":1700000000123,"seq_no":41})";
 
 const std::string configurationDocument
     = R"({"version":7,"limits":{"tx_idle_ms":3000},"routes":[{"host":"a","name":"a","service":"orders","kind":"primary",)"
@@ -244,6 +245,17 @@
     BOOST_TEST(observer.directory.find("i-2") == nullptr); // Its entry names no server any more.
     BOOST_TEST(observer.directory.find("i-4") == nullptr);
     BOOST_TEST(observer.directory.find("i-5") != nullptr);
+    // Another writer's entry that lacks only one field.
+    for (const std::string field :
+        { R"("version":"v1",)", R"("warmup_left_ms":0,)", R"("born":1700000000123,)", R"(,"seq_no":41)" }) {
+        std::string text = serverEntry;
+        text.erase(text.find(field), field.size());
+        store.put("servers/i-6", text);
+        pass(seconds(1));
+        BOOST_TEST(observer.directory.find("i-6") == nullptr, "without " << field);
+        store.erase("servers/i-6");
+        pass(seconds(4));
+    }
     store.put("servers/i-2", serverEntry);
     pass(seconds(1));
     BOOST_TEST(observer.directory.find("i-2") != nullptr);
--- a/tests/unit_store_client.cpp
+++ b/tests/unit_store_client.cpp
@@ -272,14 +272,16 @@
     const DocumentDecoder decoder;
     const auto entry = [&](const std::string& fields) {
         return decoder.server({ "servers/i-1",
-            R"({"service":"a","address":"127.0.0.1:1","zone":"z","slots":2,"state":"ready","db_role":"replica")"
-                + fields + "}",
+            R"({"service":"a","address":"127.0.0.1:1","zone":"z","version":"v1","slots":2,"state":"ready",)"
+                + (R"("warmup_left_ms":0,"db_role":"replica")" + fields) + "}",
             5, false });
     };
     BOOST_TEST(entry(R"(,"born":1700000000123,"seq_no":41)").sequence == 41U);
     BOOST_TEST(entry(R"(,"born":1700000000123,"seq_no":41)").startedUnixMs == 1700000000123U);
-    BOOST_TEST(entry("").sequence == 0U);
-    BOOST_CHECK_THROW(entry(R"(,"seq_no":"x")"), std::exception);
+    // A server always tells both; without them a late entry could not be told from the newest.
+    BOOST_CHECK_THROW(entry(R"(,"born":1700000000123)"), std::exception);
+    BOOST_CHECK_THROW(entry(R"(,"seq_no":41)"), std::exception);
+    BOOST_CHECK_THROW(entry(R"(,"born":1700000000123,"seq_no":"x")"), std::exception);
 }
 
 // Another writer's entry names no server: not one with four billion slots, one that nobody can reach, or one whose
@@ -288,8 +290,8 @@
 {
     const DocumentDecoder decoder;
     const std::map<std::string, std::string> good { { "service", R"("a")" }, { "address", R"("127.0.0.1:1")" },
-        { "zone", R"("z")" }, { "slots", "2" }, { "state", R"("ready")" }, { "db_role", R"("replica")" },
-        { "born", "1700000000123" }, { "seq_no", "41" } };
+        { "zone", R"("z")" }, { "version", R"("v1")" }, { "slots", "2" }, { "state", R"("ready")" },
+        { "warmup_left_ms", "0" }, { "db_role", R"("replica")" }, { "born", "1700000000123" }, { "seq_no", "41" } };
     const auto textWith = [&](const std::string& name, const std::string& value) {
         std::string text;
         for (const auto& [field, normal] : good) {
@@ -305,16 +307,20 @@
             { "", "7", R"("10.0.0.1:99999")", R"("10.0.0.1:-1")", R"("10.0.0.1:0")", R"("10.0.0.1")", R"("nowhere:80")",
                 R"("")" } },
         { "zone", { "", "1", "[]" } },
+        { "version", { "", "1", R"("")", "null" } },
+        { "warmup_left_ms", { "", "-1", "1e300", R"("0")", "null", "true" } },
         { "slots", { "", "0", "-1", "1e30", "2.5", "1099511627776", "11111111111111111111111111", R"("2")", "true" } },
         { "state", { "", "1", R"("gone")" } },
         { "db_role", { "", R"("leader")" } },
-        { "born", { "0", "-5", "1e300", "9223372036854775807", "4102444800000000", R"("x")", "null" } },
-        { "seq_no", { "18446744073709551616", "1e400", "-1", "null", "{}" } },
+        { "born", { "", "0", "-5", "1e300", "9223372036854775807", "4102444800000000", R"("x")", "null" } },
+        { "seq_no", { "", "18446744073709551616", "1e400", "-1", "null", "{}" } },
     };
     for (const auto& [field, values] : odd) {
         for (const std::string& value : values)
             BOOST_CHECK_THROW(decoder.server({ "servers/i-1", textWith(field, value), 5, false }), std::exception);
     }
+    for (const char* const warmup : { "1500", "12.5" })
+        BOOST_TEST(decoder.server({ "servers/i-1", textWith("warmup_left_ms", warmup), 5, false }).slots == 2U);
     for (const size_t depth : { 200U, 100000U })
         BOOST_CHECK_THROW(
             decoder.server({ "servers/i-1", std::string(depth, '[') + std::string(depth, ']'), 5, false }),
