Give up revisions that the store has not reached

Cause: a host believed every revision that another host named. With one false report it waited for ever for changes that no store had (missingAfter() until the process ended); with a report that claimed to hold all changes up to such a revision it counted every true change as older until its next listing (up to 20 s, or while relayed state is accepted).

Change: a listing is linearizable, so a reported revision above it, reported before its request, is false and dropped. A watch that is answered as of an earlier revision than the host's own leads to a listing at once; it was only logged.

--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -75,6 +75,9 @@
     m_listingInProgress = false;
     m_stateAsOf = std::max(m_stateAsOf, m_listingSentAt);
     m_listedFromStore = true;
+    // A revision that was reported before the request for the listing is not above its revision, unless it is false.
+    if (m_reportedAt < m_listingSentAt)
+        m_reportedRevision = std::min(m_reportedRevision, m_listingRevision);
     applyListing(std::exchange(m_listing, {}), m_listingRevision);
     watch();
 }
@@ -168,8 +171,15 @@
         {}, m_revision, wait, [this, now, wait, after = m_revision, sequence = m_sequence](const StoreItems& events) {
             if (sequence != m_sequence)
                 return;
-            if (events.era == m_era && events.asOf != 0 && events.asOf < after)
+            const bool behind = events.era == m_era && events.asOf != 0 && events.asOf < after;
+            if (behind)
                 logRestored("watch", m_era, events.asOf);
+            // The revision was never reached, so true changes would seem older than it.
+            if (behind && events.outcome == StoreOutcome::Ok) {
+                storeCallSucceeded();
+                list();
+                return;
+            }
             watchAnswered(events, now, wait);
         });
 }
@@ -261,7 +271,10 @@
             m_listingMissingSince = now;
         return;
     }
-    m_reportedRevision = std::max(m_reportedRevision, events.to);
+    if (events.to > m_reportedRevision) {
+        m_reportedRevision = events.to;
+        m_reportedAt = now;
+    }
     if (!m_listingInProgress && events.from <= m_revision && events.from < events.to)
         advance(events.items, events.to);
     if (m_reportedRevision > m_revision && !m_changesMissingSince)
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -173,6 +173,7 @@
     Instant m_startedAt;
     Instant m_stateAsOf; ///< Time as of which the store is known, through a call of this or another host.
     uint64_t m_reportedRevision = 0; ///< Newest revision that another host has reported.
+    Instant m_reportedAt; ///< Time of that report.
     /// Time since when m_reportedRevision is newer than m_revision, or the last changes were applied if that is later.
     std::optional<Instant> m_changesMissingSince;
     Instant m_peerProgressAt; ///< See notePeerProgress().
--- a/tests/unit_store_follower.cpp
+++ b/tests/unit_store_follower.cpp
@@ -328,3 +328,42 @@
     BOOST_TEST((now - missingSince <= std::chrono::milliseconds(2500)));
     BOOST_TEST(store.watches.back() == 10U);
 }
+
+// Guards against a host that waits for ever for changes that the store never had, because one host reported a revision
+// that does not exist.
+BOOST_FIXTURE_TEST_CASE(a_reported_revision_that_the_store_does_not_know_is_dropped, FollowerFixture)
+{
+    store.answer(StoreOutcome::Ok, {}, 10);
+    follower.setSource(StoreSource::Relay);
+    store.answer(StoreOutcome::Ok, {}, 10);
+    runDelayedTask();
+    follower.applyRelayed({ 5000000, 6000000, Duration(0), {} });
+    now += StoreFollowerSettings().maxCatchUpDelay;
+    BOOST_TEST(follower.missingAfter().has_value());
+    runDelayedTask();
+    store.answer(StoreOutcome::HistoryLost);
+    store.answer(StoreOutcome::Ok, {}, 12); // The listing.
+    now += StoreFollowerSettings().maxCatchUpDelay;
+    BOOST_TEST(!follower.missingAfter().has_value());
+    // A report that may be newer than the listing counts.
+    follower.applyRelayed({ 14, 15, Duration(0), {} });
+    now += StoreFollowerSettings().peerRequestDelay;
+    BOOST_TEST((follower.missingAfter() == std::optional<uint64_t>(12)));
+}
+
+// The same for a report that claims to hold all changes up to such a revision: every true change would be ignored as
+// older.
+BOOST_FIXTURE_TEST_CASE(a_revision_that_the_store_has_not_reached_is_given_up, FollowerFixture)
+{
+    store.answer(StoreOutcome::Ok, {}, 10);
+    BOOST_REQUIRE(store.watches.size() == 1U);
+    follower.applyRelayed({ 10, 6000000, Duration(0), {} });
+    store.answer(StoreOutcome::Ok, { { "config", "9", 11, false } }, 11); // The watch in progress.
+    runDelayedTask();
+    BOOST_TEST(store.watches.back() == 6000000U);
+    store.answer(StoreOutcome::Ok, {}, 11);
+    BOOST_REQUIRE(store.lists.size() == 2U);
+    store.answer(StoreOutcome::Ok, { { "config", "9", 11, false } }, 11);
+    BOOST_TEST((versions == std::vector<uint64_t> { 9 }));
+    BOOST_TEST(store.watches.back() == 11U);
+}
