Reject terms, positions, revisions and ages that no host can mean

Cause: whole numbers of any size were taken from datagrams and from the record of primaries. Ages of probes went through a conversion that the language leaves undefined for 1e30, and a server could seem silent for 290,000 years, which is kept for the decision about its promotion.

Change: terms and positions up to 2^48 (maxLogNumber), revisions up to 2^48, eras up to 2^27 (fencing tokens shift them by 36 bits), ages of probes whole and up to ten years. A datagram beyond that is dropped and logged, as malformed ones are. The fake network of the tests drops datagrams to addresses where nobody is; it ended by SIGSEGV at an odd registration.

--- a/include/plantainwall/plantainwall.h
+++ b/include/plantainwall/plantainwall.h
@@ -109,6 +109,10 @@
     bool covers(const LogPosition& other) const { return term >= other.term && position >= other.position; }
 };
 
+/// Greatest term or index that a message may name. No log gets that far, and because terms and positions never fall, a
+/// greater one would be waited for until the process ends.
+constexpr uint64_t maxLogNumber = uint64_t(1) << 48;
+
 /// Limits of the caller-facing HTTP server. Sizes in bytes.
 struct HttpSettings {
     size_t maxHeadBytes = 16 * 1024;
--- a/src/fleet_member_reports.cpp
+++ b/src/fleet_member_reports.cpp
@@ -232,7 +232,7 @@
         if (value.has_field("p")) {
             for (const auto& [service, entry] : value.at("p").as_object()) {
                 const std::string id = entry.at(0).as_string();
-                const auto term = unsignedFrom(entry.at(1));
+                const auto term = unsignedFrom(entry.at(1), maxLogNumber);
                 if (!m_gateway.directory().noteReportedPrimary(service, id, term))
                     continue;
                 // The source reports it to all hosts; this host need not repeat it.
--- a/src/position_exchange.cpp
+++ b/src/position_exchange.cpp
@@ -91,7 +91,7 @@
     for (const auto& [service, known] : answer.at("e").as_object()) {
         // A position of the future would cover commits that it does not know.
         const Duration age(static_cast<int64_t>(unsignedFrom(known.at(2), maxAge.count())));
-        const LogPosition position { unsignedFrom(known.at(0)), unsignedFrom(known.at(1)) };
+        const LogPosition position { unsignedFrom(known.at(0), maxLogNumber), unsignedFrom(known.at(1), maxLogNumber) };
         m_holder.positionReceived(service, { position, m_requestedAt - age });
     }
     return true;
--- a/src/primary_lease.cpp
+++ b/src/primary_lease.cpp
@@ -22,7 +22,7 @@
     const web::json::value record = web::json::value::parse(std::string(text));
     LeasedPrimaries primaries;
     for (const auto& [service, entry] : record.at("primaries").as_object())
-        primaries[service] = { entry.at(0).as_string(), unsignedFrom(entry.at(1)) };
+        primaries[service] = { entry.at(0).as_string(), unsignedFrom(entry.at(1), maxLogNumber) };
     era = unsignedFrom(record.at("era"));
     return primaries;
 }
--- a/src/probe_exchange.cpp
+++ b/src/probe_exchange.cpp
@@ -1,4 +1,5 @@
 #include "probe_exchange.h"
+#include "json_number.h"
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
 #include <cpprest/json.h>
@@ -21,7 +22,8 @@
     constexpr size_t reachedField = 2; ///< Age in microseconds; negative if there is none.
     constexpr size_t silentField = 3;
 
-    int64_t integerAt(const value& array, size_t index) { return array.at(index).as_number().to_int64(); }
+    /// Ages of other hosts beyond this are mistakes; differences of such times must not overflow.
+    constexpr Duration maxAge = std::chrono::hours(24 * 365 * 10);
 
     value ageOf(std::optional<Instant> instant, Instant now)
     {
@@ -29,9 +31,12 @@
             instant ? static_cast<int64_t>(std::chrono::duration_cast<Duration>(now - *instant).count()) : int64_t(-1));
     }
 
-    std::optional<Instant> instantOf(int64_t age, Instant now)
+    /// Throws std::exception if the age is not a whole number of microseconds, or -1.
+    std::optional<Instant> instantOf(const value& age, Instant now)
     {
-        return age < 0 ? std::nullopt : std::optional<Instant>(now - Duration(age));
+        if (age.is_integer() && age.as_number().is_int64() && age.as_number().to_int64() == -1)
+            return std::nullopt;
+        return now - Duration(static_cast<int64_t>(unsignedFrom(age, maxAge.count())));
     }
 
 } // namespace
@@ -179,8 +184,8 @@
             return true;
         std::vector<value> results;
         for (const value& item : request.at("s").as_array()) {
-            const std::optional<ProbeResult> known = m_prober.probe(
-                item.at(idField).as_string(), static_cast<uint64_t>(item.at(startField).as_number().to_uint64()));
+            const std::optional<ProbeResult> known
+                = m_prober.probe(item.at(idField).as_string(), unsignedFrom(item.at(startField)));
             if (known)
                 results.push_back(value::array({ item.at(idField), item.at(startField), ageOf(known->reachedAt, now),
                     ageOf(known->silentSince, now) }));
@@ -196,12 +201,13 @@
         return false;
     const value answer = value::parse(text.substr(answerWord.size()));
     const std::string host = answer.at("h").as_string();
-    const Instant requestedAt(Duration(std::max<int64_t>(0, answer.at("n").as_number().to_int64())));
+    const web::json::number& sent = answer.at("n").as_number();
+    if (!sent.is_int64())
+        throw std::out_of_range("time of a request is not whole or out of range");
+    const Instant requestedAt(Duration(std::max<int64_t>(0, sent.to_int64())));
     for (const value& item : answer.at("s").as_array()) {
-        const Process process(
-            item.at(idField).as_string(), static_cast<uint64_t>(item.at(startField).as_number().to_uint64()));
-        const ProbeResult result { instantOf(integerAt(item, reachedField), now),
-            instantOf(integerAt(item, silentField), now) };
+        const Process process(item.at(idField).as_string(), unsignedFrom(item.at(startField)));
+        const ProbeResult result { instantOf(item.at(reachedField), now), instantOf(item.at(silentField), now) };
         const auto target = m_targets.find(process);
         if (target != m_targets.end() && requestedAt <= now && now - requestedAt < m_settings.answerTimeout)
             note(target->second, host, result);
--- a/src/revocation_exchange.cpp
+++ b/src/revocation_exchange.cpp
@@ -164,10 +164,11 @@
         return true;
     for (const value& entry : notice.at("s").as_array()) {
         const std::string service = entry.at(0).as_string();
-        const PrimaryRevocation revocation { unsignedFrom(entry.at(1)),
+        const PrimaryRevocation revocation { unsignedFrom(entry.at(1), maxLogNumber),
             static_cast<RevocationScope>(unsignedFrom(entry.at(2), lastScope)) };
         const uint64_t token = unsignedFrom(entry.at(3));
-        m_gateway.directory().noteReportedPrimary(service, entry.at(4).as_string(), unsignedFrom(entry.at(5)));
+        m_gateway.directory().noteReportedPrimary(
+            service, entry.at(4).as_string(), unsignedFrom(entry.at(5), maxLogNumber));
         apply(service, revocation.term != 0 ? std::make_optional(revocation) : std::nullopt, token, coordinator);
     }
     value reply = value::object();
--- a/src/store_relay.cpp
+++ b/src/store_relay.cpp
@@ -16,6 +16,10 @@
 
     constexpr Duration maxAge = std::chrono::hours(24);
 
+    /// A greater revision would make all true changes seem older; a greater era would overflow fencing tokens.
+    constexpr uint64_t maxRevision = uint64_t(1) << 48;
+    constexpr uint64_t maxEra = uint64_t(1) << 27;
+
     /// Datagrams up to this size are not fragmented.
     constexpr size_t maxDatagramBytes = 1200;
 
@@ -88,20 +92,21 @@
 StoreEvents decodeStoreEvents(std::string_view datagram)
 {
     const value body = value::parse(std::string(datagram.substr(datagramPrefix.size())));
-    const auto number = [](const value& object, const char* name) { return unsignedFrom(object.at(name)); };
+    const auto revision
+        = [](const value& object, const char* name) { return unsignedFrom(object.at(name), maxRevision); };
     StoreEvents events;
-    events.from = number(body, "f");
-    events.to = number(body, "t");
+    events.from = revision(body, "f");
+    events.to = revision(body, "t");
     // A negative age would make the state seem newer than it is.
     events.age = Duration(static_cast<int64_t>(unsignedFrom(body.at("a"), maxAge.count())));
     if (body.has_field("e"))
-        events.era = number(body, "e");
+        events.era = unsignedFrom(body.at("e"), maxEra);
     if (!body.has_field("i"))
         return events;
     for (const value& entry : body.at("i").as_array()) {
         StoreItem item;
         item.key = entry.at("k").as_string();
-        item.revision = number(entry, "r");
+        item.revision = revision(entry, "r");
         item.removed = !entry.has_field("v");
         if (!item.removed) {
             const std::vector<unsigned char> bytes = utility::conversions::from_base64(entry.at("v").as_string());
--- a/tests/support_fleet.cpp
+++ b/tests/support_fleet.cpp
@@ -422,7 +422,11 @@
         std::deque<FakePeerNetwork::Datagram> queue;
         queue.swap(channel.queue);
         for (const FakePeerNetwork::Datagram& datagram : queue) {
-            const size_t to = std::stoul(datagram.to);
+            const bool isAddress
+                = !datagram.to.empty() && datagram.to.find_first_not_of("0123456789") == std::string::npos;
+            const size_t to = isAddress && datagram.to.size() < 10 ? std::stoul(datagram.to) : hosts.size();
+            if (to >= hosts.size())
+                continue; // An odd registration names an address where nobody is.
             if (dead.count(to) == 0 && dead.count(std::stoul(datagram.from)) == 0 && !(lost && lost(datagram)))
                 hosts[to]->member.peerDatagram(datagram.text);
         }
--- a/tests/unit_odd_input.cpp
+++ b/tests/unit_odd_input.cpp
@@ -199,6 +199,60 @@
         BOOST_TEST(fleet.versionAt(i) == 9U);
 }
 
+// The same for the items that hosts write: an unreadable one costs what it tells, and hosts go on following the store.
+BOOST_AUTO_TEST_CASE(odd_items_of_hosts_leave_a_fleet_working)
+{
+    FakeFleet fleet(4, 1, true, false);
+    fleet.pass(seconds(6));
+    Replica replica;
+    replica.entry.id = "p";
+    replica.entry.address = "127.0.0.1:1";
+    const std::pair<std::string, std::string> valid[] = {
+        { "plantainwall/hosts/9/1/1-5",
+            R"({"host":"9","address":"9","region":"0","data_centre":"0","incarnation":1,"capacity":0.25})" },
+        { "plantainwall/replicas/orders", encodeReplicaRecord(gsl::span<const Replica>(&replica, 1)) },
+        { "plantainwall/replicas/odd", encodeReplicaRecord(gsl::span<const Replica>(&replica, 1)) },
+        { "plantainwall/primaries", encodePrimaryRecord({ { "orders", { "p", 1 } } }, 1) },
+        { "plantainwall/promotions", "2 1 1" },
+        { "plantainwall/odd", "odd" },
+    };
+    std::mt19937 random(11);
+    for (size_t i = 0; i < inputsOfSeed() / 100; ++i) {
+        const auto& [key, text] = valid[random() % std::size(valid)];
+        fleet.store.put(key, mutate(text, random));
+        if (i % 4 == 0)
+            fleet.pass(milliseconds(20));
+    }
+    for (const auto& [key, text] : valid)
+        fleet.store.erase(key);
+    fleet.pass(seconds(15));
+    fleet.store.put("config", "9");
+    fleet.pass(seconds(5));
+    for (size_t i = 0; i < 4; ++i)
+        BOOST_TEST(fleet.versionAt(i) == 9U);
+    BOOST_TEST(fleet.activeCoordinators() == 1U);
+}
+
+// Terms never fall: a host that took such a term from a report would refuse every true primary until it ends.
+BOOST_AUTO_TEST_CASE(terms_out_of_range_are_not_taken_from_other_hosts)
+{
+    const std::string max = std::to_string(UINT64_MAX);
+    FakeFleet fleet(2, 1, false, false);
+    fleet.pass(seconds(6));
+    FakeFleet::Host& host = *fleet.hosts[0];
+    ServerDirectory& directory = host.fixture.gateway.directory();
+    BOOST_REQUIRE(directory.find("p") != nullptr);
+    const uint64_t before = directory.term("orders");
+    host.member.peerDatagram(
+        R"({"h":")" + fleet.hosts[1]->settings.host + R"(","i":1,"s":true,"p":{"orders":["p",)" + max + "]}}");
+    host.member.peerDatagram(
+        R"(revoke? {"h":")" + fleet.hosts[1]->settings.host + R"(","n":1,"s":[["orders",0,0,1,"p",)" + max + "]]}");
+    BOOST_TEST(directory.term("orders") == before);
+    uint64_t era = 0;
+    BOOST_CHECK_THROW(
+        decodePrimaryRecord(R"({"era":1,"primaries":{"orders":["p",)" + max + "]}}", era), std::exception);
+}
+
 // One odd entry among those of the servers: every host goes on with the others, and with the true entry that follows
 // under the same key.
 BOOST_AUTO_TEST_CASE(an_odd_entry_leaves_the_other_servers_in_use)
--- a/tests/unit_position_exchange.cpp
+++ b/tests/unit_position_exchange.cpp
@@ -1,5 +1,6 @@
 #include "position_exchange.h"
 #include <boost/test/unit_test.hpp>
+#include <cpprest/json.h>
 #include <queue>
 
 using namespace plantainwall;
@@ -111,3 +112,19 @@
         BOOST_CHECK_THROW(a.datagram(text, addressOf), std::exception);
     BOOST_TEST(!a.datagram("quota? 1", addressOf));
 }
+
+// Guards against a position that no log ever reaches: reads would wait for it until the host ends.
+BOOST_FIXTURE_TEST_CASE(positions_out_of_range_are_errors, Pair)
+{
+    requester.servicesToRequest = { "orders" };
+    for (const std::string numbers : { "18446744073709551615,1", "1,18446744073709551615", "9223372036854775807,1",
+             "1,9223372036854775807", "-1,1", "1e30,1", "1.5,1" }) {
+        now += seconds(10);
+        a.tick(sources);
+        const std::string request = fromRequester.sent.back().second;
+        const std::string number = web::json::value::parse(request.substr(request.find('{'))).at("n").serialize();
+        const std::string answer = "evidence! {\"n\":" + number + ",\"e\":{\"orders\":[" + numbers + ",0]}}";
+        BOOST_CHECK_THROW(a.datagram(answer, addressOf), std::exception);
+    }
+    BOOST_TEST(requester.received.empty());
+}
--- a/tests/unit_probe_exchange.cpp
+++ b/tests/unit_probe_exchange.cpp
@@ -2,6 +2,7 @@
 #include "support_gateway.h"
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <cpprest/json.h>
 #include <queue>
 #include <set>
 
@@ -280,3 +281,26 @@
     BOOST_TEST(chooseProbingHosts(server, gsl::span<const ProbingHost>(hosts).first(3), 6).size() == 3U);
     BOOST_TEST(chooseProbingHosts(server, {}, 6).empty());
 }
+
+// Guards against a server that seems silent for ages, or answering in the future, because of one malformed report: the
+// times are kept and would count in every later decision about its promotion.
+BOOST_FIXTURE_TEST_CASE(ages_out_of_range_are_errors, Pair)
+{
+    held = true;
+    pass(milliseconds(600));
+    BOOST_REQUIRE(!a.channel.sent.empty());
+    const std::string request = a.channel.sent.back().second;
+    const std::string number = web::json::value::parse(request.substr(request.find('{'))).at("n").serialize();
+    for (const std::string ages : { "9223372036854775807,-1", "-1,9223372036854775807", "1e30,-1", "-1,1e30", "0.5,-1",
+             "-7,-1", "-1,18446744073709551615" }) {
+        const std::string answer = R"(probe! {"h":"b","n":)" + number + R"(,"s":[["r2",5,)" + ages + "]]}";
+        BOOST_CHECK_THROW(a.exchange.datagram(answer, addressOf), std::exception);
+    }
+    for (const std::string other : { "1e30", "0.5", "18446744073709551615", "18446744073709551616" })
+        BOOST_CHECK_THROW(
+            a.exchange.datagram(R"(probe! {"h":"b","n":)" + other + R"(,"s":[["r2",5,0,-1]]})", addressOf),
+            std::exception);
+    pass(milliseconds(20));
+    BOOST_TEST(!summary.silentSince.has_value());
+    BOOST_TEST(!summary.reachedAt.has_value());
+}
--- a/tests/unit_store_relay.cpp
+++ b/tests/unit_store_relay.cpp
@@ -88,3 +88,16 @@
     BOOST_TEST(std::count(relays.begin(), relays.end(), "h0") == 1);
     BOOST_TEST(std::count(relays.begin(), relays.end(), "h1") == 1);
 }
+
+// More revisions than a store gives out in an era; see the fencing tokens.
+BOOST_AUTO_TEST_CASE(revisions_out_of_range_are_errors)
+{
+    for (const std::string max : { "18446744073709551615", "9223372036854775807", "1000000000000000" }) {
+        BOOST_CHECK_THROW(decodeStoreEvents(R"(store! {"f":1,"t":)" + max + R"(,"a":0})"), std::exception);
+        BOOST_CHECK_THROW(decodeStoreEvents(R"(store! {"f":)" + max + R"(,"t":1,"a":0})"), std::exception);
+        BOOST_CHECK_THROW(decodeStoreEvents(R"(store! {"f":1,"t":2,"a":0,"e":)" + max + "}"), std::exception);
+        BOOST_CHECK_THROW(
+            decodeStoreEvents(R"(store! {"f":1,"t":2,"a":0,"i":[{"k":"a","r":)" + max + "}]}"), std::exception);
+    }
+    BOOST_TEST(decodeStoreEvents(R"(store! {"f":1,"t":60000000000,"a":0,"e":100000000})").to == 60000000000U);
+}
