Notice soon that a watch is lost after an outage of the store

The latest change was in the store only, and no relay called it again before its watch had timed out (2.7 s left) and the retry delay had passed: all hosts had the change 5.5 s after the faults' end, not 3 s.

Change: until a call to the store is answered again, a relay's watches wait 0.1 s instead of 2 s, so that a lost one is noticed after 1.1 s. Answered, the next one waits 2 s as before. A bound of 3 s is not proved: the retry delay alone grows to 2 s.

--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -231,8 +231,9 @@
         actions.emplace_back(ListStore { id, now });
         m_pendingStoreCall = PendingCall { id, now + m_timing.listTimeout };
     } else if (m_topology.relay) {
-        actions.emplace_back(WatchStore { id, m_completeRevision, m_timing.watchWait, now });
-        m_pendingStoreCall = PendingCall { id, now + m_timing.watchWait + m_timing.watchGrace };
+        const Duration wait = m_storeFailures == 0 ? m_timing.watchWait : m_timing.retryWatchWait;
+        actions.emplace_back(WatchStore { id, m_completeRevision, wait, now });
+        m_pendingStoreCall = PendingCall { id, now + wait + m_timing.watchGrace };
     } else {
         return;
     }
--- a/src/configuration.h
+++ b/src/configuration.h
@@ -9,6 +9,9 @@
 /// Timing and batch sizes of the configuration distribution.
 struct ConfigTiming {
     Duration watchWait = std::chrono::seconds(2); ///< With 12 relays: 6 store calls per second while nothing changes.
+    /// Until a call to the store is answered again: a watch that is lost after an outage must not delay the next one
+    /// long.
+    Duration retryWatchWait = std::chrono::milliseconds(100);
     Duration watchGrace = std::chrono::seconds(1); ///< A watch times out after watchWait + watchGrace.
     Duration listTimeout = std::chrono::seconds(1); ///< A starting host then also fetches from peers.
     Duration fetchTimeout = std::chrono::milliseconds(500);
--- a/tests/unit_configuration.cpp
+++ b/tests/unit_configuration.cpp
@@ -283,6 +283,56 @@
     }));
 }
 
+// Seeds that had not converged: the store came back for a moment, and the watches that all relays sent then were lost.
+BOOST_AUTO_TEST_CASE(relays_converge_after_watches_that_were_lost_together)
+{
+    for (const uint64_t seed : { 14119891876ULL, 421913724ULL, 7681ULL }) {
+        std::mt19937_64 random(seed);
+        const size_t hosts = 8 + random() % 13;
+        Simulation simulation(seed, hosts);
+        simulation.run(2s);
+        injectFaults(simulation, random, hosts);
+        simulation.faults = {};
+        simulation.run(convergenceTime);
+        BOOST_TEST(simulation.converged(), "seed " << seed);
+    }
+}
+
+// The same for one relay: after a failed call it does not wait for a whole watch to notice that the next one is lost.
+BOOST_AUTO_TEST_CASE(a_watch_that_is_lost_after_an_outage_is_repeated_soon)
+{
+    Instant now {};
+    Configuration config(1, now);
+    ConfigTopology topology;
+    topology.relay = true;
+    config.setTopology(topology);
+    const auto watch = [&](Duration limit) {
+        for (const Instant end = now + limit; now < end; now += 5ms) {
+            for (const ConfigAction& action : config.tick(now)) {
+                if (const WatchStore* const sent = std::get_if<WatchStore>(&action))
+                    return std::make_optional(*sent);
+                if (const ListStore* const list = std::get_if<ListStore>(&action))
+                    config.listAnswered(*list, { 5, {} });
+            }
+        }
+        return std::optional<WatchStore>();
+    };
+    const ConfigTiming timing;
+    const std::optional<WatchStore> first = watch(1s);
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST(first->wait.count() == timing.watchWait.count());
+    config.watchFailed(*first, StoreFailure::Unavailable, now);
+    const std::optional<WatchStore> second = watch(timing.minStoreRetryDelay + 5ms);
+    BOOST_REQUIRE(second.has_value()); // It is lost.
+    now += 5ms;
+    const std::optional<WatchStore> third = watch(timing.watchGrace + 2 * timing.minStoreRetryDelay + 200ms);
+    BOOST_REQUIRE(third.has_value());
+    config.watchAnswered(*third, { 5, {} });
+    const std::optional<WatchStore> fourth = watch(100ms);
+    BOOST_REQUIRE(fourth.has_value());
+    BOOST_TEST(fourth->wait.count() == timing.watchWait.count());
+}
+
 // Guards against a change that only spreads through the store: the store goes down right after accepting the change,
 // and 2% of the messages are lost.
 BOOST_AUTO_TEST_CASE(an_accepted_change_spreads_without_the_store)
