Pause before the next accept of a borrower after a failed one

Cause: the port for borrowers accepted again at once after an error. Without free descriptors every attempt fails at once, so the process spent its processor on it while sessions waited. The callers' and the readiness port pause for 100 ms.

Change: so does this port.

--- a/src/peer_stream.cpp
+++ b/src/peer_stream.cpp
@@ -14,6 +14,9 @@
     /// Enough for an encoded statement or reply of a megabyte.
     constexpr size_t maxLineBytes = 4 * 1024 * 1024;
 
+    /// Pause after a failed accept.
+    constexpr std::chrono::milliseconds acceptPause(100);
+
     class TcpPeerStream final : public PeerStream {
     public:
         TcpPeerStream(boost::asio::io_context& loop, const std::string& address, const PeerStreams::Handlers& handlers)
@@ -64,6 +67,7 @@
 
 LenderPort::LenderPort(boost::asio::io_context& loop, const std::string& address, MakeLender makeLender)
     : m_acceptor(loop, endpointOf<tcp::endpoint>(address))
+    , m_retryTimer(loop)
     , m_makeLender(std::move(makeLender))
 {
     accept();
@@ -76,20 +80,27 @@
     m_acceptor.async_accept([this](const boost::system::error_code& ec, tcp::socket socket) {
         if (ec == boost::asio::error::operation_aborted)
             return;
-        if (!ec) {
-            m_borrowers.push_back(std::make_unique<Borrower>());
-            Borrower& borrower = *m_borrowers.back();
-            borrower.socket = std::make_shared<LineSocket>(std::move(socket), maxLineBytes);
-            borrower.lender
-                = m_makeLender([socket = borrower.socket](const std::string& line) { socket->send(line + "\n"); });
-            LineSocket::Handlers handlers;
-            handlers.line = [this, &borrower](std::string_view text) {
-                handleLine(borrower, text);
-                return !borrower.ended;
-            };
-            handlers.closed = [&borrower](bool) { borrower.ended = true; };
-            borrower.socket->start(std::move(handlers));
+        if (ec) {
+            // Without descriptors the next attempt would fail at once.
+            m_retryTimer.expires_after(acceptPause);
+            m_retryTimer.async_wait([this](const boost::system::error_code& ended) {
+                if (!ended)
+                    accept();
+            });
+            return;
         }
+        m_borrowers.push_back(std::make_unique<Borrower>());
+        Borrower& borrower = *m_borrowers.back();
+        borrower.socket = std::make_shared<LineSocket>(std::move(socket), maxLineBytes);
+        borrower.lender
+            = m_makeLender([socket = borrower.socket](const std::string& line) { socket->send(line + "\n"); });
+        LineSocket::Handlers handlers;
+        handlers.line = [this, &borrower](std::string_view text) {
+            handleLine(borrower, text);
+            return !borrower.ended;
+        };
+        handlers.closed = [&borrower](bool) { borrower.ended = true; };
+        borrower.socket->start(std::move(handlers));
         accept();
     });
 }
--- a/src/peer_stream.h
+++ b/src/peer_stream.h
@@ -3,6 +3,7 @@
 #include "gateway_ports.h"
 #include "link_lender.h"
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace plantainwall {
 
@@ -38,6 +39,7 @@
     void handleLine(Borrower&, std::string_view);
 
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_retryTimer;
     MakeLender m_makeLender;
     std::vector<std::unique_ptr<Borrower>> m_borrowers;
 };
