--- a/src/connection_pool.cpp
+++ b/src/connection_pool.cpp
@@ -61,6 +61,7 @@
     Stage stage = Stage::Opening;
     std::shared_ptr<Borrower> borrower;
     size_t unanswered = 0;
+    bool inDoubt = false; ///< Whether the last reply to the borrower had lookalikes.
     TransactionState state = TransactionState::Idle;
     Instant since; ///< Start of the stage.
     Instant lentAt;
@@ -253,7 +254,8 @@
         connection->stage = PhysicalConnection::Stage::Resetting;
         return;
     }
-    if (connection->unanswered > 0) {
+    // A borrower that could not prove its transaction would be lent the same connection again.
+    if (connection->unanswered > 0 || connection->inDoubt) {
         const auto it = m_servers.find(borrower.server);
         discard(*connection);
         if (it != m_servers.end())
@@ -334,6 +336,7 @@
     connection.unanswered -= std::min<size_t>(connection.unanswered, 1);
     connection.state = reply.state;
     if (connection.stage == PhysicalConnection::Stage::Lent) {
+        connection.inDoubt = reply.lookalikes > 0;
         // The command's own reply may still come, after the connection has been lent again.
         if (reply.lookalikes > 0 && reply.error != BackendError::None)
             physicalClosed(connection, BackendCloseReason::ProtocolError);
--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -45,7 +45,8 @@
 /// On a saturated server, openings queue for slots like statements do. A customer that has a connection in use then
 /// waits for it: it is returned sooner than another one would be open, and needs no slot.
 ///
-/// A returned connection is rolled back and reset before it is lent again, and closed if replies are still outstanding.
+/// A returned connection is rolled back and reset before it is lent again, and closed if replies are still outstanding
+/// or the last one is in doubt (see BackendReply::lookalikes).
 class ConnectionPool final : public BackendConnector {
 public:
     using Clock = std::function<Instant()>;
--- a/src/gateway_backend.cpp
+++ b/src/gateway_backend.cpp
@@ -227,7 +227,8 @@
 {
     Job* const job = findJob(connection.job);
     if (connection.proofsMissing > 0 && job != nullptr) {
-        if (reply.error != BackendError::None || reply.state != TransactionState::Open)
+        const bool older = reply.position < connection.began;
+        if (older || reply.error != BackendError::None || reply.state != TransactionState::Open)
             connectionClosed(connection, BackendCloseReason::ProtocolError);
         else if (--connection.proofsMissing == 0)
             transactionOpened(connection, *job);
@@ -374,6 +375,7 @@
     if (reply.error == BackendError::None && reply.signature.empty())
         reply.error = BackendError::Other; // Reported as success, but without proof of execution.
     if (reply.error != BackendError::None) {
+        connection.failed = reply.position;
         statementFailed(connection, job, reply);
         return;
     }
--- a/src/gateway_connection.h
+++ b/src/gateway_connection.h
@@ -46,6 +46,8 @@
 
     /// Returns whether the reply to a BEGIN will differ from those before it, as the server's log has grown since.
     bool beginIsProvable() const;
+    /// The same of an error of a statement.
+    bool errorIsProvable() const;
 
     Gateway& gateway;
     GatewayServer& server;
@@ -63,6 +65,7 @@
     std::set<std::string> prepared; ///< Names of the prepared statements on the connection.
     unsigned proofsMissing = 0; ///< Replies that must show the transaction before its first statement is sent.
     LogPosition began; ///< Position in the reply to the last BEGIN.
+    LogPosition failed; ///< Position in the last error of a statement.
     Instant usedAt;
 };
 
@@ -85,4 +88,6 @@
 
 inline bool GatewayConnection::beginIsProvable() const { return began == LogPosition() || began < server.applied; }
 
+inline bool GatewayConnection::errorIsProvable() const { return failed == LogPosition() || failed < server.applied; }
+
 } // namespace plantainwall
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -191,7 +191,7 @@
     const auto rank = [&](const GatewayConnection& connection) {
         const bool provable = !job.opensTransaction || connection.beginIsProvable();
         const bool matches = connection.valuesKnown && session != nullptr && connection.values == session->values;
-        return std::make_tuple(provable, matches, connection.usedAt);
+        return std::make_tuple(provable, connection.errorIsProvable(), matches, connection.usedAt);
     };
     for (const std::unique_ptr<GatewayConnection>& it : server.connections) {
         GatewayConnection& connection = *it;
--- a/src/reply_matcher.cpp
+++ b/src/reply_matcher.cpp
@@ -13,8 +13,10 @@
 
     /// Replies kept that differ while the log does not change, such as status rows.
     constexpr size_t maxReplies = 1024;
-
-    constexpr unsigned unknownNumber = 1000;
+    /// The same of replies from before the log's last change.
+    constexpr size_t maxOldReplies = 256;
+    /// Lookalikes of a reply that could not be compared with all earlier ones.
+    constexpr unsigned manyLookalikes = 1000;
 
     enum class CommandClass : uint8_t {
         Setup, ///< Changes session values or prepared statements.
@@ -76,24 +78,39 @@
     return m_unanswered.empty() ? std::nullopt : std::make_optional(m_unanswered.front());
 }
 
-// Returns the number of earlier replies that look like this one, and notes it. Those at a position below the greatest
-// one are not kept.
+// Returns the number of earlier replies that look like this one, and notes it.
 unsigned ReplyMatcher::noteAndCountAlike(const BackendReply& reply)
 {
-    if (reply.position != LogPosition() && reply.position < m_greatest)
-        return unknownNumber;
     notePosition(reply.position);
     std::map<size_t, unsigned>& replies = reply.position == LogPosition() ? m_withoutPosition : m_atGreatest;
     const size_t hash = hashOf(reply);
     if (replies.size() >= maxReplies && replies.count(hash) == 0)
-        return unknownNumber;
+        return manyLookalikes;
     return replies[hash]++;
 }
 
+bool ReplyMatcher::isOld(const BackendReply& reply) const
+{
+    return reply.position != LogPosition() && reply.position < m_greatest;
+}
+
+// A copy from before the log's last change, or a log that went back: then the connection is of no use.
+ReplyMatcher::Verdict ReplyMatcher::receivedOld(const BackendReply& reply) const
+{
+    const bool known
+        = std::find(m_oldReplies.begin(), m_oldReplies.end(), std::make_pair(reply.position, hashOf(reply)))
+        != m_oldReplies.end();
+    return known || m_unanswered.empty() ? Verdict::Copy : Verdict::Unsolicited;
+}
+
 void ReplyMatcher::notePosition(const LogPosition& position)
 {
     if (!(m_greatest < position))
         return;
+    for (const auto& [hash, n] : m_atGreatest)
+        m_oldReplies.emplace_back(m_greatest, hash);
+    if (m_oldReplies.size() > maxOldReplies)
+        m_oldReplies.erase(m_oldReplies.begin(), m_oldReplies.end() - static_cast<std::ptrdiff_t>(maxOldReplies));
     m_greatest = position;
     m_atGreatest.clear();
     if (m_signatures.size() > maxOldSignatures)
@@ -120,7 +137,8 @@
     }
     switch (commandClass) {
     case CommandClass::Setup:
-        return reply.rows.empty() && (reply.state == m_state || m_state == TransactionState::Failed || !seen);
+        // If a BEGIN before it has failed, its reply shows that, however the one to BEGIN looked.
+        return reply.rows.empty() && (reply.state == m_state || m_state != TransactionState::Idle || !seen);
     case CommandClass::Begin:
         return reply.rows.empty() && reply.state == TransactionState::Open;
     case CommandClass::Rollback:
@@ -138,9 +156,8 @@
 {
     if (signatureSeenBefore(reply.signature))
         return Verdict::Copy;
-    const bool old = reply.position != LogPosition() && reply.position < m_greatest;
     const bool expectsStatement = !m_unanswered.empty() && classOf(m_unanswered.front()) == CommandClass::Statement;
-    if (old || !expectsStatement || m_doubt == Doubt::Statement)
+    if (isOld(reply) || !expectsStatement || m_doubt == Doubt::Statement)
         return Verdict::Unsolicited;
     notePosition(reply.position);
     m_unanswered.pop_front();
@@ -158,24 +175,25 @@
     // Within a transaction, the reply to a setup command looks like that to a BEGIN.
     const bool decides = !ensured || (commandClass == CommandClass::Setup && m_state == TransactionState::Open);
     m_unanswered.pop_front();
-    m_state = reply.state;
-    if (!decides) {
-        if (alike > 0)
-            m_doubt = std::max(m_doubt, Doubt::Setup);
-        return;
+    if (decides) {
+        const bool errorOfSetup = m_doubt == Doubt::Setup && error && !needsRun(reply.error);
+        reply.lookalikes = alike + m_doubtful + (errorOfSetup || m_doubt == Doubt::Statement ? 1 : 0);
     }
-    const bool errorOfSetup = m_doubt == Doubt::Setup && error && !needsRun(reply.error);
-    reply.lookalikes = alike + m_doubtful + (errorOfSetup || m_doubt == Doubt::Statement ? 1 : 0);
-    if (reply.lookalikes == 0) {
+    if (error && alike == 0 && m_doubt == Doubt::None)
+        m_state = reply.state;
+    else if (!error && commandClass == CommandClass::Begin)
+        m_state = TransactionState::Open;
+    else if (!error && commandClass == CommandClass::Rollback)
+        m_state = TransactionState::Idle;
+    if (!ensured && reply.lookalikes == 0)
         m_doubt = Doubt::None;
-        return;
-    }
-    if (commandClass == CommandClass::Statement)
+    else if (commandClass == CommandClass::Statement)
         m_doubt = Doubt::Statement;
-    else {
+    else if (decides && reply.lookalikes > 0) {
         m_doubt = std::max(m_doubt, Doubt::Outcome);
         ++m_doubtful;
-    }
+    } else if (alike > 0)
+        m_doubt = std::max(m_doubt, Doubt::Setup);
 }
 
 ReplyMatcher::Verdict ReplyMatcher::received(BackendReply& reply)
@@ -183,6 +201,8 @@
     reply.lookalikes = 0;
     if (reply.error == BackendError::None && !reply.signature.empty())
         return receivedSigned(reply);
+    if (isOld(reply))
+        return receivedOld(reply);
     const unsigned alike = noteAndCountAlike(reply);
     const bool explained = alike > 0 || m_doubt != Doubt::None;
     if (m_unanswered.empty())
@@ -191,8 +211,7 @@
     if (!fits(kind, reply, alike > 0)) {
         if (explained)
             return Verdict::Copy;
-        const bool ownSuccess = reply.error == BackendError::None && classOf(kind) != CommandClass::Statement;
-        if (ownSuccess)
+        if (reply.error == BackendError::None)
             return Verdict::Unsolicited;
     }
     accept(kind, reply, alike);
--- a/src/reply_matcher.h
+++ b/src/reply_matcher.h
@@ -14,7 +14,8 @@
 /// - The reply to a caller's statement carries a signature that belongs to one run only. A signature seen before marks
 ///   a copy; a new one belongs to the statement, and all earlier commands have been answered.
 /// - Replies to the host's own commands and errors carry the server's log position, which never falls. A reply at a
-///   greater position than any before it, or unlike every reply at the greatest one, is not a copy.
+///   greater position than any before it, or unlike every reply at the greatest one, is not a copy; one at a lower
+///   position is, or the log went back, which only a new connection can tell.
 /// - Commands differ in the replies that they allow: rows, signature, transaction state, errors.
 ///
 /// A reply that remains in doubt is passed on, as the server executes the commands in their order all the same. Where
@@ -54,18 +55,21 @@
 
     unsigned noteAndCountAlike(const BackendReply&);
     void notePosition(const LogPosition&);
+    bool isOld(const BackendReply&) const;
     bool signatureSeenBefore(const std::string& signature);
     bool fits(BackendCommandKind, const BackendReply&, bool seen) const;
     Verdict receivedSigned(const BackendReply&);
+    Verdict receivedOld(const BackendReply&) const;
     void accept(BackendCommandKind, BackendReply&, unsigned alike);
 
     std::deque<BackendCommandKind> m_unanswered;
-    TransactionState m_state = TransactionState::Idle; ///< After the last accepted reply.
+    TransactionState m_state = TransactionState::Idle; ///< Expected after the answered commands.
     Doubt m_doubt = Doubt::None;
     unsigned m_doubtful = 0; ///< Commands with an outcome, except statements, whose own replies may still come.
     LogPosition m_greatest; ///< Greatest position in a reply.
     std::map<size_t, unsigned> m_atGreatest; ///< Number of replies without signature at that position, by hash.
     std::map<size_t, unsigned> m_withoutPosition; ///< Likewise for replies without a position.
+    std::deque<std::pair<LogPosition, size_t>> m_oldReplies; ///< Some of those at lower positions.
     std::deque<size_t> m_signatures; ///< Hashes of the last signatures.
 };
 
--- a/tests/support_replicated_service.h
+++ b/tests/support_replicated_service.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "support_fleet.h"
+#include <cstdlib>
+#include <random>
 
 namespace plantainwall {
 
@@ -152,6 +154,9 @@
     BackendReply execute(Server&, const BackendCommand&);
 
     ReplicatedServiceTiming m_timing;
+    std::mt19937_64 m_repeatRandom { std::getenv("COORDINATOR_REPEAT_SEED") != nullptr
+            ? std::strtoull(std::getenv("COORDINATOR_REPEAT_SEED"), nullptr, 10)
+            : 1 }; ///< Of the replies that are sent twice.
     std::map<std::string, std::unique_ptr<Server>> m_servers; ///< By id, including the ones that have left.
     std::vector<std::string> m_serverIds; ///< In the order in which they were added.
     std::vector<std::unique_ptr<Host>> m_hosts;
