Promote the longest log once every known server has answered and only destroyed logs are missing

A log that a restart destroyed never comes back, so the service waited for nothing.

Change: if only destroyed logs are missing, and every known server, settled ones too, has answered without interruption for 5 s and has stopped, all existing logs have been compared and the longest is promoted. A server with the longest log must not have lost it before. Revocation and permission are as before.

The random schedules do not reach the change.

--- a/src/failover_plan.cpp
+++ b/src/failover_plan.cpp
@@ -118,6 +118,43 @@
     return stopped;
 }
 
+void FailoverPlan::noteAnswers(Instant now, const std::vector<FailoverMember>& members)
+{
+    std::vector<std::string> answering;
+    for (const FailoverMember& member : members) {
+        if (member.ended)
+            continue;
+        // A server that is down, even a settled one, may have the only copy of what the destroyed logs held.
+        if (member.silentSince || !m_logs.isCurrent(member)) {
+            answering.clear();
+            break;
+        }
+        answering.push_back(member.id);
+    }
+    std::sort(answering.begin(), answering.end());
+    if (answering == m_answering)
+        return;
+    m_answering = std::move(answering);
+    m_answeringSince = now;
+}
+
+bool FailoverPlan::allCompared(Instant now, const Stopped& stopped, const std::vector<FailoverMember>& members) const
+{
+    if (m_answering.empty() || now - m_answeringSince < m_settings.allAnsweringTime)
+        return false;
+    // If only a server that lost its log before has the longest one, a server that was settled by that log and is no
+    // longer known may have more.
+    bool keptLongest = false;
+    for (const FailoverMember& member : members) {
+        if (member.ended)
+            continue;
+        if (std::find(stopped.ids.begin(), stopped.ids.end(), member.id) == stopped.ids.end())
+            return false;
+        keptLongest = keptLongest || (member.status->received == stopped.longest && !m_logs.hasLostLog(member.id));
+    }
+    return keptLongest;
+}
+
 bool FailoverPlan::isSuperseded(const std::vector<FailoverMember>& members) const
 {
     return std::any_of(members.begin(), members.end(), [&](const FailoverMember& member) {
@@ -130,7 +167,9 @@
     const std::vector<FailoverMember>& members, uint64_t term, gsl::span<const ReplicaLogs::Missing> missing) const
 {
     const bool demotedStandsIn = stopped.demoted && (m_logs.hasLed(m_demoted, term) || !m_logs.hasLostLog(m_demoted));
-    if (!missing.empty() && !demotedStandsIn)
+    const bool onlyDestroyed
+        = std::all_of(missing.begin(), missing.end(), [](const ReplicaLogs::Missing& log) { return log.lost; });
+    if (!missing.empty() && !demotedStandsIn && !(onlyDestroyed && allCompared(now, stopped, members)))
         return nullptr;
     // The end of the log of a primary that does not leave need not be kept: the known replicas have not confirmed it.
     const bool needsWholeLog = !missing.empty() || (demotedStandsIn && m_reason == FailoverReason::Leaving);
@@ -317,6 +356,7 @@
     std::optional<Instant> revokedSince)
 {
     m_logs.update(now, primary, members, term);
+    noteAnswers(now, members);
     switch (m_phase) {
     case Phase::Watching: {
         if (now < m_noChangeBefore)
--- a/src/failover_plan.h
+++ b/src/failover_plan.h
@@ -32,6 +32,9 @@
     /// Statements that were sent to a leaving primary before hosts stopped to send it writes end within this time: a
     /// passage between regions and the run time of a statement.
     Duration writesEndAfter = std::chrono::milliseconds(100);
+    /// A server that does not answer may have a log that no other has. So destroyed logs are waited for until every
+    /// known server, of which none was lapsed and forgotten meanwhile, has answered without interruption for this long.
+    Duration allAnsweringTime = std::chrono::milliseconds(5000);
     Duration reportMissingInterval = std::chrono::milliseconds(2000);
     ReplicaLogsSettings logs;
 };
@@ -50,7 +53,9 @@
 /// holds every acknowledged commit. A replica that does not answer may hold the only copy of a commit, so no server is
 /// promoted without it, unless
 /// - it is proven that its log is not needed (see ReplicaLogs), or
-/// - the old primary answers: once demoted it acknowledges nothing more, and its log holds all that it acknowledged.
+/// - the old primary answers: once demoted it acknowledges nothing more, and its log holds all that it acknowledged, or
+/// - the missing logs were destroyed by restarts, and all other known servers have stopped and have answered for a
+///   while. The longest log then holds every commit that any known server still has, and waiting can add none.
 ///
 /// A primary that does not answer may still serve other hosts. A replica that restarts receives again, so the primary
 /// could confirm commits until the promotion takes effect. No server is promoted before all hosts have stopped to
@@ -129,6 +134,10 @@
     Stopped stoppedReplicas(const std::string& primary, const std::vector<FailoverMember>&, uint64_t term) const;
     /// Records when the primary became a replica, by an order of this coordinator or of an earlier one.
     void noteDemoted(const FailoverMember* leader, const std::vector<FailoverMember>&, uint64_t term);
+    /// Returns whether the logs of all known servers have been compared, so that no later answer can add a commit.
+    bool allCompared(Instant, const Stopped&, const std::vector<FailoverMember>&) const;
+    /// Records since when every known server has answered.
+    void noteAnswers(Instant, const std::vector<FailoverMember>&);
     /// Returns whether a later term than that of the demoted primary has begun.
     bool isSuperseded(const std::vector<FailoverMember>&) const;
     /// Returns whether no host acknowledges commits of the present primary.
@@ -164,6 +173,8 @@
     Instant m_reportMissingAt; ///< When the logs that prevent a promotion are returned next.
     Instant m_repeatAt; ///< When the stop or the order is repeated; once accepted, when its answer was received.
     Instant m_noChangeBefore;
+    std::vector<std::string> m_answering; ///< Ids of all known servers while all of them answer; otherwise empty.
+    Instant m_answeringSince; ///< Since when m_answering has not changed.
     std::map<FailoverReason, Instant> m_since; ///< Since when each condition has held without interruption.
     LogPosition m_unconfirmedPosition;
     Instant m_unconfirmedAt;
--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -634,4 +634,43 @@
     }
 }
 
+// Guards against a service without a primary for good: both replicas restart empty, and the new coordinator does not
+// know that the server with the longest log was the primary and has been demoted.
+BOOST_AUTO_TEST_CASE(demoted_primary_that_a_new_coordinator_does_not_know)
+{
+    LaggingReplica it(2);
+    it.service.setReceiveDelay("r1", ReplicatedServiceTiming().receiveDelay);
+    it.service.setPeersCut(1, true);
+    it.service.crash("r2");
+    it.service.setStoreCut("p", true);
+    BOOST_REQUIRE(it.service.passUntil(seconds(10), [&] { return it.service.leader().empty(); }));
+    it.service.setPeersCut(1, false);
+    it.service.activate(1);
+    it.service.restartEmpty("r1");
+    it.service.restartEmpty("r2");
+    it.check();
+    BOOST_TEST(it.service.promotions() >= 1U);
+}
+
+// Guards against lost commits in the same state while the demoted primary, which alone has the newest commits, is down
+// for long and the other replica has kept its log.
+BOOST_AUTO_TEST_CASE(demoted_primary_with_the_only_log_is_waited_for)
+{
+    for (const bool storeCut : { false, true }) {
+        LaggingReplica it(2);
+        it.service.setReceiveDelay("r1", ReplicatedServiceTiming().receiveDelay);
+        it.service.setPeersCut(1, true);
+        it.service.crash("r2");
+        it.service.setStoreCut("p", true);
+        BOOST_REQUIRE(it.service.passUntil(seconds(10), [&] { return it.service.leader().empty(); }));
+        it.service.setStoreCut("p", storeCut);
+        it.service.setPeersCut(1, false);
+        it.service.activate(1);
+        it.service.crash("p");
+        it.service.restartEmpty("r1");
+        it.service.restart("r2");
+        it.check(seconds(60));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(random_faults_lose_no_commit) { checkRandomFaults(&RandomFaults::loss); }
