--- a/src/failover_plan.h
+++ b/src/failover_plan.h
@@ -33,7 +33,7 @@
     /// passage between regions and the run time of a statement.
     Duration writesEndAfter = std::chrono::milliseconds(100);
     /// A server that does not answer may have a log that no other has. So destroyed logs are waited for until every
-    /// known server, of which none was lapsed and forgotten meanwhile, has answered without interruption for this long.
+    /// known server has answered without interruption for this long, and none became known meanwhile.
     Duration allAnsweringTime = std::chrono::milliseconds(5000);
     Duration reportMissingInterval = std::chrono::milliseconds(2000);
     ReplicaLogsSettings logs;
