--- a/tests/integration_soak.cpp
+++ b/tests/integration_soak.cpp
@@ -57,9 +57,9 @@
     }
 
     const size_t hostCount = numberFromEnvironment("SOAK_HOSTS", 3);
-    const unsigned repeatedPerThousand = numberFromEnvironment("SOAK_REPEATS", 20);
+    const unsigned repeatedPerThousand = numberFromEnvironment("SOAK_REPEATS", 100);
     const milliseconds maxRepeatDelay(numberFromEnvironment("SOAK_REPEAT_MS", 300));
-    const unsigned busyPerThousand = numberFromEnvironment("SOAK_BUSY", 10);
+    const unsigned busyPerThousand = numberFromEnvironment("SOAK_BUSY", 50);
 
     /// Returns whether SOAK_FAULTS (names with commas between them) allows a fault.
     bool faultEnabled(const std::string& name)
--- a/tests/support_line_client.cpp
+++ b/tests/support_line_client.cpp
@@ -11,6 +11,9 @@
     constexpr milliseconds openTimeout(2000);
     constexpr milliseconds answerTimeout(6000);
 
+    /// Session values that callers set. With different names, a connection has to be reset between two of them.
+    constexpr const char* valueNames[] = { "zone", "shed", "" };
+
     const std::set<std::string> promises { "BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "CONNLIMIT" };
 
 } // namespace
@@ -35,6 +38,7 @@
     , m_name("c" + std::to_string(number))
     , m_customer("customer" + std::to_string(number % 3))
     , m_route(route)
+    , m_valueName(valueNames[number / 3 % std::size(valueNames)])
     , m_timer(loop)
 {
 }
@@ -154,8 +158,8 @@
     const unsigned choice = m_fleet.random() % 10;
     const std::string item = "item" + std::to_string(m_fleet.random() % 20);
     const std::string shape = "q" + std::to_string(m_fleet.random() % 6);
-    if (m_values.empty())
-        return { "SET zone " + m_name };
+    if (m_values.empty() && !m_valueName.empty())
+        return { "SET " + m_valueName + " " + m_name };
     if (m_prepared.count("s0") == 0 || m_fleet.random() % 20 == 0)
         return { "PREPARE s0 READ " + shape };
     if (m_prepared.count("s1") == 0 || m_fleet.random() % 20 == 0)
@@ -258,7 +262,7 @@
 {
     constexpr std::string_view prepare = "PREPARE ";
     if (m_text.rfind("SET ", 0) == 0)
-        m_values["zone"] = m_name;
+        m_values[m_valueName] = m_name;
     if (m_text.rfind(prepare, 0) != 0)
         return;
     const size_t end = m_text.find(' ', prepare.size());
--- a/tests/support_line_client.h
+++ b/tests/support_line_client.h
@@ -84,6 +84,7 @@
     std::string m_name;
     std::string m_customer;
     LineRoute m_route;
+    std::string m_valueName; ///< Session value that the caller sets; empty: none.
     std::shared_ptr<LineSocket> m_socket;
     boost::asio::steady_timer m_timer;
     bool m_stopped = false;
