--- a/tests/unit_database_http.cpp
+++ b/tests/unit_database_http.cpp
@@ -80,8 +80,7 @@
     BOOST_CHECK_NO_THROW(database->closeConnection("c1").get());
 }
 
-// Issue 38 outside the servers' line protocol: on a connection on which an answer was sent twice, the copy precedes the
-// next request's own.
+// On a connection on which an answer was sent twice, the copy precedes the next request's own.
 BOOST_FIXTURE_TEST_CASE(an_answer_to_another_request_does_not_fit, Fixture)
 {
     ExecuteRequest request;
--- a/tests/unit_http_caller.cpp
+++ b/tests/unit_http_caller.cpp
@@ -229,7 +229,7 @@
     BOOST_TEST(fake.requests == 1);
 }
 
-// Issue 38 outside the servers' line protocol: an answer that is sent twice must not be taken for the next call's.
+// An answer that is sent twice must not be taken for the next call's.
 BOOST_AUTO_TEST_CASE(a_copy_that_arrives_at_idle_answers_no_later_call)
 {
     std::atomic<bool> copied { false };
--- a/tests/unit_quota_exchange.cpp
+++ b/tests/unit_quota_exchange.cpp
@@ -51,8 +51,8 @@
 
 } // namespace
 
-// A request is sent again if its answer is late, and the network may repeat a datagram. Before the fix each copy took a
-// token, so that a customer's later operations were refused.
+// A request is sent again if its answer is late, and the network may repeat a datagram. A token for each copy would
+// refuse the customer's later operations.
 BOOST_FIXTURE_TEST_CASE(a_repeated_request_takes_one_token, Pair)
 {
     const std::string first = request();
--- a/tests/unit_revocation_exchange.cpp
+++ b/tests/unit_revocation_exchange.cpp
@@ -198,8 +198,7 @@
     BOOST_TEST(!it.all[1]->revoked(1));
 }
 
-// A notice may arrive again, late. Before the fix one that had been withdrawn took effect again, and no withdrawal
-// followed any more.
+// A notice may arrive again, late. After its withdrawal no other one would follow.
 BOOST_AUTO_TEST_CASE(a_late_notice_does_not_revoke_again)
 {
     Hosts it(2);
--- a/tests/unit_store_client.cpp
+++ b/tests/unit_store_client.cpp
@@ -406,8 +406,7 @@
     BOOST_CHECK_THROW(decoder.server({ "servers/", textWith("", ""), 5, false }), std::exception);
 }
 
-// Issue 38 outside the servers' line protocol: a store that sends an answer twice, the second time late. Before the fix
-// the copy counted as the answer to the next call.
+// A store may send an answer twice, the second time late.
 BOOST_FIXTURE_TEST_CASE(a_copy_that_arrives_at_idle_answers_no_later_write, Fixture)
 {
     server.prepare(200, "", R"({"revision":12})");
@@ -467,8 +466,7 @@
     BOOST_TEST(server.connections == 3U);
 }
 
-// A refusal names no call, so the next one must not be able to get a copy of it. Before the fix the answer to the
-// second write counted as that to the third.
+// A refusal names no call, so the next one must not be able to get a copy of it.
 BOOST_FIXTURE_TEST_CASE(a_copy_of_a_refusal_answers_no_later_write, Fixture)
 {
     server.prepare(429, "", "{}");
--- a/tests/unit_store_http.cpp
+++ b/tests/unit_store_http.cpp
@@ -81,7 +81,7 @@
     BOOST_TEST((swapFailure() == SendState::MaybeSent));
 }
 
-// Issue 38 outside the servers' line protocol: a copy of an earlier answer that precedes the call's own.
+// A copy of an earlier answer may precede the call's own.
 BOOST_FIXTURE_TEST_CASE(a_copy_does_not_fit_another_call, Fixture)
 {
     const auto fits = [&](int status, const std::string& body) {
