Lend connections wherever servers allow few for the number of hosts

24 hosts are below gateway.large_fleet, but a server of 70 connections leaves each of them 2.9 for 72 customers: two of three requests opened a connection, which takes a slot as long as the statement. ConnectionScarcity decides by the configuration's limits and the number of hosts.

--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -75,6 +75,7 @@
 {
     m_gateway.setConfiguration(std::move(configuration));
     m_replicaItemsChanged = true;
+    m_fleetChanged = true;
     m_gateway.serversChanged();
 }
 
@@ -348,7 +349,22 @@
     m_revocations.tick([this] { return revocationTargets(); });
 }
 
-bool FleetMember::largeFleet() const { return m_peers.size() + 1 >= m_gatewaySettings.largeFleet; }
+bool FleetMember::largeFleet() const
+{
+    return m_peers.size() + 1 >= m_gatewaySettings.largeFleet || m_connectionsScarce;
+}
+
+unsigned FleetMember::smallestConnectionLimit() const
+{
+    unsigned smallest = 0;
+    if (m_gateway.configuration() == nullptr)
+        return smallest;
+    for (const auto& [name, service] : m_gateway.configuration()->services) {
+        if (service.maxConnections != 0 && (smallest == 0 || service.maxConnections < smallest))
+            smallest = service.maxConnections;
+    }
+    return smallest;
+}
 
 void FleetMember::fleetChanged()
 {
@@ -377,6 +393,11 @@
             weakHosts.insert(host);
     }
     m_gateway.setHosts(m_peers.size() + 1);
+    const bool scarce = m_connectionScarcity.update(smallestConnectionLimit(), m_peers.size() + 1);
+    if (scarce != m_connectionsScarce)
+        logEvent(LogEvent::ConnectionSharingChanged,
+            { { "scarce", scarce }, { "hosts", m_peers.size() + 1 }, { "smallest_limit", smallestConnectionLimit() } });
+    m_connectionsScarce = scarce;
     m_gateway.setSharedConnections(largeFleet());
     m_quota.setFleet(std::move(reachableHosts), m_peers.size() + 1, std::move(weakHosts));
 }
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "change_exchange.h"
+#include "connection_scarcity.h"
 #include "link_borrower.h"
 #include "position_exchange.h"
 #include "probe_exchange.h"
@@ -89,7 +90,8 @@
     /// Returns the number of hosts whose reports arrive, including this one.
     size_t reachableHostCount() const;
 
-    /// Returns whether the fleet is large enough for a few hosts to watch the store and share connections for all.
+    /// Returns whether a few hosts watch the store for all and hosts share connections: the fleet is large, or servers
+    /// allow few connections for its size.
     bool largeFleet() const;
 
     /// Returns the reachable hosts in the data centre's region; empty in a small fleet. Valid until the next event.
@@ -161,6 +163,8 @@
     void noteRegistration(const Registration&);
     void afterRegistration(Duration, void (FleetMember::*next)());
     void fleetChanged();
+    /// Returns the smallest number of connections that the servers of a service allow; 0 before a configuration.
+    unsigned smallestConnectionLimit() const;
 
     // fleet_member_coordinator.cpp
     void coordinatorItemRead();
@@ -285,6 +289,8 @@
     Instant m_tickedAt;
     Instant m_lateTickAt; ///< When tick() was last called later than maxTickGap after the call before.
     Instant m_noProbeBefore;
+    ConnectionScarcity m_connectionScarcity;
+    bool m_connectionsScarce = false; ///< Result of m_connectionScarcity for the present hosts and configuration.
     bool m_fleetChanged = false; ///< fleetChanged() has to run in the next tick.
     Instant m_relayAt;
     StoreSource m_source = StoreSource::Watch;
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -101,6 +101,9 @@
         { 66, "answer_unexpected", LogLevel::Warn,
             "An HTTP answer arrived that belongs to no call, or to an earlier one; its connection is not used again. "
             "The field call names the path of the call that it could have been taken for." },
+        { 67, "connection_sharing_changed", LogLevel::Info,
+            "Hosts begin or cease to lend each other connections, because servers allow few connections for the number "
+            "of hosts; the field smallest_limit is the lowest limit of a service." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
