Choose servers by the load that all hosts report

A host knew only its own statements at a server, so all hosts took the same best one at the same moment, and servers with fewer slots or with a primary's work were overrun while others idled. With gateway.even_load hosts of small fleets add the load of servers to their reports to each other, and lenders add it to the message that a lent connection is open. A server is chosen with a probability that falls with its response time and its load relative to the others; without reports as before. Servers get no further messages.

--- a/src/connection_pool.cpp
+++ b/src/connection_pool.cpp
@@ -65,14 +65,17 @@
     TransactionState state = TransactionState::Idle;
     Instant since; ///< Start of the stage.
     Instant lentAt;
+    Instant askedAt; ///< When the oldest unanswered command of the borrower was sent.
 };
 
 void ConnectionPool::Link::send(const BackendCommand& command)
 {
     if (borrower->connection == nullptr)
         return; // The connection has ended; the borrower has been or will be notified.
-    ++borrower->connection->unanswered;
-    borrower->connection->link->send(command);
+    PhysicalConnection& connection = *borrower->connection;
+    if (connection.unanswered++ == 0)
+        connection.askedAt = pool.m_clock();
+    connection.link->send(command);
 }
 
 ConnectionPool::ConnectionPool(
@@ -336,6 +339,11 @@
     connection.unanswered -= std::min<size_t>(connection.unanswered, 1);
     connection.state = reply.state;
     if (connection.stage == PhysicalConnection::Stage::Lent) {
+        if (connection.unanswered == 0) {
+            const Instant now = m_clock();
+            m_servers[connection.entry.id].load.noteResponse(
+                std::chrono::duration_cast<Duration>(now - connection.askedAt), now);
+        }
         connection.inDoubt = reply.lookalikes > 0;
         // The command's own reply may still come, after the connection has been lent again.
         if (reply.lookalikes > 0 && reply.error != BackendError::None)
@@ -431,6 +439,7 @@
             fail(borrower, BackendCloseReason::ConnectionLimit);
         }
         serveWaiting(server);
+        measureLoad(server);
     }
     for (auto it = m_servers.begin(); it != m_servers.end();) {
         const bool unused = it->second.connections.empty() && it->second.waiting.empty();
@@ -438,6 +447,31 @@
     }
 }
 
+// Statements are short against the mean that is kept, so counting them in each tick is enough.
+void ConnectionPool::measureLoad(Server& server)
+{
+    const auto running = std::count_if(server.connections.begin(), server.connections.end(),
+        [](const auto& it) { return it->stage == PhysicalConnection::Stage::Opening || it->unanswered > 0; });
+    server.load.setRunning(static_cast<size_t>(running), m_clock());
+}
+
+std::optional<ServerLoadSample> ConnectionPool::loadOf(const std::string& server) const
+{
+    const auto it = m_servers.find(server);
+    if (it == m_servers.end())
+        return std::nullopt;
+    return it->second.load.sample(it->second.waiting.size(), m_clock());
+}
+
+std::vector<std::string> ConnectionPool::servers() const
+{
+    std::vector<std::string> ids;
+    ids.reserve(m_servers.size());
+    for (const auto& [id, server] : m_servers)
+        ids.push_back(id);
+    return ids;
+}
+
 size_t ConnectionPool::size() const
 {
     size_t n = 0;
--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -2,6 +2,7 @@
 
 #include "connection_allowance.h"
 #include "gateway_ports.h"
+#include "server_load.h"
 #include <deque>
 #include <list>
 
@@ -66,6 +67,13 @@
     /// resets and waiting borrowers. Must be called every few milliseconds.
     void tick();
 
+    /// Returns the load of a server that this host's connections put on it, or nothing if it has had none. Connections
+    /// that are being opened count as statements, since each occupies a slot.
+    std::optional<ServerLoadSample> loadOf(const std::string& server) const;
+
+    /// Returns the servers to which this host has or had connections.
+    std::vector<std::string> servers() const;
+
     /// Returns the number of connections, lent or not.
     size_t size() const;
 
@@ -79,6 +87,7 @@
         std::deque<std::shared_ptr<Borrower>> waiting;
         Duration openingTime { 0 }; ///< Moving average; 0 until the first sample.
         Duration loanTime { 0 }; ///< Time from lending to the end of the reset; likewise a moving average.
+        ServerLoadMeter load;
     };
     struct Limit {
         unsigned connections = 1;
@@ -100,6 +109,7 @@
     void becomeIdle(PhysicalConnection&);
     void discard(PhysicalConnection&);
     void serveWaiting(Server&);
+    void measureLoad(Server&);
     void physicalOpened(PhysicalConnection&);
     void physicalReplied(PhysicalConnection&, BackendReply);
     void physicalClosed(PhysicalConnection&, BackendCloseReason);
--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -360,6 +360,7 @@
     for (auto it = m_peers.begin(); it != m_peers.end();) {
         Peer& peer = it->second;
         if (!peer.registered && peer.silent && now - peer.lastSeen > m_settings.quotaReservationTime) {
+            m_gateway.forgetReports(it->first);
             it = m_peers.erase(it);
             continue;
         }
--- a/src/fleet_member_reports.cpp
+++ b/src/fleet_member_reports.cpp
@@ -54,6 +54,9 @@
         value["e"] = web::json::value::boolean(true);
     if (kind == ReportKind::ReplyRequested)
         value["q"] = web::json::value::boolean(true);
+    // Large fleets learn the load from lenders.
+    if (kind == ReportKind::Plain && m_gatewaySettings.evenLoad && !largeFleet())
+        value["l"] = web::json::value::string(m_gateway.loadReport());
     if (primaries.empty())
         return value.serialize();
     web::json::value entries = web::json::value::object();
@@ -220,6 +223,7 @@
         if (value.has_field("e")) {
             // A notice of an earlier process may arrive late.
             if (incarnation == it->second.incarnation) {
+                m_gateway.forgetReports(host);
                 m_peers.erase(it);
                 m_fleetChanged = true;
             }
@@ -229,6 +233,8 @@
         peer.lastSeen = m_clock();
         m_quota.heard(host);
         peer.storeReachable = value.at("s").as_bool();
+        if (value.has_field("l"))
+            m_gateway.loadReported(host, value.at("l").as_string());
         if (value.has_field("p")) {
             for (const auto& [service, entry] : value.at("p").as_object()) {
                 const std::string id = entry.at(0).as_string();
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -146,6 +146,7 @@
         }
         if (gone && server.connections.empty() && m_discarded.empty()) {
             logEvent(LogEvent::ServerRemoved, { { "service", server.service }, { "server", server.id } });
+            m_loads.forgetServer(it->first);
             it = m_servers.erase(it);
         } else
             ++it;
@@ -180,6 +181,7 @@
     checkTimeouts();
     checkConnections();
     checkSessions();
+    measureLoads();
     dispatchQueued();
 }
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -9,6 +9,7 @@
 #include "primary_revocation.h"
 #include "quota_exchange.h"
 #include "server_directory.h"
+#include "server_load.h"
 #include "work_queue.h"
 #include <random>
 #include <unordered_map>
@@ -74,6 +75,23 @@
     std::optional<PrimaryPositions::Observation> positionOf(const std::string& service) override;
     void positionReceived(const std::string& service, const PrimaryPositions::Observation&) override;
 
+    // Load of backend servers, shared with other hosts (gateway_load.cpp).
+
+    /// Returns the load that this host puts on servers, encoded; empty if there is none. See encodeServerLoads().
+    std::string loadReport() const;
+
+    /// Takes the result of another host's loadReport(). A malformed one, or one with values that cannot be, is counted
+    /// and ignored.
+    void loadReported(const std::string& host, std::string_view report);
+
+    /// Takes what a lender of connections, which may be this host, knows of the load of a server.
+    void lenderReported(const std::string& server, const std::string& host, ServerLoadSample);
+
+    /// Drops what a host has reported.
+    void forgetReports(const std::string& host) { m_loads.forgetSource(host); }
+
+    const ServerLoads& loads() const { return m_loads; }
+
     // Life cycle.
 
     /// Handles time-outs, retries and queued statements. Must be called every few milliseconds.
@@ -198,6 +216,7 @@
     bool lacksPrimary(const Job&) const;
     bool usableAsPrimary(const GatewayServer&) const;
     ServerCandidate candidateOf(GatewayServer&, const Job&);
+    std::optional<size_t> choose(const std::vector<ServerCandidate>&);
     GatewayConnection* takeConnection(GatewayServer&, const Job&);
     GatewayConnection* openConnection(GatewayServer&, const std::string& customer);
     bool connectionsFull(const GatewayServer&) const;
@@ -231,6 +250,13 @@
     void jobConnectionLost(GatewayConnection&, Job&, BackendCloseReason);
     void notePrimary(const GatewayServer&, const LogPosition&, Instant requestedAt);
 
+    // Load of servers (gateway_load.cpp).
+    void measureLoads();
+    void noteOwnChoice(GatewayConnection&);
+    void endOwnChoice(GatewayConnection&);
+    void reportLoads();
+    double connectionLimit(const std::string& server) const;
+
     void checkTimeouts();
     void noteOverdueReplies(uint64_t job);
     void checkSessions();
@@ -264,6 +290,8 @@
     std::vector<std::unique_ptr<GatewayConnection>> m_discarded; ///< Destroyed by the next tick.
     uint64_t m_nextNumber = 1;
     bool m_dispatchingQueued = false;
+    ServerLoads m_loads;
+    Instant m_loadsLoggedAt;
     Instant m_started;
     std::optional<Instant> m_drainStarted;
 };
--- a/src/gateway_backend.cpp
+++ b/src/gateway_backend.cpp
@@ -372,6 +372,7 @@
 {
     const Instant now = m_clock();
     connection.server.speed.noteResponse(std::chrono::duration_cast<Duration>(now - sentAt), now);
+    connection.server.load.noteResponse(std::chrono::duration_cast<Duration>(now - sentAt), now);
     if (reply.error == BackendError::None && reply.signature.empty())
         reply.error = BackendError::Other; // Reported as success, but without proof of execution.
     if (reply.error != BackendError::None) {
@@ -516,6 +517,7 @@
         return;
     connection.link.reset();
     connection.open = false;
+    endOwnChoice(connection);
     // Functions further up the stack may still use the connection.
     m_discarded.push_back(std::move(*it));
     connections.erase(it);
--- a/src/gateway_connection.h
+++ b/src/gateway_connection.h
@@ -67,6 +67,7 @@
     LogPosition began; ///< Position in the reply to the last BEGIN.
     LogPosition failed; ///< Position in the last error of a statement.
     Instant usedAt;
+    Instant chosenAt; ///< When the statement under way was counted in ServerLoads; zero if it was not.
 };
 
 /// State that this entry host keeps for a backend server.
@@ -84,6 +85,8 @@
     Instant laggingUntil; ///< Reads that need a position after `applied` go to other servers until then.
     unsigned laggingReplies = 0; ///< Consecutive reads for which it had not applied enough of the log.
     Instant retryConnectAt;
+    ServerLoadMeter load; ///< Of this host's statements.
+    double loggedRunning = -1; ///< Estimate in the last server_load event; negative: none was known.
 };
 
 inline bool GatewayConnection::beginIsProvable() const { return began == LogPosition() || began < server.applied; }
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -154,6 +154,8 @@
     ServerCandidate candidate;
     candidate.expected = server.speed.expected(now);
     candidate.slots = server.slots;
+    if (m_settings.evenLoad)
+        candidate.load = m_loads.estimate(server.id, now);
     if (now < server.busyUntil)
         return candidate;
     unsigned connecting = 0;
@@ -235,7 +237,7 @@
     for (GatewayServer* const server : servers)
         serverCandidates.push_back(candidateOf(*server, job));
     std::uniform_real_distribution<double> randomFraction(0, 1);
-    const std::optional<size_t> choice = chooseServer(serverCandidates, randomFraction(m_random));
+    const std::optional<size_t> choice = choose(serverCandidates);
     if (!choice)
         return false;
     // Only the best server is considered: trying a second one would cost the servers another connection.
@@ -249,6 +251,7 @@
     if (connection == nullptr)
         return false;
     connection->job = job.number;
+    noteOwnChoice(*connection);
     connection->statementSent = false;
     ++job.running;
     if (connection->open)
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -31,6 +31,8 @@
     /// From this number of hosts on, a few hosts watch the store for the others, since each pending watch is a call,
     /// and hosts lend each other connections to servers. With fewer, each host has its own watch and connections.
     size_t largeFleet = 25;
+    /// Hosts tell each other the load of backend servers in messages that they send anyway, and choose servers by it.
+    bool evenLoad = false;
 
     // Constants of the design; not read from the settings file.
     ConnectionAllowanceSettings connections;
--- a/src/gateway_settings_file.cpp
+++ b/src/gateway_settings_file.cpp
@@ -44,6 +44,7 @@
         { "drain_limit", &GatewaySettings::drainLimit, ValueKind::Text, false, secondUs / 10, 600 * secondUs },
         { "shutdown_grace", &GatewaySettings::shutdownGrace, ValueKind::Text, false, secondUs / 10, 600 * secondUs },
         { "large_fleet", &GatewaySettings::largeFleet, ValueKind::Text, false, 2, 1 << 20 },
+        { "even_load", &GatewaySettings::evenLoad },
         { "capacity", &GatewaySettings::capacity },
         { "max_descriptors", &GatewaySettings::maxDescriptors, ValueKind::Text, false, 64, 1 << 24 },
     };
--- a/src/link_borrower.cpp
+++ b/src/link_borrower.cpp
@@ -158,6 +158,8 @@
     case LinkMessageKind::Opened:
         link.accepted = true;
         link.open = true;
+        if (message.load && m_loadReported)
+            m_loadReported(link.server, lender.host, *message.load);
         link.observer.backendOpened();
         break;
     case LinkMessageKind::Reply:
--- a/src/link_borrower.h
+++ b/src/link_borrower.h
@@ -56,6 +56,11 @@
     /// Sets the selection of lenders. Until then no connections are borrowed.
     void setLenders(const LenderChoice& choice) { m_lenderChoice = &choice; }
 
+    /// Called with what lenders report of the load of servers.
+    using LoadReported
+        = std::function<void(const std::string& server, const std::string& lender, const ServerLoadSample&)>;
+    void setLoadReported(LoadReported function) { m_loadReported = std::move(function); }
+
     std::unique_ptr<BackendLink> open(const ServerEntry&, const std::string& customer, BackendObserver&) override;
     std::optional<ServerStatus> statusOf(const BackendReply& reply) override { return m_pool.statusOf(reply); }
 
@@ -79,6 +84,7 @@
     BackendConnector& m_pool;
     PeerStreams& m_streams;
     const LenderChoice* m_lenderChoice = nullptr;
+    LoadReported m_loadReported;
     Clock m_clock;
     LinkBorrowerSettings m_settings;
     uint64_t m_lastLink = 0;
--- a/src/link_lender.cpp
+++ b/src/link_lender.cpp
@@ -5,9 +5,10 @@
 
 /// One connection that is lent to the borrower.
 struct LinkLender::LentLink final : BackendObserver {
-    LentLink(LinkLender& lender, uint64_t number)
+    LentLink(LinkLender& lender, uint64_t number, std::string server)
         : lender(lender)
         , number(number)
+        , server(std::move(server))
     {
     }
 
@@ -16,6 +17,8 @@
         LinkMessage message;
         message.kind = LinkMessageKind::Opened;
         message.link = number;
+        if (lender.m_loadOf)
+            message.load = lender.m_loadOf(server);
         lender.send(message);
     }
 
@@ -40,14 +43,17 @@
 
     LinkLender& lender;
     uint64_t number;
+    std::string server;
     std::unique_ptr<BackendLink> link;
 };
 
-LinkLender::LinkLender(BackendConnector& pool, FindServer servers, std::function<bool()> shuttingDown, Send send)
+LinkLender::LinkLender(
+    BackendConnector& pool, FindServer servers, std::function<bool()> shuttingDown, Send send, LoadOf loadOf)
     : m_pool(pool)
     , m_findServer(std::move(servers))
     , m_shuttingDown(std::move(shuttingDown))
     , m_send(std::move(send))
+    , m_loadOf(std::move(loadOf))
 {
 }
 
@@ -71,7 +77,7 @@
     std::unique_ptr<LentLink>& lent = m_links[message.link];
     if (lent != nullptr)
         throw std::runtime_error("link message opens a link that is already open");
-    lent = std::make_unique<LentLink>(*this, message.link);
+    lent = std::make_unique<LentLink>(*this, message.link, message.server);
     LinkMessage accepted;
     accepted.kind = LinkMessageKind::Accepted;
     accepted.link = message.link;
--- a/src/link_lender.h
+++ b/src/link_lender.h
@@ -10,10 +10,12 @@
 class LinkLender {
 public:
     using Send = std::function<void(const std::string& line)>;
+    /// Returns the load of a server at this host, or nothing if it is not told to borrowers.
+    using LoadOf = std::function<std::optional<ServerLoadSample>(const std::string& server)>;
 
     /// pool opens the connections; servers looks up registered servers; shuttingDown returns whether this host is
     /// shutting down and lends no further connections.
-    LinkLender(BackendConnector& pool, FindServer servers, std::function<bool()> shuttingDown, Send);
+    LinkLender(BackendConnector& pool, FindServer servers, std::function<bool()> shuttingDown, Send, LoadOf = nullptr);
     ~LinkLender();
     LinkLender(const LinkLender&) = delete;
     LinkLender& operator=(const LinkLender&) = delete;
@@ -38,6 +40,7 @@
     FindServer m_findServer;
     std::function<bool()> m_shuttingDown;
     Send m_send;
+    LoadOf m_loadOf;
     std::map<uint64_t, std::unique_ptr<LentLink>> m_links;
     std::vector<std::unique_ptr<LentLink>> m_ended; ///< Callers on the stack may still hold a reference.
 };
--- a/src/link_message.cpp
+++ b/src/link_message.cpp
@@ -29,6 +29,18 @@
         return static_cast<Enum>(n);
     }
 
+    /// Returns a sample that is rejected later if the field holds none: the link does not depend on it.
+    ServerLoadSample loadFrom(const value& field)
+    {
+        try {
+            return decodeServerLoad(field.as_string());
+        } catch (const std::exception&) {
+            ServerLoadSample invalid;
+            invalid.running = -1;
+            return invalid;
+        }
+    }
+
     void encodeCommand(const BackendCommand& command, std::vector<value>& fields)
     {
         fields.push_back(number(command.kind));
@@ -107,8 +119,11 @@
     case LinkMessageKind::Closed:
         fields.push_back(number(message.reason));
         break;
-    case LinkMessageKind::Accepted:
     case LinkMessageKind::Opened:
+        if (message.load)
+            fields.push_back(text(encodeServerLoad(*message.load)));
+        break;
+    case LinkMessageKind::Accepted:
     case LinkMessageKind::Close:
     case LinkMessageKind::Count:
         break;
@@ -134,6 +149,8 @@
         message.reply = decodeReply(fields);
     else if (message.kind == LinkMessageKind::Closed)
         message.reason = enumAt<BackendCloseReason>(fields, 2);
+    else if (message.kind == LinkMessageKind::Opened && fields.size() > 2)
+        message.load = loadFrom(fields.at(2));
     return message;
 }
 
--- a/src/link_message.h
+++ b/src/link_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway_ports.h"
+#include "server_load.h"
 
 namespace plantainwall {
 
@@ -25,6 +26,7 @@
     BackendCommand command;
     BackendReply reply;
     BackendCloseReason reason = BackendCloseReason::Lost; ///< For Closed.
+    std::optional<ServerLoadSample> load; ///< For Opened: load of the server at the lender. Hosts may omit it.
 };
 
 /// Encodes a message as one line without a line break.
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -101,6 +101,9 @@
         { 66, "answer_unexpected", LogLevel::Warn,
             "An HTTP answer arrived that belongs to no call, or to an earlier one; its connection is not used again. "
             "The field call names the path of the call that it could have been taken for." },
+        { 67, "server_load", LogLevel::Info,
+            "What this host knows of the load of a server from the reports of all hosts has changed; at most once a "
+            "second for each server." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -33,6 +33,8 @@
         StatementLatency,
         StoreEra,
         UnexpectedReplies,
+        LoadReportsRejected,
+        LoadReportAge,
         Count
     };
 
@@ -67,6 +69,11 @@
             "copy." },
         { "plantainwall_unexpected_replies_total", MetricType::Counter, "",
             "Replies of backend servers that fit no unanswered command." },
+        { "plantainwall_load_reports_rejected_total", MetricType::Counter, "",
+            "Reports of other hosts about the load of backend servers that were malformed or had values that cannot "
+            "be." },
+        { "plantainwall_load_report_age_seconds", MetricType::Gauge, "",
+            "Age of the oldest report about the load of a backend server that is in use; 0 without any." },
     };
     static_assert(sizeof(families) / sizeof(families[0]) == static_cast<size_t>(Family::Count), "one for each Family");
 
@@ -86,6 +93,7 @@
         { Family::SpansDropped, "" },
         { Family::BackendConnects, "" },
         { Family::UnexpectedReplies, "" },
+        { Family::LoadReportsRejected, "" },
     };
     static_assert(sizeof(counters) / sizeof(counters[0]) == static_cast<size_t>(MetricCounter::Count),
         "one for each MetricCounter");
@@ -102,6 +110,7 @@
         { Family::ConfigurationRevision, "" },
         { Family::ConfigurationAge, "" },
         { Family::StoreEra, "" },
+        { Family::LoadReportAge, "" },
     };
     static_assert(
         sizeof(gauges) / sizeof(gauges[0]) == static_cast<size_t>(MetricGauge::Count), "one for each MetricGauge");
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -17,6 +17,7 @@
     SpansDropped,
     BackendConnects,
     UnexpectedReplies,
+    LoadReportsRejected,
     Count
 };
 
@@ -32,6 +33,7 @@
     ConfigurationRevision,
     ConfigurationAge, ///< In seconds.
     StoreEra,
+    LoadReportAge, ///< In seconds; of the oldest report in use.
     Count
 };
 
--- a/src/server_choice.cpp
+++ b/src/server_choice.cpp
@@ -33,6 +33,36 @@
     /// Random variation that spreads equal choices, as a fraction of the expected time.
     constexpr double choiceSpread = 0.2;
 
+    /// Exponent with which the probability of a choice falls with its cost: a server that takes twice as long gets
+    /// a small part, and one that takes a fifth longer is still chosen.
+    constexpr double evenChoiceExponent = 6;
+
+    /// A load relative to the others counts by this power: as reports are old, it is corrected in part only.
+    constexpr double loadExponent = 0.75;
+
+    /// Limit, either way, of what reports change in a cost: whatever they say, a server neither gets nor loses all
+    /// work.
+    constexpr double maxLoadRatio = 1.6;
+
+    /// Statements for each slot that are added before loads are compared, since small loads differ by chance.
+    constexpr double loadOffset = 0.5;
+
+    /// Returns the time until a statement would be complete, as this host knows it.
+    double completionMs(const ServerCandidate& candidate)
+    {
+        double cost = static_cast<double>(candidate.expected.count()) / 1000;
+        cost *= 1 + static_cast<double>(candidate.runningStatements) / std::max(1U, candidate.slots);
+        if (!candidate.connected)
+            cost += candidate.evictsOther ? connectCostMs + evictCostMs : connectCostMs;
+        return cost;
+    }
+
+    /// Returns the statements for each slot that are under way or wait.
+    double relativeLoad(const ServerCandidate& candidate)
+    {
+        return loadOffset + (candidate.load->running + candidate.load->waiting) / std::max(1U, candidate.slots);
+    }
+
 } // namespace
 
 ServerSpeed::ServerSpeed(Distance distance)
@@ -84,10 +114,7 @@
         const ServerCandidate& candidate = candidates[i];
         if (!candidate.usable)
             continue;
-        double cost = static_cast<double>(candidate.expected.count()) / 1000;
-        cost *= 1 + static_cast<double>(candidate.runningStatements) / std::max(1U, candidate.slots);
-        if (!candidate.connected)
-            cost += candidate.evictsOther ? connectCostMs + evictCostMs : connectCostMs;
+        double cost = completionMs(candidate);
         cost *= 1 + choiceSpread * std::fmod(randomFraction + 0.618 * static_cast<double>(i), 1.0);
         if (!best || cost < bestCost) {
             best = i;
@@ -97,4 +124,44 @@
     return best;
 }
 
+std::optional<size_t> chooseEvenly(gsl::span<const ServerCandidate> candidates, double randomFraction)
+{
+    double meanLoad = 0;
+    size_t known = 0;
+    for (const ServerCandidate& candidate : candidates) {
+        if (!candidate.usable || !candidate.load)
+            continue;
+        meanLoad += relativeLoad(candidate);
+        ++known;
+    }
+    if (known < 2)
+        return chooseServer(candidates, randomFraction);
+    meanLoad /= static_cast<double>(known);
+    std::vector<double> weights(candidates.size());
+    double sum = 0;
+    for (size_t i = 0; i < candidates.size(); ++i) {
+        const ServerCandidate& candidate = candidates[i];
+        if (!candidate.usable)
+            continue;
+        double cost = std::max(1.0, completionMs(candidate));
+        if (candidate.load) {
+            const double ratio = std::clamp(relativeLoad(candidate) / meanLoad, 1 / maxLoadRatio, maxLoadRatio);
+            cost *= std::pow(ratio, loadExponent);
+        }
+        weights[i] = std::max(1U, candidate.slots) * std::pow(cost, -evenChoiceExponent);
+        sum += weights[i];
+    }
+    double left = randomFraction * sum;
+    std::optional<size_t> choice;
+    for (size_t i = 0; i < candidates.size(); ++i) {
+        if (weights[i] <= 0)
+            continue;
+        choice = i;
+        left -= weights[i];
+        if (left < 0)
+            break;
+    }
+    return choice;
+}
+
 } // namespace plantainwall
--- a/src/server_choice.h
+++ b/src/server_choice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plantainwall/plantainwall.h"
+#include "server_load.h"
 #include <gsl/span>
 #include <optional>
 
@@ -48,6 +49,7 @@
     bool connected = false; ///< An idle connection of the customer exists; otherwise one must be opened.
     bool evictsOther = false; ///< Opening a connection closes one of another customer.
     bool usable = false; ///< A connection is available or may be opened.
+    std::optional<ServerLoads::Estimate> load; ///< Load from all hosts, if it is known.
 };
 
 /// Returns the probability with which a statement should be sent to a server.
@@ -65,4 +67,15 @@
 /// @param randomFraction Random number from 0 to 1 that spreads equal choices.
 std::optional<size_t> chooseServer(gsl::span<const ServerCandidate>, double randomFraction);
 
+/// Returns the index of a candidate, chosen with a probability that falls with its expected completion and with its
+/// load relative to that of the others, or nothing if none is usable. Without a known load of two usable candidates, or
+/// more, there is nothing to compare, and the choice is that of chooseServer().
+///
+/// Load pattern: many hosts learn at the same time that a server has little load, and choose at the same moment. If all
+/// took the best one, it would be overrun before the next reports. Chosen in proportion, it gets more than the others,
+/// but not everything, however old or wrong the reports are; and one that seems overrun still gets a little.
+///
+/// @param randomFraction Random number from 0 to 1.
+std::optional<size_t> chooseEvenly(gsl::span<const ServerCandidate>, double randomFraction);
+
 } // namespace plantainwall
--- a/src/server_load.cpp
+++ b/src/server_load.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-    /// Time constant of the mean number of statements: about the interval between two reports, so that a report tells
-    /// of all statements since the one before.
-    constexpr double meanSeconds = 0.25;
+    /// Time constant of the mean number of statements. It is longer than the interval between two reports: what lasts
+    /// from one report to the next can be evened out by them, and a host's own response times show the rest sooner.
+    constexpr double meanSeconds = 1;
 
     /// Weight of a new response time; the mean covers about the last ten.
     constexpr double responseWeight = 0.15;
@@ -27,7 +27,10 @@
     /// Steps for a doubling of a value.
     constexpr double statementSteps = 8;
     constexpr double responseSteps = 4;
-    constexpr double statementUnit = 0.25; ///< Values much smaller are encoded as 0.
+    constexpr double statementUnit = 0.25;
+
+    /// Load on a server that is not worth the bytes of a report.
+    constexpr double minReported = 0.1;
 
     constexpr size_t sampleChars = 3;
     constexpr size_t nameChars = 3;
@@ -231,9 +234,8 @@
 std::string encodeServerLoads(const ServerLoadList& list)
 {
     ServerLoadList loaded;
-    std::copy_if(list.begin(), list.end(), std::back_inserter(loaded), [](const auto& it) {
-        return encodeStatements(it.second.running) != digits[0] || encodeStatements(it.second.waiting) != digits[0];
-    });
+    std::copy_if(list.begin(), list.end(), std::back_inserter(loaded),
+        [](const auto& it) { return it.second.running + it.second.waiting >= minReported; });
     std::sort(
         loaded.begin(), loaded.end(), [](const auto& a, const auto& b) { return a.second.running > b.second.running; });
     loaded.resize(std::min(loaded.size(), maxEncoded));
--- a/src/server_load.h
+++ b/src/server_load.h
@@ -103,6 +103,9 @@
     void forgetServer(const std::string& server);
     void forgetSource(const std::string& source);
 
+    /// Counts a report that could not be decoded.
+    void noteMalformed() { ++m_rejected; }
+
     /// Returns the number of rejected reports.
     uint64_t rejected() const { return m_rejected; }
 
