--- a/src/log_event.h
+++ b/src/log_event.h
@@ -79,6 +79,7 @@
     ReplyUnexpected,
     AnswerUnexpected,
     ConnectionSharingChanged,
+    ServerLoad,
     Count
 };
 
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -104,6 +104,9 @@
         { 67, "connection_sharing_changed", LogLevel::Info,
             "Hosts begin or cease to lend each other connections, because servers allow few connections for the number "
             "of hosts; the field smallest_limit is the lowest limit of a service." },
+        { 68, "server_load", LogLevel::Info,
+            "What this host knows of the load of a server from the reports of all hosts has changed; at most once a "
+            "second for each server." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
