Limit where statements go by evacuations, home regions and warm-up rates

Change: Evacuations, HomeRegions and WarmupShare decide; Gateway::mayUse() applies them to the candidates of every attempt, Gateway::run() to statements of open transactions. Lenders refuse evacuated servers, the promotion coordinator treats a primary there as leaving if there is a server elsewhere, and what no server may run is refused at once. Nothing changes for a deployment whose store has no such item, no regions and no warm-up rate.

--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -101,6 +101,36 @@
     m_gateway.serversChanged();
 }
 
+void FleetMember::evacuationsListed(const std::vector<std::string>& dataCentres)
+{
+    const Evacuations::Change change = m_gateway.evacuations().list(dataCentres);
+    for (const std::string& dataCentre : change.started)
+        logEvent(LogEvent::EvacuationStarted, { { "data_centre", dataCentre }, { "reason", "listed" } });
+    for (const std::string& dataCentre : change.ended)
+        logEvent(LogEvent::EvacuationEnded, { { "data_centre", dataCentre }, { "reason", "not listed" } });
+    for (const std::string& dataCentre : change.kept)
+        logEvent(LogEvent::EvacuationStarted,
+            { { "data_centre", dataCentre }, { "reason", "kept after a restore of the store" } });
+    if (!change.started.empty() || !change.ended.empty())
+        m_gateway.evacuationsChanged();
+}
+
+void FleetMember::evacuationWritten(const std::string& dataCentre)
+{
+    if (!m_gateway.evacuations().request(dataCentre))
+        return;
+    logEvent(LogEvent::EvacuationStarted, { { "data_centre", dataCentre }, { "reason", "requested" } });
+    m_gateway.evacuationsChanged();
+}
+
+void FleetMember::evacuationErased(const std::string& dataCentre)
+{
+    if (!m_gateway.evacuations().takeBack(dataCentre))
+        return;
+    logEvent(LogEvent::EvacuationEnded, { { "data_centre", dataCentre }, { "reason", "taken back" } });
+    m_gateway.evacuationsChanged();
+}
+
 void FleetMember::storeReachable(bool reachable)
 {
     if (reachable) {
@@ -128,6 +158,7 @@
     m_outdatedClaim.reset();
     // Registrations of the copy may be incomplete.
     m_listedAt.reset();
+    m_gateway.evacuations().storeRestored();
     m_gateway.directory().storeRestored(m_clock());
 }
 
@@ -376,7 +407,12 @@
         if (!isStrongHost(m_peers.at(host).capacity, strongest))
             weakHosts.insert(host);
     }
+    std::vector<std::string> otherHosts;
+    otherHosts.reserve(m_peers.size());
+    for (const auto& [host, peer] : m_peers)
+        otherHosts.push_back(host);
     m_gateway.setHosts(m_peers.size() + 1);
+    m_gateway.setOtherHosts(std::move(otherHosts));
     m_gateway.setSharedConnections(largeFleet());
     m_quota.setFleet(std::move(reachableHosts), m_peers.size() + 1, std::move(weakHosts));
 }
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -111,6 +111,9 @@
     void serversListed(const std::vector<ServerEntry>&) override;
     void serverWritten(const ServerEntry&) override;
     void serverErased(const std::string& id) override;
+    void evacuationsListed(const std::vector<std::string>& dataCentres) override;
+    void evacuationWritten(const std::string& dataCentre) override;
+    void evacuationErased(const std::string& dataCentre) override;
     void ownItemsChanged() override;
     void storeReachable(bool) override;
     void eraRead(uint64_t era, bool restored) override;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -53,6 +53,8 @@
         }
     }
     m_configuration = std::move(next);
+    ++m_warmupFleet;
+    noteRegions();
     m_metrics.set(MetricGauge::ConfigurationRevision, static_cast<double>(m_configuration->version));
     // Queued statements of a withdrawn key, or of one that another customer has got, must not run.
     std::vector<std::pair<uint64_t, ResultCode>> refused;
@@ -110,6 +112,8 @@
     }
     server.service = entry.service;
     server.slots = std::max(1U, entry.slots);
+    noteLocation(server, entry);
+    noteWarmup(server, entry);
     setAllowance(server);
     return server;
 }
@@ -364,8 +368,8 @@
         return; // Reads without a recent position go to the primary, whose reply contains one.
     // Without any connection the position would not be polled; the replies on a busy one contain it anyway.
     const auto it = m_servers.find(primaryOf(service));
-    if (it == m_servers.end() || !it->second.connections.empty() || connectionsFull(it->second)
-        || now < it->second.retryConnectAt || m_configuration->customers.empty())
+    if (it == m_servers.end() || isEvacuated(it->second) || !it->second.connections.empty()
+        || connectionsFull(it->second) || now < it->second.retryConnectAt || m_configuration->customers.empty())
         return;
     openConnection(it->second, m_configuration->customers.begin()->first);
 }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "evacuations.h"
 #include "gateway_connection.h"
 #include "gateway_settings.h"
+#include "home_regions.h"
 #include "log_event.h"
 #include "metrics.h"
 #include "position_exchange.h"
@@ -63,6 +65,16 @@
     /// Sets the number of registered entry hosts, this one included.
     void setHosts(size_t hosts);
 
+    /// Sets the names of the registered entry hosts but this one, and of those that may still run.
+    void setOtherHosts(std::vector<std::string>);
+
+    /// Evacuated data centres. evacuationsChanged() must be called after changes.
+    Evacuations& evacuations() { return m_evacuations; }
+    void evacuationsChanged();
+
+    /// Returns whether a server is in an evacuated data centre.
+    bool isEvacuated(const std::string& server) const;
+
     /// Sets whether hosts lend each other connections to servers.
     void setSharedConnections(bool shared) { m_sharedConnections = shared; }
 
@@ -184,6 +196,26 @@
     void refuseJob(Job&, ResultCode, const std::string& detail, Duration retryAfter = Duration(0));
     void determineRequirement(Job&);
     std::vector<GatewayServer*> candidates(Job&);
+
+    // Servers that a statement may use (gateway_eligibility.cpp).
+    bool isEvacuated(const GatewayServer& server) const { return m_evacuations.contains(server.dataCentre); }
+    /// Notes whether the configuration names regions for any route or customer.
+    void noteRegions();
+    HomeRegions homesOf(const Job&) const;
+    /// Returns whether a server may serve the job, apart from the limit of warming servers.
+    bool mayServe(const Job&, const GatewayServer&) const;
+    /// Returns whether the job may be sent to a server now.
+    bool mayUse(const Job&, GatewayServer&);
+    /// Returns the statements per second to a server while it warms up; 0 if it is not limited.
+    double warmupPerSecond(const GatewayServer&) const;
+    bool admitsWarming(GatewayServer&);
+    void noteLocation(GatewayServer&, const ServerEntry&) const;
+    void noteWarmup(GatewayServer&, const ServerEntry&);
+    void noteSent(GatewayServer&);
+    /// Refuses a job that no server may run. Returns false if there may be one.
+    bool refuseUnplaceable(Job&);
+    /// Stops a statement of an open transaction that its server may not run, or not yet. Returns whether it did.
+    bool heldBack(GatewayConnection&, Job&, Session&);
     /// Returns the id of the server to use as primary, whether or not a lease on its word is held; empty if none.
     std::string primaryOf(const std::string& service) const;
     /// Returns the server to which a job that needs the primary goes; empty if there is none.
@@ -253,6 +285,10 @@
     PrimaryRevocations m_revocations;
     QuotaGate& m_quota;
     size_t m_hosts = 1;
+    std::vector<std::string> m_otherHosts;
+    uint64_t m_warmupFleet = 1; ///< Rises with each change of m_otherHosts or the configuration.
+    Evacuations m_evacuations;
+    bool m_regionsRestricted = false; ///< See noteRegions().
     bool m_sharedConnections = false;
     std::map<std::string, PrimaryPositions> m_primaryPositions; ///< By service.
     std::map<std::string, Instant> m_positionNeededAt; ///< By service; last need of a primary position.
--- a/src/gateway_backend.cpp
+++ b/src/gateway_backend.cpp
@@ -125,6 +125,8 @@
         connectionIdle(connection);
         return;
     }
+    if (heldBack(connection, job, *session))
+        return;
     const Instant now = m_clock();
     connection.statementSent = false;
     job.sentAt = now;
@@ -176,6 +178,7 @@
         command.after = job.after;
     job.sentToServer = true;
     job.sentAt = m_clock();
+    noteSent(connection.server);
     connection.statementSent = true;
     send(connection, CommandRole::Statement, command);
     if (!job.inTransaction && !job.writes && job.onPrimary) {
@@ -500,7 +503,7 @@
     if (!connection.idle())
         return;
     const ServerEntry* const entry = m_directory.find(connection.server.id);
-    const bool leaving = entry == nullptr
+    const bool leaving = entry == nullptr || isEvacuated(connection.server)
         || (connection.server.drainingSince && primaryOf(connection.server.service) != connection.server.id);
     if (leaving)
         dropConnection(connection);
--- a/src/gateway_config.h
+++ b/src/gateway_config.h
@@ -3,6 +3,7 @@
 #include "plantainwall/plantainwall.h"
 #include <map>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 namespace plantainwall {
@@ -20,18 +21,22 @@
     Duration maxStaleness { 0 };
     unsigned priority = 0; ///< 0 is served first.
     bool open = false; ///< Callers need no key.
+    std::set<std::string> regions {}; ///< Regions whose servers may run its statements; empty: all.
 };
 
 struct GatewayService {
     std::string name;
     unsigned maxConnections = 0; ///< Per backend server, over all entry hosts.
     unsigned confirmingReplicas = 0; ///< Replicas that must have received a commit before it is acknowledged.
+    /// Statements per second to a server that is warming up, over all entry hosts; 0: no limit.
+    double warmupPerSecond = 0;
 };
 
 struct GatewayCustomer {
     std::string name;
     double ratePerSecond = 0; ///< Operations per second over all entry hosts.
     double burst = 0;
+    std::set<std::string> regions {}; ///< As in GatewayRoute; both apply.
 };
 
 /// One version of the operators' configuration for callers that send statements over connections.
@@ -55,6 +60,7 @@
     bool primary = false; ///< Whether the server considers itself primary.
     uint64_t startedUnixMs = 0; ///< Unix milliseconds of its start; 0 if unknown.
     uint64_t sequence = 0; ///< Rises with each entry that the server writes between two starts; 0 if unknown.
+    Duration warmupLeft { 0 }; ///< How long it stays slow after its start, as of the time of the entry.
 };
 
 } // namespace plantainwall
--- a/src/gateway_connection.h
+++ b/src/gateway_connection.h
@@ -3,6 +3,7 @@
 #include "connection_allowance.h"
 #include "gateway_ports.h"
 #include "server_choice.h"
+#include "warmup_share.h"
 #include <deque>
 #include <list>
 #include <set>
@@ -73,6 +74,8 @@
 struct GatewayServer {
     std::string id;
     std::string service;
+    std::string dataCentre;
+    std::string region; ///< Empty if the settings do not name that of its data centre.
     ServerSpeed speed;
     unsigned slots = 1;
     std::list<std::unique_ptr<GatewayConnection>> connections;
@@ -84,6 +87,10 @@
     Instant laggingUntil; ///< Reads that need a position after `applied` go to other servers until then.
     unsigned laggingReplies = 0; ///< Consecutive reads for which it had not applied enough of the log.
     Instant retryConnectAt;
+    Instant warmUntil; ///< The server is warming up until then.
+    std::pair<uint64_t, uint64_t> warmupReported; ///< Start and sequence of the entry that warmUntil is from.
+    WarmupShare warmup;
+    uint64_t warmupFleet = 0; ///< Number of the fleet and configuration that `warmup` is for.
 };
 
 inline bool GatewayConnection::beginIsProvable() const { return began == LogPosition() || began < server.applied; }
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -69,7 +69,7 @@
     if (!job.onPrimary)
         return false;
     const std::string primary = primaryFor(job);
-    return primary.empty() || !leadsFor(job, primary);
+    return primary.empty() || isEvacuated(primary) || !leadsFor(job, primary);
 }
 
 Duration Gateway::waitLimit(const Job& job) const
@@ -115,7 +115,7 @@
     if (job.onPrimary) {
         const std::string primary = primaryFor(job);
         const auto it = m_servers.find(primary);
-        if (it != m_servers.end() && usableAsPrimary(it->second) && leadsFor(job, primary))
+        if (it != m_servers.end() && usableAsPrimary(it->second) && leadsFor(job, primary) && mayUse(job, it->second))
             result.push_back(&it->second);
         return result;
     }
@@ -123,7 +123,7 @@
     for (auto& [id, server] : m_servers) {
         if (server.service != job.route.service || server.drainingSince || m_directory.find(id) == nullptr)
             continue;
-        if (server.speed.avoided(now))
+        if (server.speed.avoided(now) || !mayUse(job, server))
             continue;
         if (now < server.laggingUntil && server.applied < *job.after)
             continue;
@@ -258,6 +258,8 @@
 
 void Gateway::dispatch(Job& job)
 {
+    if (refuseUnplaceable(job))
+        return;
     const uint64_t number = job.number;
     const std::string service = job.route.service;
     WorkQueue& queue = m_queues[service];
@@ -282,7 +284,8 @@
     double result = 0;
     for (const auto& [id, server] : m_servers) {
         const bool usable = server.service == job.route.service && m_directory.find(id) != nullptr
-            && !server.speed.avoided(now) && (job.needsPrimary ? id == primary : !server.drainingSince);
+            && !server.speed.avoided(now) && mayServe(job, server)
+            && (job.needsPrimary ? id == primary : !server.drainingSince);
         if (usable)
             result += static_cast<double>(server.allowance.cap())
                 / std::chrono::duration<double>(server.speed.expected(now)).count();
--- a/src/gateway_ports.h
+++ b/src/gateway_ports.h
@@ -192,6 +192,8 @@
     virtual ~StoreDecoder() = default;
     virtual bool isConfiguration(std::string_view key) const = 0;
     virtual bool isServer(std::string_view key) const = 0;
+    /// Returns the data centre whose evacuation an item requests; nothing if the key is of another item.
+    virtual std::optional<std::string> evacuatedDataCentre(std::string_view key) const = 0;
     /// Returns the configuration; throws std::exception if the value is not valid.
     virtual std::shared_ptr<const GatewayConfiguration> configuration(const StoreItem&) const = 0;
     /// Returns the server's id.
--- a/src/gateway_session.cpp
+++ b/src/gateway_session.cpp
@@ -276,7 +276,7 @@
     if (connection == nullptr)
         return;
     connection->session = 0;
-    if (!connection->open || !connection->unansweredCommands.empty()) {
+    if (!connection->open || !connection->unansweredCommands.empty() || isEvacuated(connection->server)) {
         dropConnection(*connection);
         return;
     }
--- a/src/link_lender.cpp
+++ b/src/link_lender.cpp
@@ -5,9 +5,10 @@
 
 /// One connection that is lent to the borrower.
 struct LinkLender::LentLink final : BackendObserver {
-    LentLink(LinkLender& lender, uint64_t number)
+    LentLink(LinkLender& lender, uint64_t number, std::string server)
         : lender(lender)
         , number(number)
+        , server(std::move(server))
     {
     }
 
@@ -40,6 +41,7 @@
 
     LinkLender& lender;
     uint64_t number;
+    std::string server;
     std::unique_ptr<BackendLink> link;
 };
 
@@ -57,21 +59,30 @@
 
 void LinkLender::send(const LinkMessage& message) { m_send(encodeLinkMessage(message)); }
 
+void LinkLender::refuse(uint64_t link, BackendCloseReason reason)
+{
+    LinkMessage refusal;
+    refusal.kind = LinkMessageKind::Closed;
+    refusal.link = link;
+    refusal.reason = reason;
+    send(refusal);
+}
+
 void LinkLender::open(const LinkMessage& message)
 {
     const ServerEntry* const entry = m_findServer(message.server);
     if (entry == nullptr || m_shuttingDown()) {
-        LinkMessage refusal;
-        refusal.kind = LinkMessageKind::Closed;
-        refusal.link = message.link;
-        refusal.reason = BackendCloseReason::LenderLost;
-        send(refusal);
+        refuse(message.link, BackendCloseReason::LenderLost);
+        return;
+    }
+    if (isClosed(message.server)) {
+        refuse(message.link, BackendCloseReason::NotOpened);
         return;
     }
     std::unique_ptr<LentLink>& lent = m_links[message.link];
     if (lent != nullptr)
         throw std::runtime_error("link message opens a link that is already open");
-    lent = std::make_unique<LentLink>(*this, message.link);
+    lent = std::make_unique<LentLink>(*this, message.link, message.server);
     LinkMessage accepted;
     accepted.kind = LinkMessageKind::Accepted;
     accepted.link = message.link;
@@ -89,7 +100,10 @@
     const auto it = m_links.find(message.link);
     if (it == m_links.end())
         return; // The link has ended; the borrower has been or will be notified.
-    if (message.kind == LinkMessageKind::Command)
+    if (message.kind == LinkMessageKind::Command && isClosed(it->second->server)) {
+        refuse(message.link, BackendCloseReason::NotOpened);
+        end(message.link);
+    } else if (message.kind == LinkMessageKind::Command)
         it->second->link->send(message.command);
     else if (message.kind == LinkMessageKind::Close)
         end(message.link);
--- a/src/link_lender.h
+++ b/src/link_lender.h
@@ -18,6 +18,9 @@
     LinkLender(const LinkLender&) = delete;
     LinkLender& operator=(const LinkLender&) = delete;
 
+    /// Sets which servers get no statements through this host.
+    void setClosedServers(std::function<bool(const std::string& server)> closed) { m_isClosed = std::move(closed); }
+
     /// Handles a line from the borrower. Throws std::exception if it is malformed.
     void line(std::string_view);
 
@@ -31,12 +34,15 @@
     struct LentLink;
 
     void open(const LinkMessage&);
+    void refuse(uint64_t link, BackendCloseReason);
+    bool isClosed(const std::string& server) const { return m_isClosed && m_isClosed(server); }
     void send(const LinkMessage&);
     void end(uint64_t link);
 
     BackendConnector& m_pool;
     FindServer m_findServer;
     std::function<bool()> m_shuttingDown;
+    std::function<bool(const std::string& server)> m_isClosed;
     Send m_send;
     std::map<uint64_t, std::unique_ptr<LentLink>> m_links;
     std::vector<std::unique_ptr<LentLink>> m_ended; ///< Callers on the stack may still hold a reference.
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -101,6 +101,10 @@
         { 66, "answer_unexpected", LogLevel::Warn,
             "An HTTP answer arrived that belongs to no call, or to an earlier one; its connection is not used again. "
             "The field call names the path of the call that it could have been taken for." },
+        { 67, "evacuation_started", LogLevel::Warn,
+            "The servers of a data centre get no more statements; the field reason says how this host learned of it." },
+        { 68, "evacuation_ended", LogLevel::Warn,
+            "The servers of a data centre get statements again; the field reason says why." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/src/promotion_coordinator.cpp
+++ b/src/promotion_coordinator.cpp
@@ -229,9 +229,16 @@
 {
     const GatewayConfiguration& configuration = *m_gateway.configuration();
     const std::string customer = configuration.customers.empty() ? m_host : configuration.customers.begin()->first;
-    for (const ServerEntry* const entry : m_gateway.directory().members(service)) {
+    const std::vector<const ServerEntry*> registered = m_gateway.directory().members(service);
+    const auto evacuated
+        = [&](const ServerEntry* entry) { return m_gateway.evacuations().contains(entry->dataCentre); };
+    // Without a server elsewhere a new primary would have to be replaced again.
+    const bool mayMove = std::any_of(registered.begin(), registered.end(),
+        [&](const ServerEntry* entry) { return !entry->draining && !evacuated(entry); });
+    for (const ServerEntry* const entry : registered) {
         Member& member = pollServer(*entry, customer, now);
         member.report.registered = true;
+        member.report.draining = entry->draining || (mayMove && evacuated(entry));
         member.report.settled = false;
         probeIndirectly(*entry, member);
     }
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -86,6 +86,7 @@
 {
     const StoreEvents changes = changesTo(listing, revision);
     std::vector<ServerEntry> servers;
+    std::vector<std::string> evacuated;
     m_items.clear();
     for (const StoreItem& item : listing) {
         m_items[item.key] = item;
@@ -95,6 +96,10 @@
             const std::optional<ServerEntry> entry = decodeServer(item);
             if (entry)
                 servers.push_back(*entry);
+        } else {
+            const std::optional<std::string> dataCentre = m_decoder.evacuatedDataCentre(item.key);
+            if (dataCentre)
+                evacuated.push_back(*dataCentre);
         }
     }
     m_revision = revision;
@@ -103,6 +108,7 @@
         m_changesMissingSince = m_clock();
     m_listed = true;
     m_emptyWatches = 0;
+    m_observer.evacuationsListed(evacuated);
     m_observer.serversListed(servers);
     m_observer.ownItemsChanged();
     if (changes.from == changes.to)
@@ -353,7 +359,13 @@
             m_observer.serverWritten(*entry);
         else
             m_observer.serverErased(m_decoder.serverId(item.key));
+        return;
     }
+    const std::optional<std::string> dataCentre = m_decoder.evacuatedDataCentre(item.key);
+    if (dataCentre && item.removed)
+        m_observer.evacuationErased(*dataCentre);
+    else if (dataCentre)
+        m_observer.evacuationWritten(*dataCentre);
 }
 
 std::optional<ServerEntry> StoreFollower::decodeServer(const StoreItem& item) const
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -18,6 +18,10 @@
     virtual void serversListed(const std::vector<ServerEntry>&) = 0;
     virtual void serverWritten(const ServerEntry&) = 0;
     virtual void serverErased(const std::string& id) = 0;
+    /// Called with all evacuated data centres of a complete listing, before its servers.
+    virtual void evacuationsListed(const std::vector<std::string>& dataCentres) = 0;
+    virtual void evacuationWritten(const std::string& dataCentre) = 0;
+    virtual void evacuationErased(const std::string& dataCentre) = 0;
     /// Called when the entry hosts' own items have changed; see StoreFollower::ownPrefix.
     virtual void ownItemsChanged() = 0;
     virtual void storeReachable(bool) = 0;
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -156,6 +156,10 @@
 struct FakeFleetDecoder final : StoreDecoder {
     bool isConfiguration(std::string_view key) const override { return key == "config"; }
     bool isServer(std::string_view key) const override { return key.substr(0, 2) == "s/"; }
+    std::optional<std::string> evacuatedDataCentre(std::string_view key) const override
+    {
+        return key.substr(0, 2) == "e/" ? std::make_optional(std::string(key.substr(2))) : std::nullopt;
+    }
     std::shared_ptr<const GatewayConfiguration> configuration(const StoreItem&) const override;
     std::string serverId(std::string_view key) const override { return std::string(key.substr(2)); }
     ServerEntry server(const StoreItem&) const override;
--- a/tests/support_replicated_service.cpp
+++ b/tests/support_replicated_service.cpp
@@ -463,6 +463,15 @@
         m_leader.clear();
 }
 
+void ReplicatedService::evacuate(const std::string& id)
+{
+    note(id + " is evacuated");
+    for (const std::unique_ptr<Host>& host : m_hosts) {
+        host->gateway.evacuations().request("dc-" + id);
+        host->gateway.evacuationsChanged();
+    }
+}
+
 void ReplicatedService::leave(const std::string& id, Duration drainTime, Duration endsAfter)
 {
     drain(id);
@@ -545,6 +554,7 @@
     entry.service = serviceName;
     entry.address = server.address;
     entry.slots = 4;
+    entry.dataCentre = "dc-" + server.id;
     entry.draining = server.draining;
     entry.primary = m_leader == server.id;
     entry.startedUnixMs = server.startedUnixMs;
--- a/tests/support_replicated_service.h
+++ b/tests/support_replicated_service.h
@@ -71,6 +71,8 @@
     void setReplicationCut(const std::string& id, bool cut);
     void setReceiveDelay(const std::string& id, Duration delay);
     void drain(const std::string& id);
+    /// Evacuates the data centre of a server, in which there is no other one.
+    void evacuate(const std::string& id);
     /// Removes the registration of a draining server.
     void deregister(const std::string& id);
     /// Ends the process of a deregistered server, with its log.
--- a/tests/support_store_follower.h
+++ b/tests/support_store_follower.h
@@ -37,6 +37,10 @@
 struct FakeFollowerDecoder final : StoreDecoder {
     bool isConfiguration(std::string_view key) const override { return key == "config"; }
     bool isServer(std::string_view key) const override { return key.substr(0, 2) == "s/"; }
+    std::optional<std::string> evacuatedDataCentre(std::string_view key) const override
+    {
+        return key.substr(0, 2) == "e/" ? std::make_optional(std::string(key.substr(2))) : std::nullopt;
+    }
     std::shared_ptr<const GatewayConfiguration> configuration(const StoreItem& item) const override
     {
         const std::shared_ptr<GatewayConfiguration> result = std::make_shared<GatewayConfiguration>();
@@ -68,9 +72,21 @@
     {
         versions.push_back(next->version);
     }
-    void serversListed(const std::vector<ServerEntry>& servers) override { listed = servers.size(); }
+    void serversListed(const std::vector<ServerEntry>& servers) override
+    {
+        listed = servers.size();
+        evacuationsWhenListed = evacuations.size();
+    }
     void serverWritten(const ServerEntry& entry) override { written.push_back(entry.id); }
     void serverErased(const std::string& id) override { erased.push_back(id); }
+    void evacuationsListed(const std::vector<std::string>& dataCentres) override
+    {
+        evacuations.push_back("list");
+        for (const std::string& dataCentre : dataCentres)
+            evacuations.push_back("+" + dataCentre);
+    }
+    void evacuationWritten(const std::string& dataCentre) override { evacuations.push_back("+" + dataCentre); }
+    void evacuationErased(const std::string& dataCentre) override { evacuations.push_back("-" + dataCentre); }
     void ownItemsChanged() override { }
     void storeReachable(bool value) override { reachable.push_back(value); }
     void eraRead(uint64_t, bool) override { }
@@ -92,8 +108,10 @@
     std::vector<uint64_t> versions;
     std::vector<std::string> written;
     std::vector<std::string> erased;
+    std::vector<std::string> evacuations; ///< "list", "+dc" and "-dc" in the order of the calls.
     std::vector<bool> reachable;
     size_t listed = 0;
+    size_t evacuationsWhenListed = 0;
     StoreFollower follower;
 };
 
--- a/tests/unit_link_borrower.cpp
+++ b/tests/unit_link_borrower.cpp
@@ -268,6 +268,37 @@
     BOOST_TEST((observer.closed == BackendCloseReason::LenderLost));
 }
 
+// Guards against a borrower that has not learned of an evacuation: the lender opens and uses no connection, and is not
+// avoided for other servers.
+BOOST_FIXTURE_TEST_CASE(lenders_refuse_closed_servers, Fixture)
+{
+    RecordingObserver first;
+    const std::unique_ptr<BackendLink> link = open(first);
+    const std::string name = lenderOf("hatter");
+    BOOST_TEST(first.opened);
+    for (const char* host : { "a", "b" }) {
+        if (hosts[host].lender != nullptr)
+            hosts[host].lender->setClosedServers([](const std::string& server) { return server == "p"; });
+    }
+    BackendCommand command;
+    command.id = "1";
+    link->send(command);
+    settle();
+    BOOST_TEST((first.closed == BackendCloseReason::NotOpened));
+    BOOST_TEST(hosts[name].connector.links[0].commands.empty());
+    BOOST_TEST(hosts[name].connector.links[0].closed);
+    RecordingObserver second;
+    const std::unique_ptr<BackendLink> other = open(second);
+    BOOST_TEST(!second.opened);
+    BOOST_TEST((second.closed == BackendCloseReason::LenderLost)); // Another lender may reach it.
+    entry.id = "q";
+    RecordingObserver third;
+    const std::unique_ptr<BackendLink> elsewhere = borrower.open(entry, "hatter", third);
+    settle();
+    BOOST_TEST(third.opened);
+    BOOST_TEST(lenderOf("hatter") == name);
+}
+
 // The connection between one lender and a server may have failed, so a second lender is tried before the server counts
 // as unreachable.
 BOOST_FIXTURE_TEST_CASE(a_server_is_unreachable_if_two_lenders_fail, Fixture)
--- a/tests/unit_odd_input.cpp
+++ b/tests/unit_odd_input.cpp
@@ -85,6 +85,10 @@
 struct PlatformDecoder final : StoreDecoder {
     bool isConfiguration(std::string_view key) const override { return key == "config"; }
     bool isServer(std::string_view key) const override { return key.substr(0, 8) == "servers/"; }
+    std::optional<std::string> evacuatedDataCentre(std::string_view key) const override
+    {
+        return documents.evacuatedDataCentre(key);
+    }
     std::shared_ptr<const GatewayConfiguration> configuration(const StoreItem& item) const override
     {
         return documents.configuration(item);
@@ -263,6 +267,9 @@
         void serversListed(const std::vector<ServerEntry>& servers) override { directory.replaceAll(servers, now); }
         void serverWritten(const ServerEntry& entry) override { directory.registerServer(entry); }
         void serverErased(const std::string& id) override { directory.remove(id, now); }
+        void evacuationsListed(const std::vector<std::string>&) override { }
+        void evacuationWritten(const std::string&) override { }
+        void evacuationErased(const std::string&) override { }
         void ownItemsChanged() override { }
         void storeReachable(bool) override { }
         void eraRead(uint64_t, bool) override { }
--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -95,6 +95,28 @@
     BOOST_TEST(it.service.promotions() >= 1U);
 }
 
+// An evacuated primary goes on running and confirming, and is replaced by a server of another data centre.
+BOOST_AUTO_TEST_CASE(evacuated_primary_is_replaced_without_loss)
+{
+    LaggingReplica it;
+    it.service.evacuate("p");
+    it.service.evacuate("r1");
+    it.check();
+    BOOST_TEST(it.service.promotions() == 1U);
+    BOOST_TEST(it.service.leader() == "r2");
+}
+
+// Without a server elsewhere a change would only move the lead inside the evacuated data centres.
+BOOST_AUTO_TEST_CASE(evacuated_primary_stays_without_a_server_elsewhere)
+{
+    LaggingReplica it;
+    for (const char* id : { "r1", "r2", "p" })
+        it.service.evacuate(id);
+    it.check();
+    BOOST_TEST(it.service.promotions() == 0U);
+    BOOST_TEST(it.service.leader() == "p");
+}
+
 // Case a.
 BOOST_AUTO_TEST_CASE(live_replica_whose_registration_lapsed)
 {
--- a/tests/unit_store_client.cpp
+++ b/tests/unit_store_client.cpp
@@ -350,11 +350,12 @@
     const auto entry = [&](const std::string& fields) {
         return decoder.server({ "servers/i-1",
             R"({"service":"a","address":"127.0.0.1:1","zone":"z","version":"v1","slots":2,"state":"ready",)"
-                + (R"("warmup_left_ms":0,"db_role":"replica")" + fields) + "}",
+                + (R"("warmup_left_ms":250,"db_role":"replica")" + fields) + "}",
             5, false });
     };
     BOOST_TEST(entry(R"(,"born":1700000000123,"seq_no":41)").sequence == 41U);
     BOOST_TEST(entry(R"(,"born":1700000000123,"seq_no":41)").startedUnixMs == 1700000000123U);
+    BOOST_TEST((entry(R"(,"seq_no":41)").warmupLeft == std::chrono::milliseconds(250)));
     // Without a sequence number a late entry could not be told from the newest. Published entries lack the start.
     BOOST_CHECK_THROW(entry(R"(,"born":1700000000123)"), std::exception);
     BOOST_TEST(entry(R"(,"seq_no":41)").startedUnixMs == 0U);
@@ -363,6 +364,36 @@
 
 // Another writer's entry names no server: not one with four billion slots, one that nobody can reach, or one whose
 // start makes the true entries of its id seem older.
+BOOST_AUTO_TEST_CASE(evacuations_are_named_by_their_keys)
+{
+    const DocumentDecoder decoder;
+    BOOST_TEST((decoder.evacuatedDataCentre("op/evacuate/mill") == std::optional<std::string>("mill")));
+    for (const char* key : { "op/evacuate/", "op/evacuate", "op/config", "servers/i-1", "" })
+        BOOST_TEST(!decoder.evacuatedDataCentre(key).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(regions_and_warmup_rates_are_read)
+{
+    const DocumentDecoder decoder;
+    const auto configurationWith = [&](const std::string& regions, const std::string& rate) {
+        const std::string text = R"({"version":7,"routes":[{"host":"a","name":"a","service":"orders","kind":"primary",)"
+                                 R"("timeout_ms":1000,"allowed_regions":)"
+            + regions + R"(}],"services":[{"name":"orders","warmup_per_s":)" + rate
+            + R"(}],"tenants":[{"name":"t","rate_per_s":10,"burst":5,"api_keys":["k"],"allowed_regions":["east"]}]})";
+        return decoder.configuration({ "op/config", text, 5, false });
+    };
+    const std::shared_ptr<const GatewayConfiguration> it = configurationWith(R"(["west","east"])", "12.5");
+    BOOST_TEST((it->routes.at("a").regions == std::set<std::string> { "west", "east" }));
+    BOOST_TEST((it->customers.at("t").regions == std::set<std::string> { "east" }));
+    BOOST_TEST(it->services.at("orders").warmupPerSecond == 12.5);
+    BOOST_TEST(configurationWith("[]", "0")->routes.at("a").regions.empty());
+    // An unreadable restriction must not become none.
+    for (const char* regions : { "\"west\"", "[1]", "null", "{}" })
+        BOOST_CHECK_THROW(configurationWith(regions, "0"), std::exception);
+    BOOST_CHECK_THROW(configurationWith("[]", "-1"), std::exception);
+    BOOST_CHECK_THROW(configurationWith("[]", "\"5\""), std::exception);
+}
+
 BOOST_AUTO_TEST_CASE(odd_server_entries_are_rejected)
 {
     const DocumentDecoder decoder;
--- a/tests/unit_store_follower.cpp
+++ b/tests/unit_store_follower.cpp
@@ -30,6 +30,16 @@
     BOOST_TEST(store.watches.back() == 15U);
 }
 
+// A listing's evacuations are known before a statement can go to its servers.
+BOOST_FIXTURE_TEST_CASE(evacuations_are_passed_on, FollowerFixture)
+{
+    store.answer(StoreOutcome::Ok, { { "e/mill", "{}", 3, false }, { "s/a", "x", 4, false } }, 10);
+    BOOST_TEST((evacuations == std::vector<std::string> { "list", "+mill" }));
+    BOOST_TEST(evacuationsWhenListed == 2U);
+    store.answer(StoreOutcome::Ok, { { "e/quay", "{}", 11, false }, { "e/mill", "", 12, true } }, 12);
+    BOOST_TEST((evacuations == std::vector<std::string> { "list", "+mill", "+quay", "-mill" }));
+}
+
 // Lost history and any failed call lead to a new listing; an unchanged configuration is not passed to the observer
 // again.
 BOOST_FIXTURE_TEST_CASE(lost_history_is_listed_again, FollowerFixture)
