Let statements wait while the primary that leads is not known

Cause: without a known primary, primaryOf() returns any server that may become it; if that one was in no home region, statements were refused at once although the next primary may be in one.

Change: the check before the queue takes only a known primary for one. Hosts without evacuations skip the look-up of a server's data centre.

Measured: unit.server-eligibility (18 cases, the new one fails without the check), unit.gateway, unit.link-borrower pass on arm64.

--- a/src/gateway_eligibility.cpp
+++ b/src/gateway_eligibility.cpp
@@ -19,7 +19,7 @@
 
 bool Gateway::isEvacuated(const std::string& server) const
 {
-    const ServerEntry* const entry = m_directory.find(server);
+    const ServerEntry* const entry = m_evacuations.empty() ? nullptr : m_directory.find(server);
     return entry != nullptr && m_evacuations.contains(entry->dataCentre);
 }
 
@@ -132,7 +132,9 @@
     if (m_evacuations.empty() && !m_regionsRestricted)
         return false;
     const HomeRegions homes = homesOf(job);
-    const std::string primary = primaryOf(job.route.service);
+    // While no primary is known, primaryOf() returns a server that may become it.
+    const std::string known = m_directory.knownPrimary(job.route.service);
+    const std::string primary = primaryOf(job.route.service) == known ? known : std::string();
     std::vector<PlacedServer> placed;
     for (const ServerEntry* const entry : m_directory.members(job.route.service)) {
         const auto it = m_servers.find(entry->id);
--- a/tests/unit_server_eligibility.cpp
+++ b/tests/unit_server_eligibility.cpp
@@ -81,7 +81,7 @@
     std::string readOnce(uint64_t session)
     {
         execute(session, StatementKind::Read, "READ a");
-        const std::string server = statementServer();
+        std::string server = statementServer();
         if (!server.empty())
             connector.reply(connector.statementLink(), okReply("x", { 1, 7 }, TransactionState::Open));
         connector.answerOwnCommands({ 1, 7 });
@@ -340,6 +340,21 @@
     BOOST_TEST(!caller.answers[40].detail.empty());
 }
 
+// While no primary is known, a statement that needs it waits: the next one may be in a home region.
+BOOST_FIXTURE_TEST_CASE(statements_wait_for_an_unknown_primary, PlacedFixture)
+{
+    place("r1", "quay");
+    gateway.serversChanged();
+    restrict("primary", { "west" });
+    gateway.directory().noteNotPrimary("orders", "p", now - milliseconds(200));
+    BOOST_REQUIRE(gateway.directory().primary("orders", now) == "r1");
+    FakeCaller caller;
+    execute(open(caller, "primary"), StatementKind::Write, "WRITE a b");
+    BOOST_TEST(caller.answers.empty());
+    pass(milliseconds(200)); // The denial has ended.
+    BOOST_TEST(statementServer() == "p");
+}
+
 // Neither a retry nor the repetition of an overdue read leaves the regions.
 BOOST_FIXTURE_TEST_CASE(retries_stay_in_their_regions, PlacedFixture)
 {
