--- a/src/log_event.h
+++ b/src/log_event.h
@@ -80,6 +80,8 @@
     AnswerUnexpected,
     ConnectionSharingChanged,
     ServerLoad,
+    EvacuationStarted,
+    EvacuationEnded,
     Count
 };
 
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -107,6 +107,10 @@
         { 68, "server_load", LogLevel::Info,
             "What this host knows of the load of a server from the reports of all hosts has changed; at most once a "
             "second for each server." },
+        { 69, "evacuation_started", LogLevel::Warn,
+            "The servers of a data centre get no more statements; the field reason says how this host learned of it." },
+        { 70, "evacuation_ended", LogLevel::Warn,
+            "The servers of a data centre get statements again; the field reason says why." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
