Compare servers by the mean of their lenders' reports, and test the reports

In a large fleet a host hears of one lender of a server and of two of another. Added up, the second server seemed twice as busy, and work moved to servers that are rarely used.

--- a/src/server_load.cpp
+++ b/src/server_load.cpp
@@ -181,21 +181,27 @@
         ++result.sources;
     };
     for (const auto& [source, report] : state.reports) {
-        if (!isValid(report.asOf, now))
+        if (report.sample.coversReceiver && isValid(report.asOf, now))
+            coveredUntil = std::min(coveredUntil.value_or(report.asOf), report.asOf);
+    }
+    for (const auto& [source, report] : state.reports) {
+        if (!isValid(report.asOf, now) || report.sample.coversReceiver != coveredUntil.has_value())
             continue;
         add(report.asOf);
         result.running += report.sample.running;
         result.waiting += report.sample.waiting;
         result.responseTime = std::max(result.responseTime, report.sample.responseTime);
-        if (report.sample.coversReceiver)
-            coveredUntil = std::min(coveredUntil.value_or(report.asOf), report.asOf);
     }
     for (const auto& [source, asOf] : m_completeAt) {
-        if (isValid(asOf, now) && state.reports.count(source) == 0)
+        if (!coveredUntil && isValid(asOf, now) && state.reports.count(source) == 0)
             add(asOf);
     }
     if (result.sources == 0)
         return std::nullopt;
+    if (coveredUntil) {
+        result.running /= static_cast<double>(result.sources);
+        result.waiting /= static_cast<double>(result.sources);
+    }
     const auto uncovered = coveredUntil
         ? std::upper_bound(state.ownChoices.begin(), state.ownChoices.end(), *coveredUntil)
         : state.ownChoices.begin();
--- a/src/server_load.h
+++ b/src/server_load.h
@@ -15,7 +15,7 @@
     double running = 0; ///< Statements under way, as a recent mean over time.
     double waiting = 0; ///< Borrowers that wait for a connection.
     Duration responseTime { 0 }; ///< Recent mean of the response time; 0: no recent statement.
-    /// The sample also counts the statements of the host that receives it, as that of a lender does.
+    /// The sample is of all hosts, the one that receives it included, as that of a lender is.
     bool coversReceiver = false;
 };
 
@@ -51,7 +51,9 @@
 ///
 /// Load pattern: many hosts choose among few servers at the same time, each from its own statements and from reports
 /// that are some hundred milliseconds old. What this host has chosen since a report counts until a report covers it.
-/// Reports that are too old are not used: a server of which nothing is known is not one without load.
+/// Reports that are too old are not used: a server of which nothing is known is not one without load. Reports of hosts
+/// about their own statements are added up; if there are any that cover all hosts, only these count, and their mean is
+/// taken, as a host hears of some lenders of a server only.
 class ServerLoads {
 public:
     struct Settings {
--- a/tests/unit_gateway_settings.cpp
+++ b/tests/unit_gateway_settings.cpp
@@ -32,6 +32,7 @@
 shutdown_grace = "6s"
 max_descriptors = 4300
 large_fleet = 30
+even_load = true
 [regions]
 "mill" = "huon"
 )";
@@ -48,6 +49,7 @@
     BOOST_TEST((result.settings.drainLimit == std::chrono::seconds(7)));
     BOOST_TEST(result.settings.maxDescriptors == 4300U);
     BOOST_TEST(result.settings.largeFleet == 30U);
+    BOOST_TEST(result.settings.evenLoad);
     BOOST_TEST(result.settings.regionOfDataCentre.at("mill") == "huon");
 }
 
--- a/tests/unit_server_load.cpp
+++ b/tests/unit_server_load.cpp
@@ -64,6 +64,24 @@
     BOOST_TEST(estimate->sources == 2U);
 }
 
+// A host hears of one lender of a server and of two of another one; the second server is not busier for that.
+BOOST_AUTO_TEST_CASE(reports_that_cover_all_hosts_do_not_add_up)
+{
+    ServerLoads loads;
+    ServerLoadSample first = sampleOf(4, 2);
+    first.coversReceiver = true;
+    ServerLoadSample second = sampleOf(8);
+    second.coversReceiver = true;
+    BOOST_TEST(loads.noteComplete("h1", { { "a", sampleOf(3) } }, start, start));
+    BOOST_TEST(loads.note("a", "lender1", first, start, start));
+    BOOST_TEST(loads.note("a", "lender2", second, start, start));
+    BOOST_TEST(loads.note("b", "lender1", first, start, start));
+    BOOST_TEST(loads.estimate("a", start)->running == 6);
+    BOOST_TEST(loads.estimate("a", start)->waiting == 1);
+    BOOST_TEST(loads.estimate("a", start)->sources == 2U);
+    BOOST_TEST(loads.estimate("b", start)->running == 4);
+}
+
 BOOST_AUTO_TEST_CASE(absence_is_no_load_of_zero)
 {
     ServerLoads loads;
