--- a/src/connection_pool.cpp
+++ b/src/connection_pool.cpp
@@ -1,4 +1,5 @@
 #include "connection_pool.h"
+#include "connection_reserve.h"
 #include "log_event.h"
 #include <algorithm>
 
@@ -22,6 +23,7 @@
     std::string customer;
     /// Null once the borrower has released its link or has been notified of its end.
     BackendObserver* observer = nullptr;
+    std::optional<unsigned> priority; ///< Not known of hosts that do not send it.
     PhysicalConnection* connection = nullptr;
     Instant since;
 };
@@ -89,7 +91,14 @@
 
 void ConnectionPool::setLimit(const std::string& service, unsigned limit, size_t hosts)
 {
-    m_limits[service] = { limit, std::max<size_t>(1, hosts) };
+    Limit& entry = m_limits[service];
+    entry.connections = limit;
+    entry.hosts = std::max<size_t>(1, hosts);
+}
+
+void ConnectionPool::setUrgentPriority(const std::string& service, std::optional<unsigned> priority)
+{
+    m_limits[service].urgentPriority = priority;
 }
 
 // Returns how many connections of each server's limit this host may use.
@@ -106,24 +115,103 @@
     return std::max(m_settings.maxWaiting, static_cast<size_t>(connectionShare(service) / 2));
 }
 
+size_t ConnectionPool::cap(const std::string& service) const
+{
+    return std::max(minConnections, static_cast<size_t>(connectionShare(service)));
+}
+
 std::unique_ptr<BackendLink> ConnectionPool::open(
     const ServerEntry& entry, const std::string& customer, BackendObserver& observer)
+{
+    return openLoan(entry, customer, std::nullopt, observer);
+}
+
+std::unique_ptr<BackendLink> ConnectionPool::openWithPriority(
+    const ServerEntry& entry, const std::string& customer, unsigned priority, BackendObserver& observer)
+{
+    return openLoan(entry, customer, priority, observer);
+}
+
+std::unique_ptr<BackendLink> ConnectionPool::openLoan(
+    const ServerEntry& entry, const std::string& customer, std::optional<unsigned> priority, BackendObserver& observer)
 {
     const std::shared_ptr<Borrower> borrower = std::make_shared<Borrower>();
     borrower->server = entry.id;
     borrower->customer = customer;
     borrower->observer = &observer;
+    borrower->priority = priority;
     borrower->since = m_clock();
     Server& server = m_servers[entry.id];
     if (!tryProvide(server, borrower)) {
-        if (server.waiting.size() < waitingLimit(entry.service))
+        if (server.waiting.size() >= waitingLimit(entry.service)) {
+            const std::shared_ptr<Borrower> refused = displacedBy(server, *borrower);
+            if (refused != nullptr)
+                server.waiting.erase(std::find(server.waiting.begin(), server.waiting.end(), refused));
+            fail(refused != nullptr ? refused : borrower, BackendCloseReason::ConnectionLimit);
+            if (refused != nullptr)
+                server.waiting.push_back(borrower);
+        } else
             server.waiting.push_back(borrower);
-        else
-            fail(borrower, BackendCloseReason::ConnectionLimit);
     }
     return std::make_unique<Link>(*this, borrower);
 }
 
+// Load pattern: a burst of less urgent operations of many hosts has filled the list when an urgent one arrives.
+// Returns the newest waiting borrower of the least urgent priority, or null if none is less urgent than the given one.
+std::shared_ptr<ConnectionPool::Borrower> ConnectionPool::displacedBy(
+    const Server& server, const Borrower& newcomer) const
+{
+    std::shared_ptr<Borrower> result;
+    if (!newcomer.priority)
+        return result;
+    for (const std::shared_ptr<Borrower>& it : server.waiting) {
+        const bool lessUrgent = it->priority && *it->priority > *newcomer.priority;
+        if (lessUrgent && (result == nullptr || *it->priority >= *result->priority))
+            result = it;
+    }
+    return result;
+}
+
+// Load pattern: operations of all priorities and of many hosts wait for the connections of one lender. Within a
+// priority customers take turns, so that one customer's crowd delays the others by one operation. An unknown priority
+// counts as the least urgent one that is waiting; without any known one, the order is that of arrival.
+std::vector<std::shared_ptr<ConnectionPool::Borrower>> ConnectionPool::waitingInOrder(const Server& server) const
+{
+    std::vector<std::shared_ptr<Borrower>> result(server.waiting.begin(), server.waiting.end());
+    std::optional<unsigned> least;
+    for (const std::shared_ptr<Borrower>& it : result)
+        least = std::max(least, it->priority);
+    if (!least)
+        return result;
+    std::map<std::pair<unsigned, std::string>, size_t> turns;
+    std::map<const Borrower*, std::pair<unsigned, size_t>> ranks;
+    for (const std::shared_ptr<Borrower>& it : result) {
+        const unsigned priority = it->priority.value_or(*least);
+        ranks[it.get()] = { priority, turns[{ priority, it->customer }]++ };
+    }
+    std::stable_sort(
+        result.begin(), result.end(), [&](const auto& a, const auto& b) { return ranks[a.get()] < ranks[b.get()]; });
+    return result;
+}
+
+bool ConnectionPool::mayUseConnection(const Server& server, const std::string& service, const Borrower& borrower) const
+{
+    const auto limit = m_limits.find(service);
+    if (limit == m_limits.end() || !limit->second.urgentPriority)
+        return true;
+    ConnectionDemand demand;
+    demand.limit = cap(service);
+    demand.mostUrgent = borrower.priority && *borrower.priority <= *limit->second.urgentPriority;
+    demand.customerHasNone = true;
+    for (const std::unique_ptr<PhysicalConnection>& it : server.connections) {
+        if (it->stage == PhysicalConnection::Stage::Idle)
+            continue;
+        ++demand.used;
+        demand.customerHasNone = demand.customerHasNone && it->customer != borrower.customer;
+    }
+    return leavesReserve(demand);
+}
+
 // Lends an unused connection, or opens one if the limit allows it. Returns false if the borrower has to wait.
 bool ConnectionPool::tryProvide(Server& server, const std::shared_ptr<Borrower>& borrower)
 {
@@ -143,19 +231,20 @@
         if (oldest == nullptr || it->since < oldest->since)
             oldest = it.get();
     }
+    const ServerEntry* const entry = m_findServer(borrower->server);
+    if (entry != nullptr && !mayUseConnection(server, entry->service, *borrower))
+        return false;
     if (same != nullptr) {
         lend(*same, borrower);
         return true;
     }
-    const ServerEntry* const entry = m_findServer(borrower->server);
     if (entry == nullptr) {
         fail(borrower, BackendCloseReason::Refused);
         return true;
     }
     if (alreadyOpening || opening >= m_settings.maxOpenings || returnsSooner(server, *borrower))
         return false;
-    const size_t cap = std::max(minConnections, static_cast<size_t>(connectionShare(entry->service)));
-    if (server.connections.size() >= cap) {
+    if (server.connections.size() >= cap(entry->service)) {
         if (oldest == nullptr)
             return false;
         discard(*oldest);
@@ -309,9 +398,12 @@
 // A borrower that waits for its customer's own connection does not block the ones behind it.
 void ConnectionPool::serveWaiting(Server& server)
 {
-    for (auto it = server.waiting.begin(); it != server.waiting.end();) {
-        const std::shared_ptr<Borrower> borrower = *it;
-        it = borrower->observer == nullptr || tryProvide(server, borrower) ? server.waiting.erase(it) : std::next(it);
+    for (const std::shared_ptr<Borrower>& borrower : waitingInOrder(server)) {
+        if (borrower->observer != nullptr && !tryProvide(server, borrower))
+            continue;
+        const auto it = std::find(server.waiting.begin(), server.waiting.end(), borrower);
+        if (it != server.waiting.end())
+            server.waiting.erase(it);
     }
 }
 
--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -59,7 +59,12 @@
     /// Sets the connection limit of each server of a service and the number of hosts that share it.
     void setLimit(const std::string& service, unsigned limit, size_t hosts);
 
+    /// Sets the most urgent priority of a service, which has a reserve of connections; none without a value.
+    void setUrgentPriority(const std::string& service, std::optional<unsigned> priority);
+
     std::unique_ptr<BackendLink> open(const ServerEntry&, const std::string& customer, BackendObserver&) override;
+    std::unique_ptr<BackendLink> openWithPriority(
+        const ServerEntry&, const std::string& customer, unsigned priority, BackendObserver&) override;
     std::optional<ServerStatus> statusOf(const BackendReply& reply) override { return m_connector.statusOf(reply); }
 
     /// Closes connections that were unused for too long or lead to draining servers, and times out openings, tests,
@@ -83,10 +88,17 @@
     struct Limit {
         unsigned connections = 1;
         size_t hosts = 1;
+        std::optional<unsigned> urgentPriority;
     };
 
     double connectionShare(const std::string& service) const;
     size_t waitingLimit(const std::string& service) const;
+    size_t cap(const std::string& service) const;
+    std::unique_ptr<BackendLink> openLoan(
+        const ServerEntry&, const std::string& customer, std::optional<unsigned> priority, BackendObserver&);
+    std::shared_ptr<Borrower> displacedBy(const Server&, const Borrower&) const;
+    std::vector<std::shared_ptr<Borrower>> waitingInOrder(const Server&) const;
+    bool mayUseConnection(const Server&, const std::string& service, const Borrower&) const;
     bool tryProvide(Server&, const std::shared_ptr<Borrower>&);
     static bool returnsSooner(const Server&, const Borrower&);
     void updateAverage(Duration& average, Duration sample) const;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -53,6 +53,7 @@
         }
     }
     m_configuration = std::move(next);
+    updateNeeds();
     m_metrics.set(MetricGauge::ConfigurationRevision, static_cast<double>(m_configuration->version));
     // Queued statements of a withdrawn key, or of one that another customer has got, must not run.
     std::vector<std::pair<uint64_t, ResultCode>> refused;
@@ -158,6 +159,10 @@
     size_t connections = 0;
     for (const auto& [id, server] : m_servers)
         connections += server.connections.size();
+    double level = 0;
+    for (const auto& [id, server] : m_servers)
+        level = std::max(level, server.admission.level());
+    metrics.set(MetricGauge::AdmissionLevel, level);
     size_t waiting = 0;
     for (const auto& [service, queue] : m_queues)
         waiting += queue.size();
@@ -177,6 +182,7 @@
         logEvent(LogEvent::ServerRemoved, { { "server", id }, { "reason", "not registered again" } });
     if (m_directory.registerDeferred(m_clock()) || before != m_directory.size())
         serversChanged();
+    updateAdmission();
     checkTimeouts();
     checkConnections();
     checkSessions();
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -56,6 +56,9 @@
     void serversChanged();
     ServerDirectory& directory() { return m_directory; }
 
+    /// Returns the most urgent priority of a service; nothing if urgency makes no difference there.
+    std::optional<unsigned> urgentPriority(const std::string& service) const;
+
     /// Leases on the word of primaries. serversChanged() must be called after entries have changed.
     PrimaryLeases& primaryLeases() { return m_primaryLeases; }
     PrimaryRevocations& revocations() { return m_revocations; }
@@ -152,6 +155,7 @@
         bool mayHaveRun = false; ///< A read was sent, but its answer was lost or unusable.
         bool beginInDoubt = false; ///< A BEGIN for it could not be proved.
         bool overloaded = false; ///< Held back because the best server is expected to answer too late.
+        GatewayServer* turnedAwayBy = nullptr; ///< Set by the last attempt if all its servers turn its priority away.
     };
 
     // Sessions (gateway_session.cpp).
@@ -199,7 +203,9 @@
     bool usableAsPrimary(const GatewayServer&) const;
     ServerCandidate candidateOf(GatewayServer&, const Job&);
     GatewayConnection* takeConnection(GatewayServer&, const Job&);
-    GatewayConnection* openConnection(GatewayServer&, const std::string& customer);
+    /// Opens a connection for an operation of the given priority, or for none.
+    GatewayConnection* openConnection(
+        GatewayServer&, const std::string& customer, std::optional<unsigned> priority = std::nullopt);
     bool connectionsFull(const GatewayServer&) const;
     void setAllowance(GatewayServer&) const;
     void dispatchQueued();
@@ -207,6 +213,23 @@
     void noteLagging(GatewayServer&) const;
     Duration waitLimit(const Job&) const;
 
+    // Admission by urgency (gateway_urgency.cpp).
+    /// Returns the needs of the callers of a service; null if urgency makes no difference there.
+    const UrgencyNeeds* needsOf(const std::string& service) const;
+    void updateNeeds();
+    void updateAdmission();
+    bool turnsAway(const GatewayServer&, const Job&) const;
+    /// Removes the servers that turn the job away. If all do, notes one of them in the job.
+    void removeTurningAway(Job&, std::vector<GatewayServer*>&) const;
+    /// Returns whether a job may be held back because its server is slow.
+    bool mayHoldBack(const GatewayServer&, const Job&) const;
+    /// Returns whether the reserve of connections leaves one to the job.
+    bool mayUseConnection(const GatewayServer&, const Job&) const;
+    void refuseTurnedAway(Job&);
+    void refuseTurnedAway(Session&, const Statement&, const Job&);
+    /// Refuses the start of a transaction if all servers that could run it turn it away. Returns whether it did.
+    bool refuseBegin(Session&, const Statement&);
+
     // Connections (gateway_backend.cpp).
     void connectionOpened(GatewayConnection&);
     void connectionReplied(GatewayConnection&, BackendReply);
@@ -258,6 +281,7 @@
     std::map<std::string, Instant> m_positionNeededAt; ///< By service; last need of a primary position.
     bool m_positionsFromPeers = false;
     std::map<std::string, GatewayServer> m_servers;
+    std::map<std::string, UrgencyNeeds> m_needs; ///< By service; only services whose routes differ in priority.
     std::map<std::string, WorkQueue> m_queues; ///< By service.
     std::unordered_map<uint64_t, Session> m_sessions;
     std::unordered_map<uint64_t, Job> m_jobs;
--- a/src/gateway_connection.h
+++ b/src/gateway_connection.h
@@ -3,6 +3,7 @@
 #include "connection_allowance.h"
 #include "gateway_ports.h"
 #include "server_choice.h"
+#include "urgency_admission.h"
 #include <deque>
 #include <list>
 #include <set>
@@ -79,6 +80,8 @@
     std::optional<Instant> drainingSince;
     Instant busyUntil; ///< No new statements until then, since it reported no free slot.
     ConnectionAllowance allowance;
+    UrgencyAdmission admission;
+    unsigned loggedLevel = 0; ///< Priorities that were turned away when the level was last logged, in whole or in part.
     LogPosition applied; ///< Log position visible to its reads, as reported at appliedAt.
     Instant appliedAt;
     Instant laggingUntil; ///< Reads that need a position after `applied` go to other servers until then.
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -177,7 +177,7 @@
     const bool mayEvict = hasEvictable && (now - job.arrived >= m_settings.evictAfter || !becomesFree);
     const bool mayConnect
         = connecting < m_settings.maxConnecting && now >= server.retryConnectAt && (!full || mayEvict);
-    candidate.usable = candidate.connected || mayConnect;
+    candidate.usable = (candidate.connected || mayConnect) && mayUseConnection(server, job);
     return candidate;
 }
 
@@ -210,10 +210,11 @@
             return nullptr;
         dropConnection(*replaced);
     }
-    return openConnection(server, job.customer);
+    return openConnection(server, job.customer, job.route.priority);
 }
 
-GatewayConnection* Gateway::openConnection(GatewayServer& server, const std::string& customer)
+GatewayConnection* Gateway::openConnection(
+    GatewayServer& server, const std::string& customer, std::optional<unsigned> priority)
 {
     const ServerEntry* const entry = m_directory.find(server.id);
     if (entry == nullptr)
@@ -221,7 +222,9 @@
     server.connections.push_back(std::make_unique<GatewayConnection>(*this, server, customer));
     GatewayConnection& connection = *server.connections.back();
     connection.usedAt = m_clock();
-    connection.link = m_connector.open(*entry, customer, connection);
+    connection.link = priority && needsOf(server.service) != nullptr
+        ? m_connector.openWithPriority(*entry, customer, *priority, connection)
+        : m_connector.open(*entry, customer, connection);
     m_metrics.count(MetricCounter::BackendConnects);
     return &connection;
 }
@@ -229,7 +232,8 @@
 bool Gateway::tryDispatch(Job& job)
 {
     determineRequirement(job);
-    const std::vector<GatewayServer*> servers = candidates(job);
+    std::vector<GatewayServer*> servers = candidates(job);
+    removeTurningAway(job, servers);
     std::vector<ServerCandidate> serverCandidates;
     serverCandidates.reserve(servers.size());
     for (GatewayServer* const server : servers)
@@ -240,7 +244,7 @@
         return false;
     // Only the best server is considered: trying a second one would cost the servers another connection.
     const Duration left = std::chrono::duration_cast<Duration>(job.timeoutAt - m_clock());
-    job.overloaded = !job.inTransaction
+    job.overloaded = !job.inTransaction && mayHoldBack(*servers[*choice], job)
         && randomFraction(m_random)
             >= admissionProbability(serverCandidates[*choice].expected, left, m_settings.overloadFraction);
     if (job.overloaded)
@@ -266,6 +270,10 @@
     Job* const waiting = findJob(number);
     if (waiting == nullptr)
         return;
+    if (waiting->turnedAwayBy != nullptr) {
+        refuseTurnedAway(*waiting);
+        return;
+    }
     if (waiting->overloaded && !waiting->sentToServer) {
         refuseJob(*waiting, ResultCode::QueueFull, "servers answer too slowly for the statement's time limit",
             defaultRetryAfter);
@@ -299,9 +307,21 @@
     entry.priority = job.route.priority;
     entry.customer = job.customer;
     entry.needsPrimary = job.needsPrimary;
+    entry.resumed = job.sentToServer && needsOf(job.route.service) != nullptr;
     entry.arrived = job.arrived;
     entry.expiresAt = job.sentToServer ? job.timeoutAt : std::min(job.timeoutAt, job.arrived + waitLimit(job));
     const double capacity = capacityPerSecond(job);
+    const bool inTime = entry.expiresAt > now && now + queue.expectedWait(entry, capacity) <= entry.expiresAt;
+    const std::optional<uint64_t> displaced
+        = inTime && needsOf(job.route.service) != nullptr ? queue.displacedBy(entry) : std::nullopt;
+    if (displaced) {
+        Job* const other = findJob(*displaced);
+        queue.erase(*displaced);
+        if (other != nullptr) {
+            other->queued = false;
+            refuseJob(*other, ResultCode::QueueFull, "gave way to a more urgent statement", defaultRetryAfter);
+        }
+    }
     if (entry.expiresAt <= now || !queue.push(entry, capacity, now)) {
         const Duration wait = queue.expectedWait(entry, capacity);
         refuseJob(job, ResultCode::QueueFull,
@@ -348,8 +368,11 @@
             }
             if (++tried > maxTriedPerPass)
                 break;
-            if (!tryDispatch(*job))
+            if (!tryDispatch(*job)) {
+                if (job->turnedAwayBy != nullptr)
+                    refuseTurnedAway(*job);
                 continue;
+            }
             job->queued = false;
             queue.erase(number);
         }
--- a/src/gateway_ports.h
+++ b/src/gateway_ports.h
@@ -116,6 +116,13 @@
     virtual ~BackendConnector() = default;
     /// Connects as the given customer and sends the id of the server that it expects to reach.
     virtual std::unique_ptr<BackendLink> open(const ServerEntry&, const std::string& customer, BackendObserver&) = 0;
+    /// Likewise, for an operation of a priority (see GatewayRoute) that goes before less urgent ones where openings
+    /// have to wait.
+    virtual std::unique_ptr<BackendLink> openWithPriority(
+        const ServerEntry& entry, const std::string& customer, unsigned /*priority*/, BackendObserver& observer)
+    {
+        return open(entry, customer, observer);
+    }
     /// Returns the status in a reply to Status, StopReceiving, ResumeReceiving or Demote, or nothing if it has none.
     virtual std::optional<ServerStatus> statusOf(const BackendReply&) = 0;
 };
--- a/src/gateway_session.cpp
+++ b/src/gateway_session.cpp
@@ -92,8 +92,10 @@
     Session& session, const Statement& statement, ResultCode code, const std::string& detail, Duration retryAfter)
 {
     const std::string* const customer = customerOf(session);
+    const GatewayRoute* const route = routeOf(session);
     logEvent(LogEvent::StatementRefused,
         { { "request", statement.id }, { "session", session.number }, { "database", session.database },
+            { "service", route != nullptr ? route->service : std::string() },
             { "customer", customer != nullptr ? *customer : std::string() }, { "code", resultCodeInfo(code).name },
             { "reason", detail }, { "retry_after_ms", retryAfter.count() / 1000 },
             { "configuration", m_configuration ? m_configuration->version : 0 } });
@@ -251,6 +253,8 @@
 void Gateway::beginTransaction(Session& session, const Statement& statement)
 {
     session.readOnly = statement.kind == StatementKind::BeginReadOnly;
+    if (refuseBegin(session, statement))
+        return;
     session.wrote = false;
     session.began = m_clock();
     session.state = TransactionState::Open;
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -31,6 +31,9 @@
     /// From this number of hosts on, a few hosts watch the store for the others, since each pending watch is a call,
     /// and hosts lend each other connections to servers. With fewer, each host has its own watch and connections.
     size_t largeFleet = 25;
+    /// Under load, operations of less urgent routes are turned away first, and a part of the connections is kept for
+    /// urgent ones. No effect on services whose routes all have the same priority.
+    bool urgency = false;
 
     // Constants of the design; not read from the settings file.
     ConnectionAllowanceSettings connections;
--- a/src/gateway_settings_file.cpp
+++ b/src/gateway_settings_file.cpp
@@ -45,6 +45,7 @@
         { "shutdown_grace", &GatewaySettings::shutdownGrace, ValueKind::Text, false, secondUs / 10, 600 * secondUs },
         { "large_fleet", &GatewaySettings::largeFleet, ValueKind::Text, false, 2, 1 << 20 },
         { "capacity", &GatewaySettings::capacity },
+        { "urgency", &GatewaySettings::urgency },
         { "max_descriptors", &GatewaySettings::maxDescriptors, ValueKind::Text, false, 64, 1 << 24 },
     };
 
--- a/src/link_borrower.cpp
+++ b/src/link_borrower.cpp
@@ -119,13 +119,28 @@
 
 std::unique_ptr<BackendLink> LinkBorrower::open(
     const ServerEntry& entry, const std::string& customer, BackendObserver& observer)
+{
+    return openFrom(entry, customer, std::nullopt, observer);
+}
+
+std::unique_ptr<BackendLink> LinkBorrower::openWithPriority(
+    const ServerEntry& entry, const std::string& customer, unsigned priority, BackendObserver& observer)
+{
+    return openFrom(entry, customer, priority, observer);
+}
+
+std::unique_ptr<BackendLink> LinkBorrower::openFrom(
+    const ServerEntry& entry, const std::string& customer, std::optional<unsigned> priority, BackendObserver& observer)
 {
     Candidates candidates;
     if (m_lenderChoice != nullptr)
         candidates = m_lenderChoice->lenders(entry.dataCentre);
     Lender* const lender = chooseLender(candidates, entry.id, customer);
-    if (lender == nullptr)
-        return ownConnector(candidates).open(entry, customer, observer);
+    if (lender == nullptr) {
+        BackendConnector& connector = ownConnector(candidates);
+        return priority ? connector.openWithPriority(entry, customer, *priority, observer)
+                        : connector.open(entry, customer, observer);
+    }
     lender->usedAt = m_clock();
     std::unique_ptr<Link> link = std::make_unique<Link>(*this, *lender, ++m_lastLink, entry.id, observer, m_clock());
     lender->links[link->number] = link.get();
@@ -134,6 +149,7 @@
     message.link = link->number;
     message.server = entry.id;
     message.customer = customer;
+    message.priority = priority;
     lender->stream->send(encodeLinkMessage(message));
     return link;
 }
--- a/src/link_borrower.h
+++ b/src/link_borrower.h
@@ -57,6 +57,8 @@
     void setLenders(const LenderChoice& choice) { m_lenderChoice = &choice; }
 
     std::unique_ptr<BackendLink> open(const ServerEntry&, const std::string& customer, BackendObserver&) override;
+    std::unique_ptr<BackendLink> openWithPriority(
+        const ServerEntry&, const std::string& customer, unsigned priority, BackendObserver&) override;
     std::optional<ServerStatus> statusOf(const BackendReply& reply) override { return m_pool.statusOf(reply); }
 
     /// Times out unanswered openings and closes unused streams. Must be called every few milliseconds.
@@ -68,6 +70,8 @@
 
     using Candidates = gsl::span<const LenderCandidate>;
 
+    std::unique_ptr<BackendLink> openFrom(
+        const ServerEntry&, const std::string& customer, std::optional<unsigned> priority, BackendObserver&);
     Lender* chooseLender(const Candidates&, const std::string& server, const std::string& customer);
     BackendCloseReason reasonToReport(const Lender&, const Link&, BackendCloseReason);
     BackendConnector& ownConnector(const Candidates&) const;
--- a/src/link_lender.cpp
+++ b/src/link_lender.cpp
@@ -76,7 +76,8 @@
     accepted.kind = LinkMessageKind::Accepted;
     accepted.link = message.link;
     send(accepted);
-    lent->link = m_pool.open(*entry, message.customer, *lent);
+    lent->link = message.priority ? m_pool.openWithPriority(*entry, message.customer, *message.priority, *lent)
+                                  : m_pool.open(*entry, message.customer, *lent);
 }
 
 void LinkLender::line(std::string_view text)
--- a/src/link_message.cpp
+++ b/src/link_message.cpp
@@ -97,6 +97,8 @@
     case LinkMessageKind::Open:
         fields.push_back(text(message.server));
         fields.push_back(text(message.customer));
+        if (message.priority)
+            fields.push_back(value::number(*message.priority));
         break;
     case LinkMessageKind::Command:
         encodeCommand(message.command, fields);
@@ -128,6 +130,8 @@
     if (message.kind == LinkMessageKind::Open) {
         message.server = fields.at(2).as_string();
         message.customer = fields.at(3).as_string();
+        if (fields.size() > 4)
+            message.priority = static_cast<unsigned>(std::min<uint64_t>(numberAt(fields, 4), UINT32_MAX));
     } else if (message.kind == LinkMessageKind::Command)
         message.command = decodeCommand(fields);
     else if (message.kind == LinkMessageKind::Reply)
--- a/src/link_message.h
+++ b/src/link_message.h
@@ -22,6 +22,8 @@
     uint64_t link = 0; ///< Number of the connection, assigned by the borrower.
     std::string server; ///< For Open: id of the server.
     std::string customer; ///< For Open.
+    /// For Open: priority of the operation, 0 is the most urgent. Hosts that do not order operations do not send it.
+    std::optional<unsigned> priority;
     BackendCommand command;
     BackendReply reply;
     BackendCloseReason reason = BackendCloseReason::Lost; ///< For Closed.
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -78,6 +78,7 @@
     RevocationInForce,
     ReplyUnexpected,
     AnswerUnexpected,
+    AdmissionLevelChanged,
     Count
 };
 
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -101,6 +101,8 @@
         { 66, "answer_unexpected", LogLevel::Warn,
             "An HTTP answer arrived that belongs to no call, or to an earlier one; its connection is not used again. "
             "The field call names the path of the call that it could have been taken for." },
+        { 67, "admission_level_changed", LogLevel::Warn,
+            "Another number of priorities is turned away from a backend server, from the least urgent." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/src/log_explain.cpp
+++ b/src/log_explain.cpp
@@ -34,21 +34,21 @@
         Scope scope;
     };
 
-    constexpr EventScope eventScopes[]
-        = { { LogEvent::ServerConnectionLost, Scope::Server }, { LogEvent::ServerRegistered, Scope::Server },
-              { LogEvent::ServerRemoved, Scope::Server }, { LogEvent::BackendLeaving, Scope::Server },
-              { LogEvent::PrimaryChanged, Scope::Service }, { LogEvent::FailoverStep, Scope::Service },
-              { LogEvent::FailoverServer, Scope::Service }, { LogEvent::FailoverBlocked, Scope::Service },
-              { LogEvent::PromotionAnswered, Scope::Service }, { LogEvent::Started, Scope::Host },
-              { LogEvent::Stopped, Scope::Host }, { LogEvent::ConfigurationInForce, Scope::Host },
-              { LogEvent::StoreUnreachable, Scope::Host }, { LogEvent::StoreReachable, Scope::Host },
-              { LogEvent::PeerSilent, Scope::Host }, { LogEvent::PeerHeard, Scope::Host },
-              { LogEvent::DrainStarted, Scope::Host }, { LogEvent::SettingsReloaded, Scope::Host },
-              { LogEvent::LinesDropped, Scope::Host }, { LogEvent::StoreItemRejected, Scope::Host },
-              { LogEvent::StoreRestored, Scope::Host }, { LogEvent::RelayEraDiffers, Scope::Host },
-              { LogEvent::ConfigurationNotApplied, Scope::Host }, { LogEvent::ListingRelayed, Scope::Host },
-              { LogEvent::DutyClaimOutdated, Scope::Host }, { LogEvent::ServerProbed, Scope::Service },
-              { LogEvent::InternalFailure, Scope::Host }, { LogEvent::ChangesDropped, Scope::Host } };
+    constexpr EventScope eventScopes[] = { { LogEvent::ServerConnectionLost, Scope::Server },
+        { LogEvent::ServerRegistered, Scope::Server }, { LogEvent::ServerRemoved, Scope::Server },
+        { LogEvent::BackendLeaving, Scope::Server }, { LogEvent::PrimaryChanged, Scope::Service },
+        { LogEvent::FailoverStep, Scope::Service }, { LogEvent::FailoverServer, Scope::Service },
+        { LogEvent::FailoverBlocked, Scope::Service }, { LogEvent::PromotionAnswered, Scope::Service },
+        { LogEvent::Started, Scope::Host }, { LogEvent::Stopped, Scope::Host },
+        { LogEvent::ConfigurationInForce, Scope::Host }, { LogEvent::StoreUnreachable, Scope::Host },
+        { LogEvent::StoreReachable, Scope::Host }, { LogEvent::PeerSilent, Scope::Host },
+        { LogEvent::PeerHeard, Scope::Host }, { LogEvent::DrainStarted, Scope::Host },
+        { LogEvent::SettingsReloaded, Scope::Host }, { LogEvent::LinesDropped, Scope::Host },
+        { LogEvent::StoreItemRejected, Scope::Host }, { LogEvent::StoreRestored, Scope::Host },
+        { LogEvent::RelayEraDiffers, Scope::Host }, { LogEvent::ConfigurationNotApplied, Scope::Host },
+        { LogEvent::ListingRelayed, Scope::Host }, { LogEvent::DutyClaimOutdated, Scope::Host },
+        { LogEvent::ServerProbed, Scope::Service }, { LogEvent::InternalFailure, Scope::Host },
+        { LogEvent::ChangesDropped, Scope::Host }, { LogEvent::AdmissionLevelChanged, Scope::Service } };
 
     Scope scopeOf(const std::optional<LogEvent>& event)
     {
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -33,6 +33,8 @@
         StatementLatency,
         StoreEra,
         UnexpectedReplies,
+        TurnedAway,
+        AdmissionLevel,
         Count
     };
 
@@ -67,6 +69,10 @@
             "copy." },
         { "plantainwall_unexpected_replies_total", MetricType::Counter, "",
             "Replies of backend servers that fit no unanswered command." },
+        { "plantainwall_turned_away_total", MetricType::Counter, "urgency",
+            "Operations refused at their start because a server is overloaded, by urgency of their route." },
+        { "plantainwall_admission_level", MetricType::Gauge, "",
+            "Priorities turned away from a backend server, from the least urgent; the greatest of all servers." },
     };
     static_assert(sizeof(families) / sizeof(families[0]) == static_cast<size_t>(Family::Count), "one for each Family");
 
@@ -86,6 +92,8 @@
         { Family::SpansDropped, "" },
         { Family::BackendConnects, "" },
         { Family::UnexpectedReplies, "" },
+        { Family::TurnedAway, "highest" },
+        { Family::TurnedAway, "lower" },
     };
     static_assert(sizeof(counters) / sizeof(counters[0]) == static_cast<size_t>(MetricCounter::Count),
         "one for each MetricCounter");
@@ -102,6 +110,7 @@
         { Family::ConfigurationRevision, "" },
         { Family::ConfigurationAge, "" },
         { Family::StoreEra, "" },
+        { Family::AdmissionLevel, "" },
     };
     static_assert(
         sizeof(gauges) / sizeof(gauges[0]) == static_cast<size_t>(MetricGauge::Count), "one for each MetricGauge");
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -17,6 +17,8 @@
     SpansDropped,
     BackendConnects,
     UnexpectedReplies,
+    TurnedAwayMostUrgent, ///< Refused for load at their start; routes of the service's most urgent priority.
+    TurnedAwayOthers,
     Count
 };
 
@@ -32,6 +34,7 @@
     ConfigurationRevision,
     ConfigurationAge, ///< In seconds.
     StoreEra,
+    AdmissionLevel, ///< Greatest level of a backend server (see UrgencyAdmission).
     Count
 };
 
--- a/src/server_choice.h
+++ b/src/server_choice.h
@@ -30,6 +30,9 @@
     /// Returns the expected response time of one statement. A read that takes a multiple of it is hedged.
     Duration expected(Instant now) const;
 
+    /// Returns the time since the last response.
+    Duration age(Instant now) const { return std::chrono::duration_cast<Duration>(now - m_lastSampleAt); }
+
     bool avoided(Instant now) const { return now < m_avoidUntil; }
 
 private:
--- a/src/urgency_admission.cpp
+++ b/src/urgency_admission.cpp
@@ -27,8 +27,8 @@
 
 void UrgencyAdmission::update(const UrgencyNeeds& needs, const ServerPressure& knowledge, Instant now)
 {
-    const Duration passed = m_updatedAt == Instant() ? Duration(0)
-                                                     : std::chrono::duration_cast<Duration>(now - m_updatedAt);
+    const Duration passed
+        = m_updatedAt == Instant() ? Duration(0) : std::chrono::duration_cast<Duration>(now - m_updatedAt);
     m_updatedAt = now;
     m_knowledge = knowledge;
     if (!needs.ordered()) {
@@ -66,7 +66,10 @@
 
 Duration UrgencyAdmission::returnAfter(size_t rank) const
 {
-    return std::chrono::duration_cast<Duration>(m_riseTime * m_settings.releaseFactor * turnedAway(rank));
+    if (turnedAway(rank) <= 0)
+        return Duration(0);
+    const auto lowerRanks = static_cast<double>(m_ranks - 1 - rank);
+    return std::chrono::duration_cast<Duration>(m_riseTime * m_settings.releaseFactor * (m_level - lowerRanks));
 }
 
 } // namespace plantainwall
--- a/src/work_queue.cpp
+++ b/src/work_queue.cpp
@@ -41,6 +41,19 @@
     return true;
 }
 
+// Load pattern: a burst of less urgent statements has filled the queue when an urgent one arrives.
+std::optional<uint64_t> WorkQueue::displacedBy(const Entry& entry) const
+{
+    if (m_entries.size() < m_settings.maxWaiting)
+        return std::nullopt;
+    const Entry* last = nullptr;
+    for (const Entry& other : m_entries) {
+        if (!other.resumed && (last == nullptr || other.priority >= last->priority))
+            last = &other;
+    }
+    return last != nullptr && last->priority > entry.priority ? std::optional<uint64_t>(last->job) : std::nullopt;
+}
+
 void WorkQueue::erase(uint64_t job)
 {
     const auto it
@@ -52,6 +65,7 @@
 std::vector<uint64_t> WorkQueue::order() const
 {
     struct OrderedJob {
+        bool isNew;
         unsigned priority;
         size_t turn;
         size_t arrival;
@@ -61,10 +75,11 @@
     std::map<std::pair<unsigned, std::string>, size_t> turns;
     for (size_t i = 0; i < m_entries.size(); ++i) {
         const Entry& entry = m_entries[i];
-        ordered.push_back({ entry.priority, turns[{ entry.priority, entry.customer }]++, i, entry.job });
+        ordered.push_back(
+            { !entry.resumed, entry.priority, turns[{ entry.priority, entry.customer }]++, i, entry.job });
     }
     std::sort(ordered.begin(), ordered.end(), [](const OrderedJob& a, const OrderedJob& b) {
-        return std::tie(a.priority, a.turn, a.arrival) < std::tie(b.priority, b.turn, b.arrival);
+        return std::tie(a.isNew, a.priority, a.turn, a.arrival) < std::tie(b.isNew, b.priority, b.turn, b.arrival);
     });
     std::vector<uint64_t> jobs;
     jobs.reserve(ordered.size());
--- a/src/work_queue.h
+++ b/src/work_queue.h
@@ -2,6 +2,7 @@
 
 #include "plantainwall/plantainwall.h"
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace plantainwall {
@@ -22,6 +23,7 @@
         unsigned priority = 0;
         std::string customer;
         bool needsPrimary = false;
+        bool resumed = false; ///< Has run in part and goes before all that has not.
         Instant arrived;
         Instant expiresAt; ///< The entry expires if it is still queued at this time.
     };
@@ -35,6 +37,10 @@
     /// Adds an entry. Returns false if the queue is full or the entry would expire before its turn.
     bool push(const Entry&, double capacityPerSecond, Instant now);
 
+    /// Returns the job that should leave a full queue for an entry: the newest of the least urgent priority, if the
+    /// entry is more urgent. Returns nothing if the queue is not full or the entry has to be refused itself.
+    std::optional<uint64_t> displacedBy(const Entry&) const;
+
     void erase(uint64_t job);
 
     /// Returns the waiting jobs in the order in which they should be tried.
--- a/tests/unit_gateway_settings.cpp
+++ b/tests/unit_gateway_settings.cpp
@@ -32,6 +32,7 @@
 shutdown_grace = "6s"
 max_descriptors = 4300
 large_fleet = 30
+urgency = true
 [regions]
 "mill" = "huon"
 )";
@@ -48,13 +49,14 @@
     BOOST_TEST((result.settings.drainLimit == std::chrono::seconds(7)));
     BOOST_TEST(result.settings.maxDescriptors == 4300U);
     BOOST_TEST(result.settings.largeFleet == 30U);
+    BOOST_TEST(result.settings.urgency);
     BOOST_TEST(result.settings.regionOfDataCentre.at("mill") == "huon");
 }
 
 BOOST_AUTO_TEST_CASE(every_fault_is_reported_with_its_line)
 {
     const GatewaySettingsResult result
-        = load("[gateway]\nhost = \"\"\ncaller_listen = \"here\"\ndrain_limit = 7\ncolour = \"red\"\n");
+        = load("[gateway]\nhost = \"\"\ncaller_listen = \"here\"\ndrain_limit = 7\nurgency = 1\ncolour = \"red\"\n");
     std::vector<std::string> texts;
     for (const SettingsFault& fault : result.faults)
         texts.push_back(settingsFaultText(fault));
@@ -68,7 +70,8 @@
     BOOST_TEST(has(":2: gateway.host: must not be empty"));
     BOOST_TEST(has(":3: gateway.caller_listen: must be"));
     BOOST_TEST(has(":4: gateway.drain_limit: must be a string with a unit"));
-    BOOST_TEST(has(":5: gateway.colour: unknown key"));
+    BOOST_TEST(has(":5: gateway.urgency: must be true or false"));
+    BOOST_TEST(has(":6: gateway.colour: unknown key"));
     BOOST_TEST(has("gateway.store: is required"));
     BOOST_TEST(load("not toml [").faults.size() == 1U);
     BOOST_TEST(load("").faults.size() == 1U);
--- a/tests/unit_log_explain.cpp
+++ b/tests/unit_log_explain.cpp
@@ -32,6 +32,24 @@
 
 } // namespace
 
+// An operation that was turned away: the reason, and the level's changes at its service.
+BOOST_AUTO_TEST_CASE(refusal_by_urgency_shows_level_and_knowledge)
+{
+    const std::string log
+        = line("18.000000", "a", LogEvent::AdmissionLevelChanged,
+              R"("service":"s","server":"s-1","priorities":1,"before":0,"response_ms":320,"age_ms":12)")
+        + line("18.500000", "a", LogEvent::AdmissionLevelChanged, R"("service":"t","server":"t-1","priorities":1)")
+        + line("20.000000", "a", LogEvent::StatementRefused,
+            R"("request":"r1","service":"s","code":"queue_full","reason":"priority 2 is turned away at level 0.70: )"
+            R"(server s-1 answers in 310 ms, known for 40 ms from 1 hosts")");
+    const RequestExplanation explanation = explain({ log }, "r1");
+    BOOST_TEST(explanation.answered);
+    BOOST_REQUIRE_EQUAL(explanation.relatedEvents.size(), 1U);
+    const std::string text = printed(explanation);
+    BOOST_TEST(text.find("reason: priority 2 is turned away at level 0.70") != std::string::npos);
+    BOOST_TEST(text.find("response_ms=320 server=\"s-1\"") != std::string::npos);
+}
+
 // Lines of several hosts are ordered by time. Events of the request's server, service and host are related to it,
 // events of other servers, services, hosts and times are not.
 BOOST_AUTO_TEST_CASE(path_and_related_events_are_collected)
