--- a/src/connection_pool.cpp
+++ b/src/connection_pool.cpp
@@ -183,11 +183,15 @@
         least = std::max(least, it->priority);
     if (!least)
         return result;
+    std::map<std::string, size_t> used; // By customer.
+    for (const std::unique_ptr<PhysicalConnection>& it : server.connections)
+        used[it->customer] += it->stage != PhysicalConnection::Stage::Idle ? 1 : 0;
     std::map<std::pair<unsigned, std::string>, size_t> turns;
     std::map<const Borrower*, std::pair<unsigned, size_t>> ranks;
     for (const std::shared_ptr<Borrower>& it : result) {
         const unsigned priority = it->priority.value_or(*least);
-        ranks[it.get()] = { priority, turns[{ priority, it->customer }]++ };
+        const size_t turn = turns.try_emplace({ priority, it->customer }, used[it->customer]).first->second++;
+        ranks[it.get()] = { priority, turn };
     }
     std::stable_sort(
         result.begin(), result.end(), [&](const auto& a, const auto& b) { return ranks[a.get()] < ranks[b.get()]; });
--- a/src/urgency_admission.cpp
+++ b/src/urgency_admission.cpp
@@ -38,14 +38,16 @@
     }
     m_ranks = needs.priorities.size();
     // A priority is turned away within the time that the most urgent callers can spend on one statement.
+    m_level = std::min(m_level, static_cast<double>(m_ranks - 1));
     m_riseTime = std::chrono::duration_cast<Duration>(needs.objective * m_settings.objectiveShare);
     const bool known = knowledge.age <= m_settings.maxAge && !knowledge.hasFreeSlot;
     const double pressure = known ? inSeconds(knowledge.responseTime) / inSeconds(m_riseTime) : 0;
-    if (pressure >= 1)
-        m_level += inSeconds(std::min(passed, maxRiseStep)) / inSeconds(m_riseTime);
-    else if (pressure < m_settings.releaseBelow)
-        m_level -= inSeconds(passed) / (inSeconds(m_riseTime) * m_settings.releaseFactor);
-    m_level = std::clamp(m_level, 0.0, static_cast<double>(m_ranks - 1));
+    const double range = m_settings.allAt - m_settings.firstAt;
+    const double target
+        = std::clamp((pressure - m_settings.firstAt) / range, 0.0, 1.0) * static_cast<double>(m_ranks - 1);
+    const double rise = inSeconds(std::min(passed, maxRiseStep)) / inSeconds(m_riseTime);
+    const double fall = inSeconds(passed) / (inSeconds(m_riseTime) * m_settings.releaseFactor);
+    m_level = std::clamp(target, std::max(0.0, m_level - fall), m_level + rise);
 }
 
 // Returns the fraction of a rank's operations that are turned away.
--- a/src/urgency_admission.h
+++ b/src/urgency_admission.h
@@ -9,9 +9,11 @@
     /// Part of the most urgent callers' latency objective that one statement may take. Operations consist of up to
     /// about four statements.
     double objectiveShare = 0.25;
-    /// Pressure below which turned away priorities are admitted again. The gap to 1 keeps the level from swinging.
-    double releaseBelow = 0.6;
-    /// Time in which one priority is admitted again, as a multiple of the time in which it is turned away.
+    /// Pressure, as a multiple of that part, at which the first operations are turned away, and at which all less
+    /// urgent ones are. A narrower range makes the level swing where knowledge is late.
+    double firstAt = 0.7;
+    double allAt = 1.2;
+    /// Shortest time in which one priority is admitted again, as a multiple of the one in which it is turned away.
     double releaseFactor = 5;
     /// Knowledge that is older than this turns nobody away. Overload that lasts is confirmed by each answer.
     Duration maxAge = std::chrono::seconds(1);
@@ -43,8 +45,9 @@
 /// Load pattern: a burst of callers of all priorities over many hosts, more than the server's slots can run. Queued
 /// statements delay all callers alike, and those with the shortest objectives fail first. The least urgent priority is
 /// turned away, growing from none of it to all of it, before the next one, and the most urgent one is never turned away
-/// here. After the burst, priorities return one after another, slower than they were turned away, so that the load does
-/// not come back at once.
+/// here. The level follows the response time, so that it settles where the admitted load is what the server can run.
+/// After the burst, priorities return one after another, slower than they were turned away, so that the load does not
+/// come back at once.
 class UrgencyAdmission {
 public:
     explicit UrgencyAdmission(const UrgencyAdmissionSettings& = {});
@@ -74,7 +77,7 @@
     UrgencyAdmissionSettings m_settings;
     ServerPressure m_knowledge;
     size_t m_ranks = 1;
-    Duration m_riseTime { 0 };
+    Duration m_riseTime { 0 }; ///< Shortest time in which one priority is turned away.
     double m_level = 0;
     Instant m_updatedAt;
 };
