--- a/src/gateway_urgency.cpp
+++ b/src/gateway_urgency.cpp
@@ -68,6 +68,27 @@
     return needs != nullptr ? std::optional<unsigned>(needs->priorities.front()) : std::nullopt;
 }
 
+// Reports of other hosts count only while they agree that the slots are in use: response times alone also grow with the
+// distance of the host that reports them.
+ServerPressure Gateway::pressureAt(const GatewayServer& server) const
+{
+    const Instant now = m_clock();
+    ServerPressure result;
+    result.responseTime = server.speed.expected(now);
+    result.age = server.speed.age(now);
+    const std::optional<ServerLoads::Estimate> estimate
+        = m_settings.evenLoad ? m_loads.estimate(server.id, now) : std::nullopt;
+    if (!estimate || estimate->sources == 0)
+        return result;
+    result.hasFreeSlot = estimate->running + estimate->waiting < server.slots;
+    if (estimate->responseTime > result.responseTime) {
+        result.responseTime = estimate->responseTime;
+        result.age = estimate->age;
+        result.sources = estimate->sources;
+    }
+    return result;
+}
+
 void Gateway::updateAdmission()
 {
     if (!m_settings.urgency)
@@ -76,9 +97,7 @@
     const UrgencyNeeds none;
     for (auto& [id, server] : m_servers) {
         const UrgencyNeeds* const needs = needsOf(server.service);
-        ServerPressure pressure;
-        pressure.responseTime = server.speed.expected(now);
-        pressure.age = server.speed.age(now);
+        const ServerPressure pressure = pressureAt(server);
         server.admission.update(needs != nullptr ? *needs : none, pressure, now);
         const auto turnedAway = static_cast<unsigned>(std::ceil(server.admission.level()));
         if (turnedAway == server.loggedLevel)
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -33,6 +33,8 @@
         StatementLatency,
         StoreEra,
         UnexpectedReplies,
+        LoadReportsRejected,
+        LoadReportAge,
         TurnedAway,
         AdmissionLevel,
         Count
@@ -69,6 +71,11 @@
             "copy." },
         { "plantainwall_unexpected_replies_total", MetricType::Counter, "",
             "Replies of backend servers that fit no unanswered command." },
+        { "plantainwall_load_reports_rejected_total", MetricType::Counter, "",
+            "Reports of other hosts about the load of backend servers that were malformed or had values that cannot "
+            "be." },
+        { "plantainwall_load_report_age_seconds", MetricType::Gauge, "",
+            "Age of the oldest report about the load of a backend server that is in use; 0 without any." },
         { "plantainwall_turned_away_total", MetricType::Counter, "urgency",
             "Operations refused at their start because a server is overloaded, by urgency of their route." },
         { "plantainwall_admission_level", MetricType::Gauge, "",
@@ -92,6 +99,7 @@
         { Family::SpansDropped, "" },
         { Family::BackendConnects, "" },
         { Family::UnexpectedReplies, "" },
+        { Family::LoadReportsRejected, "" },
         { Family::TurnedAway, "highest" },
         { Family::TurnedAway, "lower" },
     };
@@ -110,6 +118,7 @@
         { Family::ConfigurationRevision, "" },
         { Family::ConfigurationAge, "" },
         { Family::StoreEra, "" },
+        { Family::LoadReportAge, "" },
         { Family::AdmissionLevel, "" },
     };
     static_assert(
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -17,6 +17,7 @@
     SpansDropped,
     BackendConnects,
     UnexpectedReplies,
+    LoadReportsRejected,
     TurnedAwayMostUrgent, ///< Refused for load at their start; routes of the service's most urgent priority.
     TurnedAwayOthers,
     Count
@@ -34,6 +35,7 @@
     ConfigurationRevision,
     ConfigurationAge, ///< In seconds.
     StoreEra,
+    LoadReportAge, ///< In seconds; of the oldest report in use.
     AdmissionLevel, ///< Greatest level of a backend server (see UrgencyAdmission).
     Count
 };
--- a/src/urgency_admission.h
+++ b/src/urgency_admission.h
@@ -15,8 +15,8 @@
     double allAt = 1.2;
     /// Shortest time in which one priority is admitted again, as a multiple of the one in which it is turned away.
     double releaseFactor = 5;
-    /// Knowledge that is older than this turns nobody away. Overload that lasts is confirmed by each answer.
-    Duration maxAge = std::chrono::seconds(1);
+    /// Knowledge that is older than this turns nobody away. Overload that lasts is confirmed by each answer and report.
+    Duration maxAge = std::chrono::seconds(2);
 };
 
 /// What the callers of one service need, from the priorities and objectives of its routes.
