--- a/tests/unit_gateway_urgency.cpp
+++ b/tests/unit_gateway_urgency.cpp
@@ -11,6 +11,7 @@
 {
     GatewaySettings settings;
     settings.urgency = urgency;
+    settings.evenLoad = urgency;
     return settings;
 }
 
@@ -51,6 +52,15 @@
         }
     }
 
+    /// Lets time pass while a lender reports the load of the primary.
+    void reportLoad(const ServerLoadSample& sample, Duration duration)
+    {
+        for (const Instant until = now + duration; now < until;) {
+            gateway.lenderReported("p", "lender", sample);
+            pass(milliseconds(100));
+        }
+    }
+
     void answerStatements()
     {
         for (size_t link = connector.statementLink(); link < connector.links.size(); link = connector.statementLink())
@@ -184,3 +194,35 @@
     BOOST_REQUIRE(urgent.answers.size() == 1U);
     BOOST_TEST((urgent.answers[0].code == ResultCode::Ok));
 }
+
+// Load pattern: a burst over many hosts, of which this one has had no statement yet.
+BOOST_FIXTURE_TEST_CASE(reports_of_other_hosts_turn_away_the_less_urgent, Fixture)
+{
+    reportLoad({ 4, 6, milliseconds(400) }, seconds(1));
+    BOOST_TEST(refusedAtOnce("own", 10, StatementKind::Begin) == 10U);
+    BOOST_TEST(refusedAtOnce("primary", 10, StatementKind::Begin) == 0U);
+}
+
+// Failure: a report of slow answers that is false, or from far away: the server's slots are free.
+BOOST_FIXTURE_TEST_CASE(reports_of_slow_answers_with_free_slots_turn_nobody_away, Fixture)
+{
+    reportLoad({ 1, 0, milliseconds(400) }, seconds(1));
+    BOOST_TEST(refusedAtOnce("own", 10, StatementKind::Begin) == 0U);
+}
+
+// Failure: the lender that reported falls silent in the middle of the burst.
+BOOST_FIXTURE_TEST_CASE(a_silent_lender_turns_nobody_away_for_long, Fixture)
+{
+    reportLoad({ 4, 6, milliseconds(400) }, seconds(1));
+    BOOST_TEST(refusedAtOnce("own", 10, StatementKind::Begin) == 10U);
+    pass(seconds(4));
+    BOOST_TEST(refusedAtOnce("own", 10, StatementKind::Begin) == 0U);
+}
+
+// Failure: this host restarts in the middle of the burst. It turns nobody away before it knows of the load.
+BOOST_FIXTURE_TEST_CASE(a_restarted_host_learns_the_level_from_reports, Fixture)
+{
+    BOOST_TEST(refusedAtOnce("own", 10, StatementKind::Begin) == 0U);
+    reportLoad({ 4, 6, milliseconds(400) }, seconds(1));
+    BOOST_TEST(refusedAtOnce("own", 10, StatementKind::Begin) == 10U);
+}
