--- a/src/work_queue.h
+++ b/src/work_queue.h
@@ -23,9 +23,9 @@
         unsigned priority = 0;
         std::string customer;
         bool needsPrimary = false;
-        bool resumed = false; ///< Has run in part and goes before all that has not.
         Instant arrived;
         Instant expiresAt; ///< The entry expires if it is still queued at this time.
+        bool resumed = false; ///< Has run in part and goes before all that has not.
     };
 
     explicit WorkQueue(const WorkQueueSettings& = {});
