--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -33,6 +33,9 @@
     size_t largeFleet = 25;
     /// Hosts tell each other the load of backend servers in messages that they send anyway, and choose servers by it.
     bool evenLoad = false;
+    /// Under load, operations of less urgent routes are turned away first, and a part of the connections is kept for
+    /// urgent ones. No effect on services whose routes all have the same priority.
+    bool urgency = false;
 
     // Constants of the design; not read from the settings file.
     ConnectionAllowanceSettings connections;
--- a/src/gateway_settings_file.cpp
+++ b/src/gateway_settings_file.cpp
@@ -46,6 +46,7 @@
         { "large_fleet", &GatewaySettings::largeFleet, ValueKind::Text, false, 2, 1 << 20 },
         { "even_load", &GatewaySettings::evenLoad },
         { "capacity", &GatewaySettings::capacity },
+        { "urgency", &GatewaySettings::urgency },
         { "max_descriptors", &GatewaySettings::maxDescriptors, ValueKind::Text, false, 64, 1 << 24 },
     };
 
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -82,6 +82,7 @@
     ServerLoad,
     EvacuationStarted,
     EvacuationEnded,
+    AdmissionLevelChanged,
     Count
 };
 
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -111,6 +111,8 @@
             "The servers of a data centre get no more statements; the field reason says how this host learned of it." },
         { 70, "evacuation_ended", LogLevel::Warn,
             "The servers of a data centre get statements again; the field reason says why." },
+        { 71, "admission_level_changed", LogLevel::Warn,
+            "Another number of priorities is turned away from a backend server, from the least urgent." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -35,6 +35,8 @@
         UnexpectedReplies,
         LoadReportsRejected,
         LoadReportAge,
+        TurnedAway,
+        AdmissionLevel,
         Count
     };
 
@@ -74,6 +76,10 @@
             "be." },
         { "plantainwall_load_report_age_seconds", MetricType::Gauge, "",
             "Age of the oldest report about the load of a backend server that is in use; 0 without any." },
+        { "plantainwall_turned_away_total", MetricType::Counter, "urgency",
+            "Operations refused at their start because a server is overloaded, by urgency of their route." },
+        { "plantainwall_admission_level", MetricType::Gauge, "",
+            "Priorities turned away from a backend server, from the least urgent; the greatest of all servers." },
     };
     static_assert(sizeof(families) / sizeof(families[0]) == static_cast<size_t>(Family::Count), "one for each Family");
 
@@ -94,6 +100,8 @@
         { Family::BackendConnects, "" },
         { Family::UnexpectedReplies, "" },
         { Family::LoadReportsRejected, "" },
+        { Family::TurnedAway, "highest" },
+        { Family::TurnedAway, "lower" },
     };
     static_assert(sizeof(counters) / sizeof(counters[0]) == static_cast<size_t>(MetricCounter::Count),
         "one for each MetricCounter");
@@ -111,6 +119,7 @@
         { Family::ConfigurationAge, "" },
         { Family::StoreEra, "" },
         { Family::LoadReportAge, "" },
+        { Family::AdmissionLevel, "" },
     };
     static_assert(
         sizeof(gauges) / sizeof(gauges[0]) == static_cast<size_t>(MetricGauge::Count), "one for each MetricGauge");
