Send less between data centres

Three quarters of the commands over lent connections that crossed data centres were polls of primary positions: while one answer was under way from another region, every further idle connection polled too, one each tick. A sixth of all bytes were changes of the store, sent to each host from three relays; a quarter were reports, over a third of it in those that repeat primaries.

Change: - One connection polls a position at a time; an overdue answer is repeated on another one after 200 ms. Not switched: positions are polled at the same age as before. - prefer_near_servers: reads accept a small delay for a near server, which shrinks to nothing as that server becomes busy. - local_distribution: relayed changes are sent to two hosts of each data centre, which pass them on; positions are requested within the data centre; one host of each repeats the primaries to the others; small fleets report to other data centres less often. Hosts that do not publish in their registration that they know this are served as before.

Both settings are off by default.

--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -140,6 +140,7 @@
     std::string region;
     std::string dataCentre;
     double capacity = 1;
+    bool distributes = false;
 };
 
 /// Returns the registrations of all hosts, the latest ones last. Malformed ones are logged and left out.
@@ -169,6 +170,7 @@
                 = value.has_field("data_centre") ? value.at("data_centre").as_string() : std::string();
             const double capacity = value.has_field("capacity") ? value.at("capacity").as_double() : 0;
             registration.capacity = capacity > 0 && capacity <= maxHostCapacity ? capacity : 1;
+            registration.distributes = value.has_field("distributes") && value.at("distributes").as_bool();
             result.push_back(std::move(registration));
         } catch (const std::exception& error) {
             logEvent(LogEvent::StoreItemRejected, { { "key", it->first }, { "reason", error.what() } });
@@ -197,6 +199,7 @@
     peer.region = registration.region;
     peer.dataCentre = registration.dataCentre;
     peer.capacity = registration.capacity;
+    peer.distributes = registration.distributes;
 }
 
 void FleetMember::ownItemsChanged()
@@ -279,6 +282,8 @@
     value["data_centre"] = web::json::value::string(m_gatewaySettings.dataCentre);
     value["incarnation"] = web::json::value::number(m_incarnation);
     value["capacity"] = web::json::value::number(m_gatewaySettings.capacity);
+    if (m_gatewaySettings.localDistribution)
+        value["distributes"] = web::json::value::boolean(true);
     StoreWrite write;
     write.key = hostsPrefix + m_gatewaySettings.host + "/" + std::to_string(m_incarnation) + "/"
         + std::to_string(lease.era) + "-" + std::to_string(lease.number);
@@ -319,8 +324,10 @@
 void FleetMember::tick()
 {
     const Instant now = m_clock();
-    if (now - m_tickedAt > m_settings.maxTickGap)
+    if (now - m_tickedAt > m_settings.maxTickGap) {
         m_lateTickAt = now;
+        m_lateBy = std::chrono::duration_cast<Duration>(now - m_tickedAt);
+    }
     m_tickedAt = now;
     if (now >= m_reportAt)
         sendReports();
@@ -333,10 +340,11 @@
     if (now >= m_relayAt) {
         m_relayAt = now + m_settings.relayInterval;
         chooseSource();
+        updateDistribution();
         if (m_source == StoreSource::WatchForOthers && m_follower.reachable() && m_follower.listed())
             relayState();
     }
-    m_positionExchange.tick([this] { return watchingHosts(); });
+    m_positionExchange.tick([this] { return positionSources(); });
     m_changeExchange.tick(m_follower.missingAfter(), [this] { return changeSources(); });
     if (m_changeExchange.isReceiving())
         m_follower.notePeerProgress();
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -31,6 +31,15 @@
         /// small one for hosts that cannot reach the store.
         size_t relaysPerRegion = 3; ///< A third of the hosts may lose the store at the same time.
         size_t hostsPerDistributor = 16; ///< Hosts of a data centre that request changes from the same one of them.
+        /// Hosts of a data centre that receive relayed changes and pass them on; either may be restarting.
+        size_t distributorsPerDataCentre = 2;
+        /// Hosts of a data centre that repeat the known primaries to others. The hosts of each data centre hear them
+        /// from all others, so that none of these is indispensable.
+        size_t primariesReporters = 1;
+        /// Longest silence after which a host of another data centre counts as unreachable if reports to it are fewer.
+        Duration maxReducedSilence = std::chrono::seconds(6);
+        /// Datagrams that arrive this soon after a late tick may have waited as long as this host did not run.
+        Duration lateDatagramTime = std::chrono::milliseconds(200);
         Duration relayInterval = std::chrono::milliseconds(500); ///< Period of relaying the store's revision.
         /// Large fleets send only every Nth report to hosts of other regions, because those links are narrow.
         unsigned crossRegionReportPeriod = 3;
@@ -132,6 +141,7 @@
         bool silent = true;
         bool storeReachable = true;
         bool registered = false;
+        bool distributes = false; ///< Passes on what it receives from other data centres, and expects fewer reports.
         bool primariesSent = false; ///< The known primaries were sent since it became reachable.
         bool probeFailed = false; ///< Silent because it did not answer a probe.
         uint64_t firstReportIncarnation = 0; ///< Incarnation to which the first report was sent.
@@ -185,7 +195,9 @@
     void noteSilent(const std::string& host, Peer&, const std::string& reason);
     Duration reportInterval() const;
     Duration silenceTimeout(const Peer&) const;
-    bool usesCrossRegionPeriod(const Peer&) const;
+    unsigned reportPeriod(const Peer&) const;
+    Duration outageSilence(const Peer&) const;
+    bool repeatsPrimariesTo(const Peer&) const;
     bool isUnreachable(const Peer&) const;
     Primaries provenPrimaries() const;
     enum class ReportKind : uint8_t {
@@ -221,6 +233,11 @@
     std::vector<std::pair<std::string, std::string>> watchingHosts() const;
     std::vector<std::pair<std::string, std::string>> changeSources() const;
     void rotate(std::vector<std::pair<std::string, std::string>>& sources) const;
+    std::vector<std::pair<std::string, std::string>> positionSources() const;
+    std::vector<RelayCandidate> localHosts() const;
+    std::set<std::string> distributorsOf(const std::string& dataCentre) const;
+    void updateDistribution();
+    bool passOn(const std::string& datagram);
     void relay(const StoreEvents&);
     void relayState();
 
@@ -287,6 +304,12 @@
     Instant m_noProbeBefore;
     bool m_fleetChanged = false; ///< fleetChanged() has to run in the next tick.
     Instant m_relayAt;
+    bool m_reportsPrimaries = true; ///< Repeats the known primaries to other data centres.
+    bool m_reportedReachable = true; ///< Whether the last report said that this host reaches the store.
+    Duration m_lateBy { 0 }; ///< Time without a tick before m_lateTickAt.
+    /// State of the store that was last passed on within the data centre: era, revision and when it was known.
+    std::pair<uint64_t, uint64_t> m_passedOn;
+    Instant m_passedOnAsOf;
     StoreSource m_source = StoreSource::Watch;
     Primaries m_reportedPrimaries; ///< Primaries in the last report.
     unsigned m_primariesRepeatsLeft = 0; ///< Remaining reports that carry them.
--- a/src/fleet_member_coordinator.cpp
+++ b/src/fleet_member_coordinator.cpp
@@ -187,7 +187,7 @@
         return false;
     // No other host can have become coordinator while none of them reaches the store.
     return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& peer) {
-        return !peer.second.storeReachable && now - peer.second.lastSeen < silenceTimeout(peer.second);
+        return !peer.second.storeReachable && now - peer.second.lastSeen < outageSilence(peer.second);
     });
 }
 
--- a/src/fleet_member_relay.cpp
+++ b/src/fleet_member_relay.cpp
@@ -6,6 +6,13 @@
 
 namespace plantainwall {
 
+namespace {
+
+    /// Precedes relayed changes that the receiver is to send to the other hosts of its data centre.
+    constexpr std::string_view passOnWord = "pass ";
+
+} // namespace
+
 std::vector<RelayCandidate> FleetMember::relayCandidates() const
 {
     std::vector<RelayCandidate> candidates;
@@ -84,6 +91,69 @@
             sources.begin(), sources.begin() + static_cast<ptrdiff_t>(m_incarnation % sources.size()), sources.end());
 }
 
+// Returns the hosts of this host's data centre, itself included.
+std::vector<RelayCandidate> FleetMember::localHosts() const
+{
+    std::vector<RelayCandidate> hosts { { m_gatewaySettings.host, m_gatewaySettings.dataCentre,
+        m_gatewaySettings.capacity } };
+    for (const auto& [host, peer] : m_peers) {
+        if (peer.dataCentre == m_gatewaySettings.dataCentre && !peer.address.empty() && !isUnreachable(peer))
+            hosts.push_back({ host, peer.dataCentre, peer.capacity });
+    }
+    return hosts;
+}
+
+// Returns the hosts that pass on what the data centre receives; none if no host of it does.
+std::set<std::string> FleetMember::distributorsOf(const std::string& dataCentre) const
+{
+    std::vector<RelayCandidate> hosts;
+    if (dataCentre == m_gatewaySettings.dataCentre)
+        hosts.push_back({ m_gatewaySettings.host, dataCentre, m_gatewaySettings.capacity });
+    for (const auto& [host, peer] : m_peers) {
+        if (peer.distributes && peer.dataCentre == dataCentre && !peer.address.empty() && !isUnreachable(peer))
+            hosts.push_back({ host, dataCentre, peer.capacity });
+    }
+    const std::vector<std::string> chosen = relaysOf(dataCentre, hosts, m_settings.distributorsPerDataCentre);
+    return { chosen.begin(), chosen.end() };
+}
+
+void FleetMember::updateDistribution()
+{
+    if (!m_gatewaySettings.localDistribution)
+        return;
+    const std::vector<std::string> reporters
+        = relaysOf(m_gatewaySettings.dataCentre, localHosts(), m_settings.primariesReporters);
+    m_reportsPrimaries = std::find(reporters.begin(), reporters.end(), m_gatewaySettings.host) != reporters.end();
+    const bool distributes = distributorsOf(m_gatewaySettings.dataCentre).count(m_gatewaySettings.host) != 0;
+    m_positionExchange.setPollInterval(distributes && largeFleet() ? m_gatewaySettings.positionDistributionInterval
+                                                                   : m_gatewaySettings.positionInterval);
+}
+
+// Load pattern: 15 hosts of each data centre request the same positions from relays in another one, 2.5 times a second
+// each. Relays of the own data centre come first, then the hosts that request positions for all others of it.
+std::vector<std::pair<std::string, std::string>> FleetMember::positionSources() const
+{
+    std::vector<std::pair<std::string, std::string>> sources = watchingHosts();
+    if (!m_gatewaySettings.localDistribution || sources.empty() || !largeFleet())
+        return sources;
+    const auto isLocal = [this](const std::pair<std::string, std::string>& source) {
+        return m_peers.at(source.first).dataCentre == m_gatewaySettings.dataCentre;
+    };
+    const auto distant = std::stable_partition(sources.begin(), sources.end(), isLocal);
+    const std::set<std::string> distributors = distributorsOf(m_gatewaySettings.dataCentre);
+    if (distributors.count(m_gatewaySettings.host) != 0)
+        return sources;
+    std::vector<std::pair<std::string, std::string>> near;
+    for (const std::string& host : distributors) {
+        const auto isHost = [&host](const auto& source) { return source.first == host; };
+        if (std::none_of(sources.begin(), sources.end(), isHost))
+            near.emplace_back(host, m_peers.at(host).address);
+    }
+    rotate(near);
+    sources.insert(distant, near.begin(), near.end());
+    return sources;
+}
+
 // Load pattern: a configuration of some ten kilobytes for 150 hosts of a region every 0.3 s. Three relays cannot send
 // it to all in time, and most of it would cross data centres. So a few hosts of each data centre request changes from
 // the relays, and the others from those, which answer as soon as they have them.
@@ -92,12 +162,7 @@
     std::vector<std::pair<std::string, std::string>> sources = watchingHosts();
     if (m_source != StoreSource::Relay || !largeFleet())
         return sources;
-    std::vector<RelayCandidate> local { { m_gatewaySettings.host, m_gatewaySettings.dataCentre,
-        m_gatewaySettings.capacity } };
-    for (const auto& [host, peer] : m_peers) {
-        if (peer.dataCentre == m_gatewaySettings.dataCentre && !peer.address.empty() && !isUnreachable(peer))
-            local.push_back({ host, peer.dataCentre, peer.capacity });
-    }
+    const std::vector<RelayCandidate> local = localHosts();
     const size_t count = (local.size() + m_settings.hostsPerDistributor - 1) / m_settings.hostsPerDistributor;
     const std::vector<std::string> distributors = relaysOf(m_gatewaySettings.dataCentre, local, count);
     if (std::find(distributors.begin(), distributors.end(), m_gatewaySettings.host) != distributors.end())
@@ -111,14 +176,58 @@
     return near;
 }
 
+// Load pattern: three relays of a region send every change to some fifteen hosts in each data centre. Two hosts of each
+// data centre get it from them, and pass it on.
 void FleetMember::relay(const StoreEvents& events)
 {
+    std::map<std::string, std::set<std::string>> distributors; // By data centre.
     for (const std::string& datagram : encodeStoreEvents(events)) {
         for (const auto& [host, peer] : m_peers) {
-            if (peer.region == m_gatewaySettings.region && !peer.address.empty() && !isUnreachable(peer))
+            if (peer.region != m_gatewaySettings.region || peer.address.empty() || isUnreachable(peer))
+                continue;
+            if (!m_gatewaySettings.localDistribution || peer.dataCentre == m_gatewaySettings.dataCentre) {
                 m_channel.send(peer.address, datagram);
+                continue;
+            }
+            const auto [it, added] = distributors.try_emplace(peer.dataCentre);
+            if (added)
+                it->second = distributorsOf(peer.dataCentre);
+            if (it->second.empty())
+                m_channel.send(peer.address, datagram);
+            else if (it->second.count(host) != 0)
+                m_channel.send(peer.address, std::string(passOnWord) + datagram);
+        }
+    }
+}
+
+// Applies relayed changes and sends them to the other hosts of the data centre. Returns false if the datagram is no
+// request for that. The copies of several relays are sent once.
+bool FleetMember::passOn(const std::string& datagram)
+{
+    if (datagram.rfind(passOnWord, 0) != 0)
+        return false;
+    const Instant now = m_clock();
+    StoreEvents events = decodeStoreEvents(std::string_view(datagram).substr(passOnWord.size()));
+    // The state is older than the datagram says if this host did not run when it arrived.
+    Duration late = std::chrono::duration_cast<Duration>(now - m_tickedAt);
+    if (now - m_lateTickAt < m_settings.lateDatagramTime)
+        late = std::max(late, m_lateBy);
+    if (late > m_settings.maxTickGap)
+        events.age += late;
+    m_follower.applyRelayed(events);
+    const std::pair<uint64_t, uint64_t> state(events.era, events.to);
+    const Instant asOf = now - events.age;
+    if (state < m_passedOn || (state == m_passedOn && asOf < m_passedOnAsOf + m_settings.relayInterval / 2))
+        return true;
+    m_passedOn = state;
+    m_passedOnAsOf = asOf;
+    for (const std::string& text : encodeStoreEvents(events)) {
+        for (const auto& [host, peer] : m_peers) {
+            if (peer.dataCentre == m_gatewaySettings.dataCentre && !peer.address.empty() && !isUnreachable(peer))
+                m_channel.send(peer.address, text);
         }
     }
+    return true;
 }
 
 // Between regions only the revision is relayed, and changes are sent on request, several at once and compressed: those
--- a/src/fleet_member_reports.cpp
+++ b/src/fleet_member_reports.cpp
@@ -12,16 +12,36 @@
     return m_settings.baseReportInterval * std::max<size_t>(1, (m_peers.size() + 1) / m_settings.fullRateReportHosts);
 }
 
-bool FleetMember::usesCrossRegionPeriod(const Peer& peer) const
+// Returns N if every Nth report is sent to a host.
+unsigned FleetMember::reportPeriod(const Peer& peer) const
 {
-    return largeFleet() && peer.region != m_gatewaySettings.region;
+    if (largeFleet() && peer.region != m_gatewaySettings.region)
+        return m_settings.crossRegionReportPeriod;
+    if (!m_gatewaySettings.localDistribution || !peer.distributes || peer.dataCentre == m_gatewaySettings.dataCentre)
+        return 1;
+    const auto period
+        = static_cast<unsigned>(m_settings.maxReducedSilence / (reportInterval() * m_settings.maxMissedReports));
+    return std::clamp(period, 1U, m_settings.crossRegionReportPeriod);
 }
 
 Duration FleetMember::silenceTimeout(const Peer& peer) const
 {
-    const Duration interval
-        = reportInterval() * (usesCrossRegionPeriod(peer) ? m_settings.crossRegionReportPeriod : 1U);
-    return interval * m_settings.maxMissedReports;
+    return reportInterval() * reportPeriod(peer) * m_settings.maxMissedReports;
+}
+
+// A host that does not reach the store sends every report, so its word that it does not is as recent as that of hosts
+// in the same data centre.
+Duration FleetMember::outageSilence(const Peer& peer) const
+{
+    return peer.region == m_gatewaySettings.region || !largeFleet() ? reportInterval() * m_settings.maxMissedReports
+                                                                    : silenceTimeout(peer);
+}
+
+// After a change every host reports the primaries that it has learned from servers. Only the repetitions, in case
+// reports were lost, are left to a few hosts.
+bool FleetMember::repeatsPrimariesTo(const Peer& peer) const
+{
+    return m_reportsPrimaries || !peer.distributes || peer.dataCentre == m_gatewaySettings.dataCentre;
 }
 
 // A host without any report yet is assumed to be reachable until its reports are overdue.
@@ -74,15 +94,21 @@
     const bool complete = m_primariesRepeatsLeft > 0 || m_reportCount % m_settings.primariesReportPeriod == 0;
     m_reportedPrimaries = std::move(primaries);
     const std::string full = report(ReportKind::Plain, m_reportedPrimaries);
-    const std::string brief = complete ? full : report(ReportKind::Plain, {});
-    // Changed primaries are sent to all regions at once.
-    const bool due = m_primariesRepeatsLeft > 0 || m_reportCount % m_settings.crossRegionReportPeriod == 0;
+    const std::string brief = report(ReportKind::Plain, {});
+    // Changed primaries, and whether this host reaches the store, are sent to all at once.
+    const bool reachable = m_follower.reachable();
+    const bool news = m_primariesRepeatsLeft > 0 || reachable != m_reportedReachable
+        || (m_gatewaySettings.localDistribution && !reachable);
+    m_reportedReachable = reachable;
     for (auto& [host, peer] : m_peers) {
         if (!peer.silent && now - peer.lastSeen > silenceTimeout(peer))
             noteSilent(host, peer, "reports are overdue");
-        if (peer.address.empty() || (usesCrossRegionPeriod(peer) && peer.primariesSent && !due))
+        const bool due = news || m_reportCount % reportPeriod(peer) == 0;
+        if (peer.address.empty() || (peer.primariesSent && !due))
             continue;
-        m_channel.send(peer.address, peer.primariesSent ? brief : full);
+        const bool withPrimaries
+            = m_primariesRepeatsLeft > 0 || ((complete || !peer.primariesSent) && repeatsPrimariesTo(peer));
+        m_channel.send(peer.address, withPrimaries ? full : brief);
         peer.primariesSent = !peer.silent;
     }
     ++m_reportCount;
@@ -207,6 +233,8 @@
                 m_follower.applyRelayed(*changes);
             return;
         }
+        if (passOn(datagram))
+            return;
         if (isStoreEvents(datagram)) {
             m_follower.applyRelayed(decodeStoreEvents(datagram));
             return;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -103,6 +103,7 @@
         else if (region != m_settings.regionOfDataCentre.end() && region->second == m_settings.region)
             distance = Distance::SameRegion;
         server.speed = ServerSpeed(distance);
+        server.distance = distance;
         logEvent(LogEvent::ServerRegistered,
             { { "service", entry.service }, { "server", entry.id }, { "address", entry.address },
                 { "data_centre", entry.dataCentre }, { "primary", entry.primary }, { "draining", entry.draining },
@@ -349,10 +350,17 @@
 {
     const Instant now = m_clock();
     const std::optional<PrimaryPositions::Observation> newest = m_primaryPositions[service].newest();
-    const Duration interval = m_positionsFromPeers ? m_settings.positionFallbackInterval : m_settings.positionInterval;
+    Duration interval = m_positionsFromPeers ? m_settings.positionFallbackInterval : m_settings.positionInterval;
+    if (m_positionsFromPeers && m_settings.localDistribution)
+        interval += m_settings.positionDistributionInterval;
     if (newest && now - newest->requestedAt < interval)
         return;
+    // Load pattern: an answer takes many ticks from another region. Every idle connection would poll meanwhile.
+    Instant& polledAt = m_positionPolledAt[service];
+    if (polledAt != Instant() && now - polledAt < m_settings.positionRetryInterval)
+        return;
     if (idle != nullptr) {
+        polledAt = now;
         BackendCommand command;
         command.kind = BackendCommandKind::Begin;
         send(*idle, CommandRole::Check, command);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -256,6 +256,7 @@
     bool m_sharedConnections = false;
     std::map<std::string, PrimaryPositions> m_primaryPositions; ///< By service.
     std::map<std::string, Instant> m_positionNeededAt; ///< By service; last need of a primary position.
+    std::map<std::string, Instant> m_positionPolledAt; ///< By service; when its position was last polled.
     bool m_positionsFromPeers = false;
     std::map<std::string, GatewayServer> m_servers;
     std::map<std::string, WorkQueue> m_queues; ///< By service.
--- a/src/gateway_connection.h
+++ b/src/gateway_connection.h
@@ -74,6 +74,7 @@
     std::string id;
     std::string service;
     ServerSpeed speed;
+    Distance distance = Distance::OtherRegion;
     unsigned slots = 1;
     std::list<std::unique_ptr<GatewayConnection>> connections;
     std::optional<Instant> drainingSince;
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -1,4 +1,5 @@
 #include "gateway.h"
+#include "locality.h"
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -154,6 +155,7 @@
     ServerCandidate candidate;
     candidate.expected = server.speed.expected(now);
     candidate.slots = server.slots;
+    candidate.distance = server.distance;
     if (now < server.busyUntil)
         return candidate;
     unsigned connecting = 0;
@@ -234,12 +236,14 @@
     serverCandidates.reserve(servers.size());
     for (GatewayServer* const server : servers)
         serverCandidates.push_back(candidateOf(*server, job));
+    const Duration left = std::chrono::duration_cast<Duration>(job.timeoutAt - m_clock());
+    if (m_settings.preferNear)
+        preferNearServers(serverCandidates, std::min(left, job.route.targetLatency), m_settings.locality);
     std::uniform_real_distribution<double> randomFraction(0, 1);
     const std::optional<size_t> choice = chooseServer(serverCandidates, randomFraction(m_random));
     if (!choice)
         return false;
     // Only the best server is considered: trying a second one would cost the servers another connection.
-    const Duration left = std::chrono::duration_cast<Duration>(job.timeoutAt - m_clock());
     job.overloaded = !job.inTransaction
         && randomFraction(m_random)
             >= admissionProbability(serverCandidates[*choice].expected, left, m_settings.overloadFraction);
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection_allowance.h"
+#include "locality.h"
 #include "primary_lease.h"
 #include <map>
 
@@ -31,10 +32,16 @@
     /// From this number of hosts on, a few hosts watch the store for the others, since each pending watch is a call,
     /// and hosts lend each other connections to servers. With fewer, each host has its own watch and connections.
     size_t largeFleet = 25;
+    /// Reads prefer servers of the own data centre, then of the own region, while those answer soon.
+    bool preferNear = false;
+    /// Hosts of a data centre pass on to each other what one of them has received from another data centre, and report
+    /// to other data centres less often; see docs/design/placement.md.
+    bool localDistribution = false;
 
     // Constants of the design; not read from the settings file.
     ConnectionAllowanceSettings connections;
     PrimaryLeaseSettings primaryLease;
+    LocalitySettings locality;
     double waitFraction = 0.25; ///< A statement waits for at most this fraction of its latency objective.
     /// The same during a change of primary and in the startup period of a process, both of which are short.
     double longWaitFraction = 0.5;
@@ -50,9 +57,14 @@
     Duration silenceTimeout = std::chrono::milliseconds(3500);
     Duration connectTimeout = std::chrono::milliseconds(700); ///< Three round trips between regions and a busy slot.
     Duration positionInterval = std::chrono::milliseconds(400); ///< Interval at which a primary's position is polled.
+    /// Time after which a poll without an answer is repeated on another connection: three round trips between regions.
+    Duration positionRetryInterval = std::chrono::milliseconds(200);
     /// Age at which a host polls a position itself although other hosts send theirs: their interval, its own, a round
     /// trip between regions and a margin.
     Duration positionFallbackInterval = std::chrono::milliseconds(1100);
+    /// Interval at which a host that passes positions on within its data centre requests them. Hosts that it answers
+    /// accept positions that are older by as much.
+    Duration positionDistributionInterval = std::chrono::milliseconds(200);
     Duration positionRefreshPeriod = std::chrono::seconds(5); ///< Positions are polled for this long after a read.
     /// Time for which a host that shuts down still accepts connections: two readiness probes a second apart, and a
     /// margin.
--- a/src/gateway_settings_file.cpp
+++ b/src/gateway_settings_file.cpp
@@ -44,6 +44,8 @@
         { "drain_limit", &GatewaySettings::drainLimit, ValueKind::Text, false, secondUs / 10, 600 * secondUs },
         { "shutdown_grace", &GatewaySettings::shutdownGrace, ValueKind::Text, false, secondUs / 10, 600 * secondUs },
         { "large_fleet", &GatewaySettings::largeFleet, ValueKind::Text, false, 2, 1 << 20 },
+        { "prefer_near_servers", &GatewaySettings::preferNear },
+        { "local_distribution", &GatewaySettings::localDistribution },
         { "capacity", &GatewaySettings::capacity },
         { "max_descriptors", &GatewaySettings::maxDescriptors, ValueKind::Text, false, 64, 1 << 24 },
     };
--- a/src/position_exchange.cpp
+++ b/src/position_exchange.cpp
@@ -57,6 +57,8 @@
     request["s"] = value::array(names);
     m_requestPending = true;
     m_requestHost = source->first;
+    m_requestHasAlternative = std::any_of(std::next(source), candidates.end(),
+        [&](const auto& candidate) { return !m_avoided.contains(candidate.first, now); });
     m_requestedAt = now;
     m_channel.send(source->second, std::string(requestWord) + request.serialize());
 }
@@ -90,12 +92,16 @@
     if (!m_requestPending || unsignedFrom(answer.at("n")) != m_number)
         return true;
     m_requestPending = false;
+    bool useful = false;
     for (const auto& [service, known] : answer.at("e").as_object()) {
         // A position of the future would cover commits that it does not know.
         const Duration age(static_cast<int64_t>(unsignedFrom(known.at(2), maxAge.count())));
         const LogPosition position { unsignedFrom(known.at(0), maxLogNumber), unsignedFrom(known.at(1), maxLogNumber) };
+        useful = useful || age < m_settings.maxAnswerAge;
         m_holder.positionReceived(service, { position, m_requestedAt - age });
     }
+    if (!useful && m_requestHasAlternative)
+        m_avoided.avoid(m_requestHost, m_clock() + m_settings.avoidanceTime);
     return true;
 }
 
--- a/src/position_exchange.h
+++ b/src/position_exchange.h
@@ -30,6 +30,9 @@
         Duration pollInterval = std::chrono::milliseconds(400);
         Duration answerTimeout = std::chrono::milliseconds(300); ///< Ten round trips between data centres.
         Duration avoidanceTime = std::chrono::seconds(3); ///< A host that did not answer gets no request for this long.
+        /// A host whose positions are all older is cut off from its own source; it counts as one that did not answer
+        /// unless it is the last one that may be asked. Two intervals of requests and two answers between regions.
+        Duration maxAnswerAge = std::chrono::milliseconds(1100);
     };
     using Clock = std::function<Instant()>;
     /// Returns the hosts that may be asked (name and address), in order of preference.
@@ -38,6 +41,8 @@
     /// @param firstRequest Number of the first request; see firstPeerRequest().
     PositionExchange(std::string host, PeerChannel&, Clock, PositionHolder&, uint64_t firstRequest);
 
+    void setPollInterval(Duration interval) { m_settings.pollInterval = interval; }
+
     /// Sends a request when one is due. Must be called every few milliseconds. sources is called only when a request is
     /// due: ranking a large fleet in every call would cost more than the requests.
     void tick(const Sources& sources);
@@ -55,6 +60,7 @@
     uint64_t m_number; ///< Of the last request.
     bool m_requestPending = false; ///< The last request is unanswered.
     std::string m_requestHost; ///< Host to which it was sent.
+    bool m_requestHasAlternative = false; ///< Another host could have been asked.
     Instant m_requestedAt;
     AvoidedHosts m_avoided;
 };
--- a/src/server_choice.cpp
+++ b/src/server_choice.cpp
@@ -89,6 +89,7 @@
         if (!candidate.connected)
             cost += candidate.evictsOther ? connectCostMs + evictCostMs : connectCostMs;
         cost *= 1 + choiceSpread * std::fmod(randomFraction + 0.618 * static_cast<double>(i), 1.0);
+        cost += static_cast<double>(candidate.detour.count()) / 1000;
         if (!best || cost < bestCost) {
             best = i;
             bestCost = cost;
--- a/src/server_choice.h
+++ b/src/server_choice.h
@@ -48,6 +48,8 @@
     bool connected = false; ///< An idle connection of the customer exists; otherwise one must be opened.
     bool evictsOther = false; ///< Opening a connection closes one of another customer.
     bool usable = false; ///< A connection is available or may be opened.
+    Distance distance = Distance::SameDataCentre;
+    Duration detour { 0 }; ///< Response time that a nearer server may take longer; see preferNearServers().
 };
 
 /// Returns the probability with which a statement should be sent to a server.
--- a/tests/support_fleet.cpp
+++ b/tests/support_fleet.cpp
@@ -399,12 +399,22 @@
 }
 
 FakeFleet::FakeFleet(size_t n, size_t regions, bool promotes, bool fenced)
+    : FakeFleet([&] {
+        std::vector<GatewaySettings> settings;
+        for (size_t i = 0; i < n; ++i)
+            settings.push_back(Host::hostSettings(i, regions, promotes, fenced));
+        return settings;
+    }())
+{
+}
+
+FakeFleet::FakeFleet(const std::vector<GatewaySettings>& settings)
 {
     store.put("config", "1");
     for (const char* id : { "p", "r1", "r2" })
         store.put(std::string("s/") + id, id[0] == 'p' ? "primary" : "replica");
-    for (size_t i = 0; i < n; ++i) {
-        hosts.push_back(std::make_unique<Host>(*this, i, Host::hostSettings(i, regions, promotes, fenced)));
+    for (size_t i = 0; i < settings.size(); ++i) {
+        hosts.push_back(std::make_unique<Host>(*this, i, settings[i]));
         hosts.back()->member.start();
     }
 }
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -224,6 +224,9 @@
     /// no server is reachable. fenced: see GatewaySettings::fencedPrimaries.
     explicit FakeFleet(size_t hosts, size_t regions = 1, bool promotes = true, bool fenced = true);
 
+    /// Makes a fleet of the hosts with the given settings. Each name and address is the index of the host.
+    explicit FakeFleet(const std::vector<GatewaySettings>&);
+
     void pass(Duration);
 
     /// Ends a host's process and starts another one with the given incarnation at once.
--- a/tests/unit_gateway.cpp
+++ b/tests/unit_gateway.cpp
@@ -523,6 +523,36 @@
     BOOST_TEST((caller.answers[0].code == ResultCode::BackendFailure));
 }
 
+// Load pattern: the primary is in another region, so the answer to a poll of its position takes many ticks. The other
+// idle connections do not poll meanwhile, unless the answer is overdue.
+BOOST_FIXTURE_TEST_CASE(one_connection_polls_the_position, GatewayFixture)
+{
+    FakeCaller writers[3];
+    for (FakeCaller& writer : writers)
+        execute(open(writer, "primary"), StatementKind::Write, "WRITE a b", "w");
+    connector.acceptAll();
+    connector.answerOwnCommands({ 1, 7 });
+    while (connector.statementLink() < connector.links.size())
+        connector.reply(connector.statementLink(), okReply("", { 1, 7 }));
+    FakeCaller reader;
+    execute(open(reader, "bounded"), StatementKind::Read, "READ a", "r");
+    connector.acceptAll();
+    BOOST_REQUIRE(connector.statementLink() < connector.links.size());
+    connector.reply(connector.statementLink(), okReply("x", { 1, 7 }));
+    const auto polls = [this] {
+        return std::count_if(connector.links.begin(), connector.links.end(), [](const FakeConnector::Opened& link) {
+            return !link.commands.empty() && link.commands.front().kind == BackendCommandKind::Begin;
+        });
+    };
+    for (int i = 0; i < 30 && polls() == 0; ++i)
+        pass(std::chrono::milliseconds(20));
+    BOOST_REQUIRE(polls() == 1);
+    pass(std::chrono::milliseconds(160));
+    BOOST_TEST(polls() == 1);
+    pass(std::chrono::milliseconds(60));
+    BOOST_TEST(polls() == 2);
+}
+
 // When an unresponsive connection is closed, a queued statement may take the idle connection on which the primary's
 // position was to be polled. The poll must then wait. (This caused a segmentation fault in a large fleet.)
 BOOST_FIXTURE_TEST_CASE(connection_taken_meanwhile_is_not_asked, GatewayFixture)
--- a/tests/unit_gateway_settings.cpp
+++ b/tests/unit_gateway_settings.cpp
@@ -32,6 +32,8 @@
 shutdown_grace = "6s"
 max_descriptors = 4300
 large_fleet = 30
+prefer_near_servers = true
+local_distribution = true
 [regions]
 "mill" = "huon"
 )";
@@ -48,6 +50,10 @@
     BOOST_TEST((result.settings.drainLimit == std::chrono::seconds(7)));
     BOOST_TEST(result.settings.maxDescriptors == 4300U);
     BOOST_TEST(result.settings.largeFleet == 30U);
+    BOOST_TEST(result.settings.preferNear);
+    BOOST_TEST(result.settings.localDistribution);
+    BOOST_TEST(!GatewaySettings().preferNear);
+    BOOST_TEST(!GatewaySettings().localDistribution);
     BOOST_TEST(result.settings.regionOfDataCentre.at("mill") == "huon");
 }
 
--- a/tests/unit_position_exchange.cpp
+++ b/tests/unit_position_exchange.cpp
@@ -146,3 +146,23 @@
     }
     BOOST_TEST(requester.received.empty());
 }
+
+// A host that answers, but has lost its own source, is left for another one; the last one is kept.
+BOOST_FIXTURE_TEST_CASE(host_with_old_positions_is_left_for_another, Pair)
+{
+    requester.servicesToRequest = { "orders" };
+    source.known = PrimaryPositions::Observation { { 3, 10 }, now - seconds(2) };
+    a.tick(sources);
+    b.datagram(take(fromRequester, "2"), addressOf);
+    a.datagram(take(fromSource, "1"), addressOf);
+    BOOST_TEST(requester.received.size() == 1U);
+    for (int i = 0; i < 2; ++i) {
+        now += milliseconds(400);
+        a.tick(sources);
+        b.datagram(take(fromRequester, "3"), addressOf);
+        a.datagram(take(fromSource, "1"), addressOf);
+    }
+    now += seconds(3);
+    a.tick(sources);
+    take(fromRequester, "2");
+}
