--- a/src/gateway_connection.h
+++ b/src/gateway_connection.h
@@ -79,6 +79,7 @@
     std::string dataCentre;
     std::string region; ///< Empty if the settings do not name that of its data centre.
     ServerSpeed speed;
+    Distance distance = Distance::OtherRegion;
     unsigned slots = 1;
     std::list<std::unique_ptr<GatewayConnection>> connections;
     std::optional<Instant> drainingSince;
--- a/src/gateway_settings_file.cpp
+++ b/src/gateway_settings_file.cpp
@@ -45,6 +45,8 @@
         { "shutdown_grace", &GatewaySettings::shutdownGrace, ValueKind::Text, false, secondUs / 10, 600 * secondUs },
         { "large_fleet", &GatewaySettings::largeFleet, ValueKind::Text, false, 2, 1 << 20 },
         { "even_load", &GatewaySettings::evenLoad },
+        { "prefer_near_servers", &GatewaySettings::preferNear },
+        { "local_distribution", &GatewaySettings::localDistribution },
         { "capacity", &GatewaySettings::capacity },
         { "urgency", &GatewaySettings::urgency },
         { "max_descriptors", &GatewaySettings::maxDescriptors, ValueKind::Text, false, 64, 1 << 24 },
--- a/src/server_choice.cpp
+++ b/src/server_choice.cpp
@@ -57,6 +57,8 @@
         return cost;
     }
 
+    double detourMs(const ServerCandidate& candidate) { return static_cast<double>(candidate.detour.count()) / 1000; }
+
     /// Returns the statements for each slot that are under way or wait.
     double relativeLoad(const ServerCandidate& candidate)
     {
@@ -116,6 +118,7 @@
             continue;
         double cost = completionMs(candidate);
         cost *= 1 + choiceSpread * std::fmod(randomFraction + 0.618 * static_cast<double>(i), 1.0);
+        cost += detourMs(candidate);
         if (!best || cost < bestCost) {
             best = i;
             bestCost = cost;
@@ -148,6 +151,7 @@
             const double ratio = std::clamp(relativeLoad(candidate) / meanLoad, 1 / maxLoadRatio, maxLoadRatio);
             cost *= std::pow(ratio, loadExponent);
         }
+        cost += detourMs(candidate);
         weights[i] = std::max(1U, candidate.slots) * std::pow(cost, -evenChoiceExponent);
         sum += weights[i];
     }
--- a/src/server_choice.h
+++ b/src/server_choice.h
@@ -53,6 +53,8 @@
     bool evictsOther = false; ///< Opening a connection closes one of another customer.
     bool usable = false; ///< A connection is available or may be opened.
     std::optional<ServerLoads::Estimate> load; ///< Load from all hosts, if it is known.
+    Distance distance = Distance::SameDataCentre;
+    Duration detour { 0 }; ///< Response time that a nearer server may take longer; see preferNearServers().
 };
 
 /// Returns the probability with which a statement should be sent to a server.
--- a/tests/unit_gateway_settings.cpp
+++ b/tests/unit_gateway_settings.cpp
@@ -34,6 +34,8 @@
 large_fleet = 30
 even_load = true
 urgency = true
+prefer_near_servers = true
+local_distribution = true
 [regions]
 "mill" = "huon"
 )";
@@ -52,6 +54,10 @@
     BOOST_TEST(result.settings.largeFleet == 30U);
     BOOST_TEST(result.settings.evenLoad);
     BOOST_TEST(result.settings.urgency);
+    BOOST_TEST(result.settings.preferNear);
+    BOOST_TEST(result.settings.localDistribution);
+    BOOST_TEST(!GatewaySettings().preferNear);
+    BOOST_TEST(!GatewaySettings().localDistribution);
     BOOST_TEST(result.settings.regionOfDataCentre.at("mill") == "huon");
 }
 
