--- a/tests/support_gateway_fleet.cpp
+++ b/tests/support_gateway_fleet.cpp
@@ -38,6 +38,8 @@
     for (size_t i = 0; i < settings.hosts; ++i) {
         options.push_back({ "host" + std::to_string(i), reserveport(), reserveport(), reserveport(), m_storePort });
         options.back().largeFleet = settings.largeFleet;
+        options.back().memory = settings.memory;
+        options.back().maxDescriptors = settings.maxDescriptors;
         m_settingsFiles.push_back(
             "/tmp/plantainwall-" + settings.name + "-" + std::to_string(getpid()) + "-" + std::to_string(i) + ".toml");
         writeGatewaySettings(m_settingsFiles.back(), options.back());
--- a/tests/support_gateway_fleet.h
+++ b/tests/support_gateway_fleet.h
@@ -17,6 +17,8 @@
         size_t hosts = 3;
         unsigned clients = 18;
         unsigned largeFleet = 25; ///< Hosts from which on connections are lent.
+        std::string memory {}; ///< Of each host: size with unit; empty: the setting's default.
+        unsigned maxDescriptors = 0; ///< Of each host; 0: the setting's default.
     };
 
     explicit GatewayFleet(const Settings&);
--- a/tests/support_line_fleet.cpp
+++ b/tests/support_line_fleet.cpp
@@ -17,7 +17,11 @@
                         << loopback(place.peers) << "\"\nstore = \"" << loopback(place.store) << "\"\npromotions = \""
                         << loopback(place.store) << "\"\nshutdown_grace = \"" << place.shutdownGrace.count()
                         << "ms\"\nlarge_fleet = " << place.largeFleet << "\npeer_advertise = \""
-                        << (place.peersAdvertised == 0 ? std::string() : loopback(place.peersAdvertised)) << "\"\n";
+                        << (place.peersAdvertised == 0 ? std::string() : loopback(place.peersAdvertised)) << "\"\n"
+                        << (place.memory.empty() ? std::string() : "memory = \"" + place.memory + "\"\n")
+                        << (place.maxDescriptors == 0
+                                   ? std::string()
+                                   : "max_descriptors = " + std::to_string(place.maxDescriptors) + "\n");
     std::filesystem::rename(next, path);
 }
 
--- a/tests/support_line_fleet.h
+++ b/tests/support_line_fleet.h
@@ -18,6 +18,8 @@
     std::chrono::milliseconds shutdownGrace { 6000 };
     unsigned largeFleet = 25; ///< Hosts from which on connections are lent.
     uint16_t peersAdvertised = 0; ///< 0: as peers.
+    std::string memory {}; ///< Size with unit; empty: the setting's default.
+    unsigned maxDescriptors = 0; ///< 0: the setting's default.
 };
 
 /// Writes the settings file of a gateway process.
--- a/tests/support_line_group.cpp
+++ b/tests/support_line_group.cpp
@@ -328,10 +328,12 @@
         const bool lost = m_open && m_writable && (!leads() || m_term != m_group.m_term);
         if (lost || (writes && !leads()))
             error("READONLY");
-        else if (verb == "READ")
+        else if (verb == "READ") {
             // The row tells the log that the read ran on.
-            complete(std::to_string(server().applied), sign(id));
-        else if (verb == "WRITE" && m_open) {
+            std::string row = std::to_string(server().applied);
+            row.resize(std::max(row.size(), m_group.m_rowBytes), ' ');
+            complete(row, sign(id));
+        } else if (verb == "WRITE" && m_open) {
             m_writes.emplace_back(rest, id);
             complete({}, sign(id));
         } else if (writes) {
--- a/tests/support_line_group.h
+++ b/tests/support_line_group.h
@@ -126,6 +126,9 @@
     /// Makes replicas apply this much later.
     void setApplyDelay(std::chrono::milliseconds delay) { m_settings.apply = delay; }
 
+    /// Makes the rows of reads this long, in bytes; 0: as long as their content.
+    void setRowBytes(size_t bytes) { m_rowBytes = bytes; }
+
     /// Makes a replica receive this much later.
     void setReceiveDelay(size_t index, std::chrono::milliseconds delay) { m_servers[index].receiveDelay = delay; }
 
@@ -193,6 +196,7 @@
     uint64_t m_signatures = 0;
     RepeatRule m_repeats;
     BusyRule m_busyRule;
+    size_t m_rowBytes = 0;
     uint64_t m_repeated = 0;
     std::list<Pending> m_pending;
     std::set<size_t> m_replicating;
