Bound the memory and descriptors that a gateway holds for callers

Change: MemoryBudget decides without I/O what may be read, run and kept, and which connections end, by customer and then by session; half of the new setting gateway.memory (default: the machine's memory) is for callers and other hosts. Connections report what they hold; reading pauses at the share under pressure, statements without room are refused as not run, large connections that stay large end after 5 s, and at once when the budget is full, those with a statement under way last; accepting waits meanwhile. A session receives 64 KiB ahead, starts no statement beyond 64 KiB of unsent answers, and has a limit of values and names. Connections to servers are reset beyond 256 KiB of prepared names and count what they receive. Receive buffers of callers are fixed. The oldest unused connections make room for further ones, at the callers' port, for other hosts (300 streams) and at the status port (32). Events 67 and 68 and two metrics tell by cause and customer.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -44,7 +44,11 @@
     void closeSession(uint64_t session);
 
     /// Answers a message that is not a valid statement with an error.
-    void refuseMessage(uint64_t session, const Statement&, ResultCode, const std::string& detail);
+    void refuseMessage(
+        uint64_t session, const Statement&, ResultCode, const std::string& detail, Duration retryAfter = Duration(0));
+
+    /// Returns the customer to whom a session's key belongs; empty if there is none.
+    std::string_view customerOfSession(uint64_t session) const;
 
     // Configuration and fleet.
 
@@ -111,6 +115,7 @@
         std::string key;
         std::map<std::string, std::string> values;
         std::unordered_map<std::string, PreparedShape> prepared;
+        size_t stateBytes = 0; ///< What values and prepared hold.
         TransactionState state = TransactionState::Idle;
         LogPosition ownPosition; ///< Position of the session's last commit.
         uint64_t job = 0; ///< Statement that is queued or running; 0: none.
@@ -162,6 +167,8 @@
     void answer(Session&, const Statement&, StatementAnswer);
     void refuse(Session&, const Statement&, ResultCode, const std::string& detail, Duration retryAfter = Duration(0));
     bool executeLocally(Session&, const Statement&);
+    /// Counts the change of a value or prepared name. Returns false and refuses the statement if it exceeds a limit.
+    bool resizeState(Session&, const Statement&, size_t removed, size_t added);
     void quotaAnswered(uint64_t session, uint64_t quotaRequest, Statement, QuotaBuckets::Verdict);
     void startStatement(Session&, Statement);
     void beginTransaction(Session&, const Statement&);
--- a/src/gateway_backend.cpp
+++ b/src/gateway_backend.cpp
@@ -33,6 +33,12 @@
     /// Repeats of a failed read before the caller receives the error.
     constexpr unsigned maxFailedRuns = 2;
 
+    /// Memory of a prepared name beside its text, in bytes.
+    constexpr size_t stateEntryBytes = 64;
+
+    /// A connection is reset before its next use when its prepared names are longer than this in sum, in bytes.
+    constexpr size_t maxPreparedBytes = 256 * 1024;
+
     /// Returns the name under which a shape is prepared on connections, so that sessions share prepared statements.
     std::string sharedName(const PreparedShape& shape) { return (shape.writes ? "w_" : "r_") + shape.shape; }
 
@@ -82,12 +88,14 @@
 
 void Gateway::sendSetup(GatewayConnection& connection, const Session& session, const Job& job)
 {
-    if (!connection.valuesKnown || !contains(session.values, connection.values)) {
+    const bool crowded = connection.preparedBytes > maxPreparedBytes && connection.session == 0;
+    if (!connection.valuesKnown || crowded || !contains(session.values, connection.values)) {
         BackendCommand reset;
         reset.kind = BackendCommandKind::Reset;
         send(connection, CommandRole::Setup, reset);
         connection.values.clear();
         connection.prepared.clear();
+        connection.preparedBytes = 0;
         connection.valuesKnown = true;
     }
     for (const auto& [name, value] : session.values) {
@@ -108,6 +116,7 @@
     const auto it = session.prepared.find(job.statement.name);
     if (it == session.prepared.end() || !connection.prepared.insert(sharedName(it->second)).second)
         return;
+    connection.preparedBytes += it->second.shape.size() + stateEntryBytes;
     BackendCommand prepare;
     prepare.kind = BackendCommandKind::Prepare;
     prepare.name = sharedName(it->second);
--- a/src/gateway_ports.h
+++ b/src/gateway_ports.h
@@ -130,6 +130,9 @@
     virtual void answer(const Statement&, const StatementAnswer&) = 0;
     /// Closes the connection once all answers have been sent.
     virtual void close() = 0;
+    /// Counts what the session's values and prepared names hold. Returns the reason if they may not hold this many
+    /// bytes; the former number then stays.
+    virtual ResultCode keepState(size_t /*bytes*/) { return ResultCode::Ok; }
 };
 
 /// An item of the metadata store.
--- a/src/gateway_session.cpp
+++ b/src/gateway_session.cpp
@@ -11,6 +11,9 @@
     /// Minimum retry advice for a caller over its quota: about one tick of its bucket.
     constexpr Duration quotaRetryAfter = std::chrono::milliseconds(500);
 
+    /// Memory of a session value or a prepared name beside its texts, in bytes.
+    constexpr size_t stateEntryBytes = 160;
+
 } // namespace
 
 ResultCode Gateway::openSession(CallerSink& sink, const std::string& database, const std::string& key, uint64_t& number)
@@ -105,13 +108,21 @@
     answer(session, statement, std::move(result));
 }
 
-void Gateway::refuseMessage(uint64_t number, const Statement& statement, ResultCode code, const std::string& detail)
+std::string_view Gateway::customerOfSession(uint64_t number) const
+{
+    const Session* const session = findSession(number);
+    const std::string* const customer = session != nullptr ? customerOf(*session) : nullptr;
+    return customer != nullptr ? std::string_view(*customer) : std::string_view();
+}
+
+void Gateway::refuseMessage(
+    uint64_t number, const Statement& statement, ResultCode code, const std::string& detail, Duration retryAfter)
 {
     Session* const session = findSession(number);
     if (session != nullptr)
         session->statementExpected = false;
     if (session != nullptr && session->job == 0 && session->quotaRequest == 0)
-        refuse(*session, statement, code, detail);
+        refuse(*session, statement, code, detail, retryAfter);
 }
 
 bool Gateway::statementWrites(const Session& session, const Statement& statement) const
@@ -122,20 +133,50 @@
     return it != session.prepared.end() && it->second.writes;
 }
 
+bool Gateway::resizeState(Session& session, const Statement& statement, size_t removed, size_t added)
+{
+    const size_t bytes = session.stateBytes - removed + added;
+    const ResultCode code = session.sink != nullptr ? session.sink->keepState(bytes) : ResultCode::Ok;
+    if (code == ResultCode::Ok) {
+        session.stateBytes = bytes;
+        return true;
+    }
+    const bool ofSession = code == ResultCode::RequestTooLarge;
+    refuse(session, statement, code,
+        ofSession ? "the session's values and prepared names are too large" : "no memory for session values now",
+        ofSession ? Duration(0) : defaultRetryAfter);
+    return false;
+}
+
 bool Gateway::executeLocally(Session& session, const Statement& statement)
 {
+    const size_t entryBytes = stateEntryBytes + statement.name.size() + statement.argument.size();
+    const auto prepared = session.prepared.find(statement.name);
+    const size_t preparedBytes = prepared == session.prepared.end()
+        ? 0
+        : stateEntryBytes + statement.name.size() + prepared->second.shape.size();
     switch (statement.kind) {
-    case StatementKind::SetValue:
+    case StatementKind::SetValue: {
+        const auto it = session.values.find(statement.name);
+        const size_t valueBytes
+            = it == session.values.end() ? 0 : stateEntryBytes + statement.name.size() + it->second.size();
+        if (!resizeState(session, statement, valueBytes, entryBytes))
+            return true;
         session.values[statement.name] = statement.argument;
         break;
+    }
     case StatementKind::Prepare:
+        if (!resizeState(session, statement, preparedBytes, entryBytes))
+            return true;
         session.prepared[statement.name] = { statement.argument, statement.writes };
         break;
     case StatementKind::Deallocate:
-        if (session.prepared.erase(statement.name) == 0) {
+        if (prepared == session.prepared.end()) {
             refuse(session, statement, ResultCode::StatementUnknown, "no such prepared statement");
             return true;
         }
+        session.prepared.erase(prepared);
+        resizeState(session, statement, preparedBytes, 0);
         break;
     default:
         return false;
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -27,6 +27,7 @@
     Duration drainLimit = std::chrono::seconds(7); ///< A draining server receives no new statements after this time.
     Duration shutdownGrace = std::chrono::seconds(6); ///< From SIGTERM to SIGKILL.
     size_t maxDescriptors = 4096; ///< File descriptors of the process.
+    size_t memoryBytes = 0; ///< Memory of the machine; 0: as the system reports it.
     double capacity = 1; ///< Processor capacity of this host, in cores; strong hosts work for others.
     /// From this number of hosts on, a few hosts watch the store for the others, since each pending watch is a call,
     /// and hosts lend each other connections to servers. With fewer, each host has its own watch and connections.
--- a/src/gateway_settings_file.cpp
+++ b/src/gateway_settings_file.cpp
@@ -10,7 +10,7 @@
 namespace {
 
     /// How a text is checked.
-    enum class ValueKind : uint8_t { Text, Endpoint, OptionalEndpoint, Level, Count };
+    enum class ValueKind : uint8_t { Text, Endpoint, OptionalEndpoint, Level, Bytes, Count };
 
     using Target = std::variant<std::string GatewaySettings::*, Duration GatewaySettings::*, size_t GatewaySettings::*,
         bool GatewaySettings::*, double GatewaySettings::*>;
@@ -26,6 +26,8 @@
 
     constexpr int64_t secondUs = 1000000;
     constexpr double minCapacity = 0.001;
+    constexpr int64_t minMemory = 32LL << 20; ///< In bytes, as maxMemory.
+    constexpr int64_t maxMemory = 1LL << 50;
 
     const Key keys[] = {
         { "host", &GatewaySettings::host, ValueKind::Text, true },
@@ -46,6 +48,7 @@
         { "large_fleet", &GatewaySettings::largeFleet, ValueKind::Text, false, 2, 1 << 20 },
         { "capacity", &GatewaySettings::capacity },
         { "max_descriptors", &GatewaySettings::maxDescriptors, ValueKind::Text, false, 64, 1 << 24 },
+        { "memory", &GatewaySettings::memoryBytes, ValueKind::Bytes, false, minMemory, maxMemory },
     };
 
     /// Checks the value of a key and stores it in the settings. Returns an error text, empty on success.
@@ -86,12 +89,28 @@
 
         std::string operator()(size_t GatewaySettings::*target) const
         {
+            if (key.kind == ValueKind::Bytes)
+                return readBytes(target);
             if (!node.is_integer() || node.as_integer()->get() < key.min || node.as_integer()->get() > key.max)
                 return "must be a whole number from " + std::to_string(key.min) + " to " + std::to_string(key.max);
             settings.*target = static_cast<size_t>(node.as_integer()->get());
             return {};
         }
 
+        std::string readBytes(size_t GatewaySettings::*target) const
+        {
+            size_t value = 0;
+            if (node.is_integer())
+                value = static_cast<size_t>(std::max<int64_t>(0, node.as_integer()->get()));
+            else if (!node.is_string() || !parseBytes(node.as_string()->get(), value))
+                return "must be a number of bytes or a string with a unit (B, KiB, MiB, GiB)";
+            if (value < static_cast<size_t>(key.min) || value > static_cast<size_t>(key.max))
+                return "must be from " + bytesText(static_cast<size_t>(key.min)) + " to "
+                    + bytesText(static_cast<size_t>(key.max));
+            settings.*target = value;
+            return {};
+        }
+
         std::string operator()(double GatewaySettings::*target) const
         {
             const double value = node.is_number() ? node.value_or(0.0) : 0.0;
--- a/src/line_socket.cpp
+++ b/src/line_socket.cpp
@@ -1,5 +1,6 @@
 #include "line_socket.h"
 #include "log_event.h"
+#include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
 #include <netinet/tcp.h>
@@ -17,9 +18,27 @@
     constexpr int keepAliveIntervalSeconds = 1;
     constexpr int keepAliveProbes = 2;
 
+    /// Unsent output, in bytes, beyond which no further line is handled on connections that a budget limits.
+    constexpr size_t maxUnsentBytes = 64 * 1024;
+
+    /// Input that is buffered on such connections while a line is handled.
+    constexpr size_t maxInputAhead = 64 * 1024;
+
+    /// Receive buffer of such connections. The kernel may use twice as much.
+    constexpr int receiveBufferBytes = 64 * 1024;
+
+    /// The same for one from which reading is paused.
+    constexpr int pausedReceiveBufferBytes = 4 * 1024;
+
+    /// Interval at which the budget is consulted again.
+    constexpr std::chrono::milliseconds readRetryInterval(20);
+
     /// Shared by all connections of the event loop: input is copied out of it before the next read.
     std::array<char, 64 * 1024> readBuffer;
 
+    /// Empties a buffer and frees its memory.
+    void release(std::string& buf) { std::string().swap(buf); }
+
     void setOption(int descriptor, int level, int name, int value)
     {
         // Failure is ignored: without the option a dead peer is only detected later.
@@ -48,6 +67,15 @@
     m_open = true;
 }
 
+void LineSocket::setMemory(std::unique_ptr<MemoryAccount> account)
+{
+    m_memory = std::move(account);
+    m_memory->set(MemoryUse::Connection, sizeof(LineSocket));
+    m_limitsSender = !m_memory->ofServer();
+    if (m_limitsSender)
+        setOption(m_socket.native_handle(), SOL_SOCKET, SO_RCVBUF, receiveBufferBytes);
+}
+
 void LineSocket::start(Handlers handlers)
 {
     m_handlers = std::move(handlers);
@@ -76,11 +104,43 @@
     });
 }
 
+bool LineSocket::blocked() const { return m_paused || (m_limitsSender && m_out.size() > maxUnsentBytes); }
+
+bool LineSocket::stalled() const { return blocked() && m_in.size() > (m_limitsSender ? maxInputAhead : m_maxLine); }
+
+void LineSocket::countMemory()
+{
+    if (m_memory == nullptr)
+        return;
+    m_memory->set(MemoryUse::Input, m_in.capacity());
+    m_memory->set(MemoryUse::Output, m_out.capacity());
+    m_memory->set(MemoryUse::Unread, m_limitsSender && (m_readTimer != nullptr || stalled()) ? receiveBufferBytes : 0);
+}
+
 void LineSocket::awaitInput()
 {
-    if (!m_open || m_ended)
+    if (!m_open || m_ended || m_reading)
         return;
+    m_reading = true;
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code& ec) {
+        self->m_reading = false;
+        if (!ec && self->m_open)
+            self->readAvailable();
+    });
+}
+
+void LineSocket::pauseReading()
+{
+    m_reading = true;
+    if (m_readTimer == nullptr) {
+        m_readTimer = std::make_unique<boost::asio::steady_timer>(m_socket.get_executor());
+        if (m_limitsSender)
+            setOption(m_socket.native_handle(), SOL_SOCKET, SO_RCVBUF, pausedReceiveBufferBytes);
+        countMemory();
+    }
+    m_readTimer->expires_after(readRetryInterval);
+    m_readTimer->async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
+        self->m_reading = false;
         if (!ec && self->m_open)
             self->readAvailable();
     });
@@ -88,9 +148,25 @@
 
 void LineSocket::readAvailable()
 {
+    if (stalled())
+        return;
+    size_t limit = readBuffer.size();
+    if (m_memory != nullptr) {
+        limit = m_memory->readAllowance(limit);
+        if (limit == 0) {
+            pauseReading();
+            return;
+        }
+        if (m_readTimer != nullptr) {
+            m_readTimer.reset();
+            if (m_limitsSender)
+                setOption(m_socket.native_handle(), SOL_SOCKET, SO_RCVBUF, receiveBufferBytes);
+        }
+    }
     boost::system::error_code ec;
-    const size_t n = m_socket.read_some(boost::asio::buffer(readBuffer), ec);
+    const size_t n = m_socket.read_some(boost::asio::buffer(readBuffer.data(), limit), ec);
     if (ec == boost::asio::error::would_block) {
+        countMemory();
         awaitInput();
         return;
     }
@@ -104,13 +180,15 @@
     deliver();
     if (!m_open)
         return;
-    // While a statement runs, one more message is buffered. Beyond that, reading stops and the sender has to wait.
-    if (m_in.size() > m_maxLine) {
-        if (!m_paused)
+    // While a statement runs, some input is buffered. Beyond that, reading stops and the sender has to wait.
+    if (!stalled()) {
+        if (m_in.size() > m_maxLine && !blocked()) {
             fail(true);
-        return;
+            return;
+        }
+        awaitInput();
     }
-    awaitInput();
+    countMemory();
 }
 
 void LineSocket::deliver()
@@ -121,8 +199,9 @@
     // Copied, as the handler may close the socket, which destroys the handlers.
     const std::function<bool(std::string_view)> line = m_handlers.line;
     size_t start = 0;
-    while (m_open && !m_paused) {
-        const size_t end = m_in.find('\n', start);
+    while (m_open && !blocked()) {
+        const size_t end = m_in.find('\n', std::max(start, m_searched));
+        m_searched = end == std::string::npos ? m_in.size() : end;
         if (end == std::string::npos)
             break;
         size_t length = end - start;
@@ -138,10 +217,15 @@
         }
         start = end + 1;
     }
+    m_delivering = false;
+    if (!m_open && m_memory == nullptr) {
+        release(m_in);
+        return;
+    }
     m_in.erase(0, start);
-    if (m_in.empty() && m_in.capacity() > readBuffer.size())
+    m_searched -= std::min(m_searched, start);
+    if (m_in.capacity() > readBuffer.size() && m_in.size() < m_in.capacity() / 4)
         m_in.shrink_to_fit();
-    m_delivering = false;
 }
 
 void LineSocket::resume()
@@ -149,13 +233,18 @@
     if (!m_paused)
         return;
     m_paused = false;
+    deliverLater();
+}
+
+void LineSocket::deliverLater()
+{
     if (m_in.empty() || !m_open)
         return;
-    const bool stalled = m_in.size() > m_maxLine;
-    boost::asio::post(m_socket.get_executor(), [self = shared_from_this(), stalled] {
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
         self->deliver();
-        if (stalled && self->m_open)
+        if (self->m_open && !self->stalled())
             self->awaitInput();
+        self->countMemory();
     });
 }
 
@@ -166,25 +255,34 @@
     m_out.append(text);
     if (m_open && !m_writing)
         writeAvailable();
+    countMemory();
 }
 
 void LineSocket::writeAvailable()
 {
-    while (!m_out.empty() && m_open) {
+    const bool wasBlocked = blocked();
+    size_t sent = 0;
+    while (sent < m_out.size() && m_open) {
         boost::system::error_code ec;
-        const size_t n = m_socket.write_some(boost::asio::buffer(m_out), ec);
+        sent += m_socket.write_some(boost::asio::buffer(m_out.data() + sent, m_out.size() - sent), ec);
         if (ec == boost::asio::error::would_block) {
             awaitOutput();
-            return;
+            break;
         }
         if (ec) {
             boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(false); });
             return;
         }
-        m_out.erase(0, n);
     }
-    if (m_closing && m_open)
+    m_out.erase(0, sent);
+    if (m_out.empty() && m_out.capacity() > readBuffer.size())
+        m_out.shrink_to_fit();
+    if (m_out.empty() && m_closing && m_open) {
         close();
+        return;
+    }
+    if (wasBlocked && !blocked())
+        deliverLater();
 }
 
 void LineSocket::awaitOutput()
@@ -192,8 +290,10 @@
     m_writing = true;
     m_socket.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const boost::system::error_code& ec) {
         self->m_writing = false;
-        if (!ec)
-            self->writeAvailable();
+        if (ec)
+            return;
+        self->writeAvailable();
+        self->countMemory();
     });
 }
 
@@ -209,6 +309,13 @@
     m_closing = true;
     m_open = false;
     m_handlers = {};
+    // Moved out first: the account's owner may be called while it ends.
+    const std::unique_ptr<MemoryAccount> account = std::move(m_memory);
+    if (m_readTimer != nullptr)
+        m_readTimer->cancel();
+    if (!m_delivering)
+        release(m_in);
+    release(m_out);
     boost::system::error_code ec;
     m_socket.close(ec);
 }
@@ -233,6 +340,10 @@
     if (tooLong) {
         // The socket stays open, so that the owner can still send the reason.
         m_open = true;
+        m_ended = true;
+        release(m_in);
+        m_searched = 0;
+        countMemory();
         if (closed)
             closed(true);
         return;
--- a/src/line_socket.h
+++ b/src/line_socket.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "memory_budget.h"
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -24,6 +26,14 @@
 
     LineSocket(boost::asio::ip::tcp::socket socket, size_t maxLine);
 
+    /// Lets a budget limit what is read and counts what is held; close() ends the account. Must be called before
+    /// start() or connect(). Unless the account is a backend server's, reading also pauses while much output is unsent,
+    /// and while a line is handled, beyond a few lines ahead.
+    void setMemory(std::unique_ptr<MemoryAccount>);
+
+    /// Returns the account of setMemory(); null without one and after close().
+    MemoryAccount* memory() const { return m_memory.get(); }
+
     void start(Handlers);
     void connect(const boost::asio::ip::tcp::endpoint&, Handlers);
     void send(std::string_view);
@@ -40,6 +50,13 @@
     void awaitInput();
     void readAvailable();
     void deliver();
+    void deliverLater();
+    /// Returns whether no line may be delivered now.
+    bool blocked() const;
+    /// Returns whether enough input is buffered while no line may be delivered.
+    bool stalled() const;
+    void pauseReading();
+    void countMemory();
     void awaitOutput();
     void writeAvailable();
     void failToConnect(const boost::system::error_code&);
@@ -49,12 +66,17 @@
     size_t m_maxLine;
     Handlers m_handlers;
     std::string m_in;
+    size_t m_searched = 0; ///< The start of m_in up to here has no line break that was not handled.
     std::string m_out;
+    std::unique_ptr<MemoryAccount> m_memory;
+    std::unique_ptr<boost::asio::steady_timer> m_readTimer; ///< Set while reading is paused by the budget.
     bool m_open = false;
     bool m_paused = false;
     bool m_delivering = false;
     bool m_writing = false;
     bool m_closing = false;
+    bool m_limitsSender = false; ///< See setMemory().
+    bool m_reading = false; ///< Input is awaited, or reading is paused by the budget.
     bool m_ended = false; ///< Reading has ended: end of the stream or an error.
 };
 
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -78,6 +78,8 @@
     RevocationInForce,
     ReplyUnexpected,
     AnswerUnexpected,
+    CallerClosedForMemory,
+    ConnectionEndedForRoom,
     Count
 };
 
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -101,6 +101,11 @@
         { 66, "answer_unexpected", LogLevel::Warn,
             "An HTTP answer arrived that belongs to no call, or to an earlier one; its connection is not used again. "
             "The field call names the path of the call that it could have been taken for." },
+        { 67, "caller_closed_for_memory", LogLevel::Warn,
+            "A connection of a caller or another host was closed because of what it held in memory; the field reason "
+            "says why, and bytes how much." },
+        { 68, "connection_ended_for_room", LogLevel::Warn,
+            "A connection that was not in use was closed to make room for a new one; the field port says where." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -33,6 +33,8 @@
         StatementLatency,
         StoreEra,
         UnexpectedReplies,
+        MemoryRejections,
+        CallerMemory,
         Count
     };
 
@@ -67,6 +69,9 @@
             "copy." },
         { "plantainwall_unexpected_replies_total", MetricType::Counter, "",
             "Replies of backend servers that fit no unanswered command." },
+        { "plantainwall_memory_rejections_total", MetricType::Counter, "cause",
+            "Connections closed and statements refused because of the memory or connections that they would hold." },
+        { "plantainwall_caller_memory_bytes", MetricType::Gauge, "", "Memory held for callers and other hosts." },
     };
     static_assert(sizeof(families) / sizeof(families[0]) == static_cast<size_t>(Family::Count), "one for each Family");
 
@@ -86,6 +91,11 @@
         { Family::SpansDropped, "" },
         { Family::BackendConnects, "" },
         { Family::UnexpectedReplies, "" },
+        { Family::MemoryRejections, "full" },
+        { Family::MemoryRejections, "large_too_long" },
+        { Family::MemoryRejections, "room" },
+        { Family::MemoryRejections, "statement" },
+        { Family::MemoryRejections, "state" },
     };
     static_assert(sizeof(counters) / sizeof(counters[0]) == static_cast<size_t>(MetricCounter::Count),
         "one for each MetricCounter");
@@ -102,6 +112,7 @@
         { Family::ConfigurationRevision, "" },
         { Family::ConfigurationAge, "" },
         { Family::StoreEra, "" },
+        { Family::CallerMemory, "" },
     };
     static_assert(
         sizeof(gauges) / sizeof(gauges[0]) == static_cast<size_t>(MetricGauge::Count), "one for each MetricGauge");
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -17,6 +17,11 @@
     SpansDropped,
     BackendConnects,
     UnexpectedReplies,
+    ClosedBudgetFull,
+    ClosedLargeTooLong,
+    EndedForRoom,
+    StatementsOverBudget,
+    StateOverBudget,
     Count
 };
 
@@ -32,6 +37,7 @@
     ConfigurationRevision,
     ConfigurationAge, ///< In seconds.
     StoreEra,
+    CallerMemory, ///< In bytes.
     Count
 };
 
--- a/src/peer_stream.cpp
+++ b/src/peer_stream.cpp
@@ -1,4 +1,5 @@
 #include "peer_stream.h"
+#include "caller_memory.h"
 #include "endpoint.h"
 #include "line_socket.h"
 #include "log_event.h"
@@ -14,6 +15,9 @@
     /// Enough for an encoded statement or reply of a megabyte.
     constexpr size_t maxLineBytes = 4 * 1024 * 1024;
 
+    /// Streams of other hosts. A fleet has fewer hosts that borrow from one.
+    constexpr size_t maxBorrowers = 300;
+
     /// Pause after a failed accept.
     constexpr std::chrono::milliseconds acceptPause(100);
 
@@ -65,9 +69,11 @@
     bool ended = false;
 };
 
-LenderPort::LenderPort(boost::asio::io_context& loop, const std::string& address, MakeLender makeLender)
+LenderPort::LenderPort(
+    boost::asio::io_context& loop, const std::string& address, MemoryBudget& budget, MakeLender makeLender)
     : m_acceptor(loop, endpointOf<tcp::endpoint>(address))
     , m_retryTimer(loop)
+    , m_budget(budget)
     , m_makeLender(std::move(makeLender))
 {
     accept();
@@ -89,22 +95,46 @@
             });
             return;
         }
-        m_borrowers.push_back(std::make_unique<Borrower>());
-        Borrower& borrower = *m_borrowers.back();
-        borrower.socket = std::make_shared<LineSocket>(std::move(socket), maxLineBytes);
-        borrower.lender
-            = m_makeLender([socket = borrower.socket](const std::string& line) { socket->send(line + "\n"); });
-        LineSocket::Handlers handlers;
-        handlers.line = [this, &borrower](std::string_view text) {
-            handleLine(borrower, text);
-            return !borrower.ended;
-        };
-        handlers.closed = [&borrower](bool) { borrower.ended = true; };
-        borrower.socket->start(std::move(handlers));
+        if (makeRoom())
+            admit(std::move(socket));
         accept();
     });
 }
 
+bool LenderPort::makeRoom()
+{
+    const auto unused = [](const std::unique_ptr<Borrower>& it) { return !it->ended && it->lender->size() == 0; };
+    const auto open = [](const std::unique_ptr<Borrower>& it) { return !it->ended; };
+    if (static_cast<size_t>(std::count_if(m_borrowers.begin(), m_borrowers.end(), open)) < maxBorrowers)
+        return true;
+    const auto it = std::find_if(m_borrowers.begin(), m_borrowers.end(), unused);
+    if (it == m_borrowers.end())
+        return false;
+    logEvent(LogEvent::ConnectionEndedForRoom, { { "port", "peers" } });
+    (*it)->ended = true;
+    (*it)->socket->close();
+    return true;
+}
+
+void LenderPort::admit(tcp::socket socket)
+{
+    m_borrowers.push_back(std::make_unique<Borrower>());
+    Borrower& borrower = *m_borrowers.back();
+    borrower.socket = std::make_shared<LineSocket>(std::move(socket), maxLineBytes);
+    borrower.socket->setMemory(std::make_unique<MemoryAccount>(m_budget, ownerPeers, [&borrower] {
+        borrower.ended = true;
+        borrower.socket->close();
+    }));
+    borrower.lender = m_makeLender([socket = borrower.socket](const std::string& line) { socket->send(line + "\n"); });
+    LineSocket::Handlers handlers;
+    handlers.line = [this, &borrower](std::string_view text) {
+        handleLine(borrower, text);
+        return !borrower.ended;
+    };
+    handlers.closed = [&borrower](bool) { borrower.ended = true; };
+    borrower.socket->start(std::move(handlers));
+}
+
 void LenderPort::handleLine(Borrower& borrower, std::string_view text)
 {
     try {
--- a/src/peer_stream.h
+++ b/src/peer_stream.h
@@ -2,6 +2,7 @@
 
 #include "gateway_ports.h"
 #include "link_lender.h"
+#include "memory_budget.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -23,7 +24,7 @@
     using MakeLender = std::function<std::unique_ptr<LinkLender>(LinkLender::Send)>;
 
     /// Listens on address (ip:port). Throws boost::system::system_error.
-    LenderPort(boost::asio::io_context&, const std::string& address, MakeLender);
+    LenderPort(boost::asio::io_context&, const std::string& address, MemoryBudget&, MakeLender);
     ~LenderPort();
 
     /// Closes ended streams. Must be called every few milliseconds.
@@ -36,10 +37,14 @@
     struct Borrower;
 
     void accept();
+    void admit(boost::asio::ip::tcp::socket);
+    /// Ends the oldest stream that borrows nothing if there are too many. Returns whether one more may be accepted.
+    bool makeRoom();
     void handleLine(Borrower&, std::string_view);
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_retryTimer;
+    MemoryBudget& m_budget;
     MakeLender m_makeLender;
     std::vector<std::unique_ptr<Borrower>> m_borrowers;
 };
--- a/src/status_server.cpp
+++ b/src/status_server.cpp
@@ -18,6 +18,9 @@
     /// Pause after a failed accept.
     constexpr std::chrono::milliseconds acceptPause(100);
 
+    /// Open connections; a further one closes the oldest.
+    constexpr size_t maxConnections = 32;
+
     constexpr int listenBacklog = 64; // Clients are probes and one metrics scraper.
 
 } // namespace
@@ -42,6 +45,8 @@
             });
     }
 
+    void close() { m_stream.close(); }
+
 private:
     void respond()
     {
@@ -86,13 +91,28 @@
     m_acceptor.close(ec);
 }
 
+void StatusServer::makeRoom()
+{
+    m_connections.remove_if([](const std::weak_ptr<Connection>& it) { return it.expired(); });
+    while (m_connections.size() >= maxConnections) {
+        const std::shared_ptr<Connection> oldest = m_connections.front().lock();
+        m_connections.pop_front();
+        if (oldest != nullptr)
+            oldest->close();
+    }
+}
+
 void StatusServer::accept()
 {
     m_acceptor.async_accept([this](const boost::system::error_code& ec, tcp::socket socket) {
         if (ec == boost::asio::error::operation_aborted)
             return;
         if (!ec) {
-            std::make_shared<Connection>(std::move(socket), m_ready, m_metrics)->read();
+            makeRoom();
+            const std::shared_ptr<Connection> connection
+                = std::make_shared<Connection>(std::move(socket), m_ready, m_metrics);
+            m_connections.push_back(connection);
+            connection->read();
             accept();
             return;
         }
--- a/src/status_server.h
+++ b/src/status_server.h
@@ -3,6 +3,7 @@
 #include "plantainwall/plantainwall.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <list>
 
 namespace plantainwall {
 
@@ -21,11 +22,13 @@
     class Connection;
 
     void accept();
+    void makeRoom();
 
     boost::asio::io_context& m_loop;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::function<bool()> m_ready;
     std::function<std::string()> m_metrics;
+    std::list<std::weak_ptr<Connection>> m_connections; ///< The oldest first; some may have ended.
 };
 
 } // namespace plantainwall
--- a/tests/unit_caller_port.cpp
+++ b/tests/unit_caller_port.cpp
@@ -20,7 +20,7 @@
 struct PortFixture : GatewayFixture {
     PortFixture()
         : portNumber(freePort())
-        , port(loop, "127.0.0.1:" + std::to_string(portNumber), gateway)
+        , port(loop, "127.0.0.1:" + std::to_string(portNumber), gateway, { budget, metrics, 100 })
         , socket(loop)
     {
         socket.connect({ boost::asio::ip::make_address("127.0.0.1"), portNumber });
@@ -58,6 +58,7 @@
     }
 
     uint16_t portNumber;
+    MemoryBudget budget { 64 * 1024 * 1024 };
     boost::asio::io_context loop;
     platform::CallerPort port;
     tcp::socket socket;
@@ -151,3 +152,56 @@
     BOOST_TEST(!closed);
     BOOST_TEST(gateway.sessions() == 1U);
 }
+
+// Load pattern: a session that sets values without end.
+BOOST_FIXTURE_TEST_CASE(values_of_a_session_are_limited_and_the_session_stays, PortFixture)
+{
+    send("STARTUP primary key\r\n");
+    receive("READY");
+    const std::string value(1000 * 1000, 'v');
+    for (int i = 0; i < 4; ++i) {
+        send("QUERY 1 SET n" + std::to_string(i) + " " + value + "\r\n");
+        BOOST_TEST(receive("READY").rfind("COMPLETE", 0) == 0U);
+    }
+    send("QUERY 1 SET n4 " + value + "\r\n");
+    BOOST_TEST(receive("READY").rfind("ERROR TOOLARGE", 0) == 0U);
+    send("QUERY 1 SET n3 short\r\n");
+    BOOST_TEST(receive("READY").rfind("COMPLETE", 0) == 0U);
+    send("QUERY 1 SET n4 " + value + "\r\n");
+    BOOST_TEST(receive("READY").rfind("COMPLETE", 0) == 0U);
+    BOOST_TEST(gateway.sessions() == 1U);
+}
+
+// Load pattern: others hold the budget, and a large statement arrives.
+BOOST_FIXTURE_TEST_CASE(statement_without_room_is_refused_as_not_run, PortFixture)
+{
+    MemoryAccount others(budget, "hare", [] {});
+    others.set(MemoryUse::Output, 54 * 1024 * 1024);
+    send("STARTUP primary key\r\n");
+    receive("READY");
+    send("QUERY 1 WRITE a " + std::string(900 * 1000, 'x') + "\r\n");
+    const std::string text = receive("READY");
+    BOOST_TEST(text.rfind("ERROR BUSY", 0) == 0U, text);
+    BOOST_TEST(connector.links.empty());
+    BOOST_TEST(gateway.sessions() == 1U);
+    send("QUERY 2 SET a b\r\n");
+    BOOST_TEST(receive("READY").rfind("COMPLETE", 0) == 0U);
+}
+
+// Load pattern: more connections without a session than the host has room for, and an ordinary caller.
+BOOST_FIXTURE_TEST_CASE(oldest_connection_without_a_session_makes_room, PortFixture)
+{
+    std::vector<tcp::socket> crowd;
+    for (int i = 0; i < 120; ++i) {
+        crowd.emplace_back(loop);
+        crowd.back().connect({ boost::asio::ip::make_address("127.0.0.1"), portNumber });
+        loop.poll();
+    }
+    receive("nothing");
+    BOOST_TEST(closed); // The first of all.
+    socket = std::move(crowd.back());
+    socket.non_blocking(true);
+    closed = false;
+    send("STARTUP primary key\r\n");
+    BOOST_TEST(receive("READY") == "READY I -\r\n");
+}
--- a/tests/unit_gateway_settings.cpp
+++ b/tests/unit_gateway_settings.cpp
@@ -51,6 +51,20 @@
     BOOST_TEST(result.settings.regionOfDataCentre.at("mill") == "huon");
 }
 
+BOOST_AUTO_TEST_CASE(memory_is_a_size)
+{
+    const std::string text = complete;
+    const auto loadWith = [&](const std::string& value) {
+        const size_t at = text.find("max_descriptors");
+        return load(text.substr(0, at) + "memory = " + value + "\n" + text.substr(at));
+    };
+    BOOST_TEST(load(text).settings.memoryBytes == 0U);
+    BOOST_TEST(loadWith("\"260MiB\"").settings.memoryBytes == 260U * 1024 * 1024);
+    BOOST_TEST(loadWith("272629760").settings.memoryBytes == 272629760U);
+    for (const char* value : { "\"1MiB\"", "-1", "\"much\"", "true", "\"\"" })
+        BOOST_TEST(loadWith(value).faults.size() == 1U, value);
+}
+
 BOOST_AUTO_TEST_CASE(every_fault_is_reported_with_its_line)
 {
     const GatewaySettingsResult result
