Look session values up once when one is set

Cause: the limit of a session's state looked names up before every statement, also before those that set nothing. Change: only the statement that changes a value or prepared name looks it up. unit.gateway, unit.caller-port and unit.memory-budget pass.

--- a/src/gateway_session.cpp
+++ b/src/gateway_session.cpp
@@ -136,6 +136,8 @@
 bool Gateway::resizeState(Session& session, const Statement& statement, size_t removed, size_t added)
 {
     const size_t bytes = session.stateBytes - removed + added;
+    if (bytes == session.stateBytes)
+        return true;
     const ResultCode code = session.sink != nullptr ? session.sink->keepState(bytes) : ResultCode::Ok;
     if (code == ResultCode::Ok) {
         session.stateBytes = bytes;
@@ -150,34 +152,37 @@
 
 bool Gateway::executeLocally(Session& session, const Statement& statement)
 {
-    const size_t entryBytes = stateEntryBytes + statement.name.size() + statement.argument.size();
-    const auto prepared = session.prepared.find(statement.name);
-    const size_t preparedBytes = prepared == session.prepared.end()
-        ? 0
-        : stateEntryBytes + statement.name.size() + prepared->second.shape.size();
+    const auto bytesOf = [&](const std::string& text) { return stateEntryBytes + statement.name.size() + text.size(); };
     switch (statement.kind) {
     case StatementKind::SetValue: {
         const auto it = session.values.find(statement.name);
-        const size_t valueBytes
-            = it == session.values.end() ? 0 : stateEntryBytes + statement.name.size() + it->second.size();
-        if (!resizeState(session, statement, valueBytes, entryBytes))
+        const bool known = it != session.values.end();
+        if (!resizeState(session, statement, known ? bytesOf(it->second) : 0, bytesOf(statement.argument)))
             return true;
-        session.values[statement.name] = statement.argument;
+        if (known)
+            it->second = statement.argument;
+        else
+            session.values.emplace(statement.name, statement.argument);
         break;
     }
-    case StatementKind::Prepare:
-        if (!resizeState(session, statement, preparedBytes, entryBytes))
+    case StatementKind::Prepare: {
+        const auto it = session.prepared.find(statement.name);
+        const size_t former = it != session.prepared.end() ? bytesOf(it->second.shape) : 0;
+        if (!resizeState(session, statement, former, bytesOf(statement.argument)))
             return true;
         session.prepared[statement.name] = { statement.argument, statement.writes };
         break;
-    case StatementKind::Deallocate:
-        if (prepared == session.prepared.end()) {
+    }
+    case StatementKind::Deallocate: {
+        const auto it = session.prepared.find(statement.name);
+        if (it == session.prepared.end()) {
             refuse(session, statement, ResultCode::StatementUnknown, "no such prepared statement");
             return true;
         }
-        session.prepared.erase(prepared);
-        resizeState(session, statement, preparedBytes, 0);
+        resizeState(session, statement, bytesOf(it->second.shape), 0);
+        session.prepared.erase(it);
         break;
+    }
     default:
         return false;
     }
