--- a/src/gateway_session.cpp
+++ b/src/gateway_session.cpp
@@ -11,6 +11,9 @@
     /// Minimum retry advice for a caller over its quota: about one tick of its bucket.
     constexpr Duration quotaRetryAfter = std::chrono::milliseconds(500);
 
+    /// Memory of a session value or a prepared name beside its texts, in bytes.
+    constexpr size_t stateEntryBytes = 160;
+
 } // namespace
 
 ResultCode Gateway::openSession(CallerSink& sink, const std::string& database, const std::string& key, uint64_t& number)
@@ -107,13 +110,21 @@
     answer(session, statement, std::move(result));
 }
 
-void Gateway::refuseMessage(uint64_t number, const Statement& statement, ResultCode code, const std::string& detail)
+std::string_view Gateway::customerOfSession(uint64_t number) const
+{
+    const Session* const session = findSession(number);
+    const std::string* const customer = session != nullptr ? customerOf(*session) : nullptr;
+    return customer != nullptr ? std::string_view(*customer) : std::string_view();
+}
+
+void Gateway::refuseMessage(
+    uint64_t number, const Statement& statement, ResultCode code, const std::string& detail, Duration retryAfter)
 {
     Session* const session = findSession(number);
     if (session != nullptr)
         session->statementExpected = false;
     if (session != nullptr && session->job == 0 && session->quotaRequest == 0)
-        refuse(*session, statement, code, detail);
+        refuse(*session, statement, code, detail, retryAfter);
 }
 
 bool Gateway::statementWrites(const Session& session, const Statement& statement) const
@@ -124,21 +135,56 @@
     return it != session.prepared.end() && it->second.writes;
 }
 
+bool Gateway::resizeState(Session& session, const Statement& statement, size_t removed, size_t added)
+{
+    const size_t bytes = session.stateBytes - removed + added;
+    if (bytes == session.stateBytes)
+        return true;
+    const ResultCode code = session.sink != nullptr ? session.sink->keepState(bytes) : ResultCode::Ok;
+    if (code == ResultCode::Ok) {
+        session.stateBytes = bytes;
+        return true;
+    }
+    const bool ofSession = code == ResultCode::RequestTooLarge;
+    refuse(session, statement, code,
+        ofSession ? "the session's values and prepared names are too large" : "no memory for session values now",
+        ofSession ? Duration(0) : defaultRetryAfter);
+    return false;
+}
+
 bool Gateway::executeLocally(Session& session, const Statement& statement)
 {
+    const auto bytesOf = [&](const std::string& text) { return stateEntryBytes + statement.name.size() + text.size(); };
     switch (statement.kind) {
-    case StatementKind::SetValue:
-        session.values[statement.name] = statement.argument;
+    case StatementKind::SetValue: {
+        const auto it = session.values.find(statement.name);
+        const bool known = it != session.values.end();
+        if (!resizeState(session, statement, known ? bytesOf(it->second) : 0, bytesOf(statement.argument)))
+            return true;
+        if (known)
+            it->second = statement.argument;
+        else
+            session.values.emplace(statement.name, statement.argument);
         break;
-    case StatementKind::Prepare:
+    }
+    case StatementKind::Prepare: {
+        const auto it = session.prepared.find(statement.name);
+        const size_t former = it != session.prepared.end() ? bytesOf(it->second.shape) : 0;
+        if (!resizeState(session, statement, former, bytesOf(statement.argument)))
+            return true;
         session.prepared[statement.name] = { statement.argument, statement.writes };
         break;
-    case StatementKind::Deallocate:
-        if (session.prepared.erase(statement.name) == 0) {
+    }
+    case StatementKind::Deallocate: {
+        const auto it = session.prepared.find(statement.name);
+        if (it == session.prepared.end()) {
             refuse(session, statement, ResultCode::StatementUnknown, "no such prepared statement");
             return true;
         }
+        resizeState(session, statement, bytesOf(it->second.shape), 0);
+        session.prepared.erase(it);
         break;
+    }
     default:
         return false;
     }
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -83,6 +83,8 @@
     EvacuationStarted,
     EvacuationEnded,
     AdmissionLevelChanged,
+    CallerClosedForMemory,
+    ConnectionEndedForRoom,
     Count
 };
 
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -113,6 +113,11 @@
             "The servers of a data centre get statements again; the field reason says why." },
         { 71, "admission_level_changed", LogLevel::Warn,
             "Another number of priorities is turned away from a backend server, from the least urgent." },
+        { 72, "caller_closed_for_memory", LogLevel::Warn,
+            "A connection of a caller or another host was closed because of what it held in memory; the field reason "
+            "says why, and bytes how much." },
+        { 73, "connection_ended_for_room", LogLevel::Warn,
+            "A connection that was not in use was closed to make room for a new one; the field port says where." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -37,6 +37,8 @@
         LoadReportAge,
         TurnedAway,
         AdmissionLevel,
+        MemoryRejections,
+        CallerMemory,
         Count
     };
 
@@ -80,6 +82,9 @@
             "Operations refused at their start because a server is overloaded, by urgency of their route." },
         { "plantainwall_admission_level", MetricType::Gauge, "",
             "Priorities turned away from a backend server, from the least urgent; the greatest of all servers." },
+        { "plantainwall_memory_rejections_total", MetricType::Counter, "cause",
+            "Connections closed and statements refused because of the memory or connections that they would hold." },
+        { "plantainwall_caller_memory_bytes", MetricType::Gauge, "", "Memory held for callers and other hosts." },
     };
     static_assert(sizeof(families) / sizeof(families[0]) == static_cast<size_t>(Family::Count), "one for each Family");
 
@@ -102,6 +107,11 @@
         { Family::LoadReportsRejected, "" },
         { Family::TurnedAway, "highest" },
         { Family::TurnedAway, "lower" },
+        { Family::MemoryRejections, "full" },
+        { Family::MemoryRejections, "large_too_long" },
+        { Family::MemoryRejections, "room" },
+        { Family::MemoryRejections, "statement" },
+        { Family::MemoryRejections, "state" },
     };
     static_assert(sizeof(counters) / sizeof(counters[0]) == static_cast<size_t>(MetricCounter::Count),
         "one for each MetricCounter");
@@ -120,6 +130,7 @@
         { Family::StoreEra, "" },
         { Family::LoadReportAge, "" },
         { Family::AdmissionLevel, "" },
+        { Family::CallerMemory, "" },
     };
     static_assert(
         sizeof(gauges) / sizeof(gauges[0]) == static_cast<size_t>(MetricGauge::Count), "one for each MetricGauge");
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -20,6 +20,11 @@
     LoadReportsRejected,
     TurnedAwayMostUrgent, ///< Refused for load at their start; routes of the service's most urgent priority.
     TurnedAwayOthers,
+    ClosedBudgetFull,
+    ClosedLargeTooLong,
+    EndedForRoom,
+    StatementsOverBudget,
+    StateOverBudget,
     Count
 };
 
@@ -37,6 +42,7 @@
     StoreEra,
     LoadReportAge, ///< In seconds; of the oldest report in use.
     AdmissionLevel, ///< Greatest level of a backend server (see UrgencyAdmission).
+    CallerMemory, ///< In bytes.
     Count
 };
 
