--- a/tests/unit_even_load.cpp
+++ b/tests/unit_even_load.cpp
@@ -78,6 +78,7 @@
 size_t shares(const std::vector<ServerCandidate>& candidates, std::mt19937_64& random)
 {
     std::vector<double> weights;
+    weights.reserve(candidates.size());
     for (const ServerCandidate& it : candidates)
         weights.push_back(it.slots * std::max(0.02, 1 - loadOf(it)));
     return std::discrete_distribution<size_t>(weights.begin(), weights.end())(random);
