--- a/src/fleet_member_reports.cpp
+++ b/src/fleet_member_reports.cpp
@@ -95,10 +95,10 @@
     m_reportedPrimaries = std::move(primaries);
     const std::string full = report(ReportKind::Plain, m_reportedPrimaries);
     const std::string brief = report(ReportKind::Plain, {});
-    // Changed primaries, and whether this host reaches the store, are sent to all at once.
+    // Changed primaries are sent to all at once, with local distribution also whether this host reaches the store.
     const bool reachable = m_follower.reachable();
-    const bool news = m_primariesRepeatsLeft > 0 || reachable != m_reportedReachable
-        || (m_gatewaySettings.localDistribution && !reachable);
+    const bool news = m_primariesRepeatsLeft > 0
+        || (m_gatewaySettings.localDistribution && (!reachable || reachable != m_reportedReachable));
     m_reportedReachable = reachable;
     for (auto& [host, peer] : m_peers) {
         if (!peer.silent && now - peer.lastSeen > silenceTimeout(peer))
