Let own slow answers count against reports of free slots, and begun operations go first

Found by review: reports cover only the hosts heard lately, so a slot that seems free must not hide this host's own slow answers; without recent knowledge less urgent statements are held back as before; begun transactions and retries go before new operations in the queue and may use the reserve; levels are logged once a second at most. Hosts of fleets that are not probed report to other data centres at the full rate, since the quota relies on their silence. A relayed state that this host does not accept is not passed on.

--- a/src/fleet_member_relay.cpp
+++ b/src/fleet_member_relay.cpp
@@ -215,6 +215,9 @@
     if (late > m_settings.maxTickGap)
         events.age += late;
     m_follower.applyRelayed(events);
+    // A state that this host does not accept must not hide later ones.
+    if (events.era != m_follower.era())
+        return true;
     const std::pair<uint64_t, uint64_t> state(events.era, events.to);
     const Instant asOf = now - events.age;
     if (state < m_passedOn || (state == m_passedOn && asOf < m_passedOnAsOf + m_settings.relayInterval / 2))
--- a/src/fleet_member_reports.cpp
+++ b/src/fleet_member_reports.cpp
@@ -19,6 +19,10 @@
         return m_settings.crossRegionReportPeriod;
     if (!m_gatewaySettings.localDistribution || !peer.distributes || peer.dataCentre == m_gatewaySettings.dataCentre)
         return 1;
+    // Load pattern: a partition of a small fleet, whose hosts are not probed. Until each side notices it, both count a
+    // customer at its whole rate.
+    if (reportInterval() * m_settings.maxMissedReports <= 2 * m_settings.probeTimeout)
+        return 1;
     const auto period
         = static_cast<unsigned>(m_settings.maxReducedSilence / (reportInterval() * m_settings.maxMissedReports));
     return std::clamp(period, 1U, m_settings.crossRegionReportPeriod);
--- a/src/gateway_connection.h
+++ b/src/gateway_connection.h
@@ -93,6 +93,7 @@
     Instant laggingUntil; ///< Reads that need a position after `applied` go to other servers until then.
     unsigned laggingReplies = 0; ///< Consecutive reads for which it had not applied enough of the log.
     Instant retryConnectAt;
+    Instant levelLoggedAt; ///< When the level of admission was last logged.
     ServerLoadMeter load; ///< Of this host's statements.
     double loggedRunning = -1; ///< Estimate in the last server_load event; negative: none was known.
     Instant warmUntil; ///< The server is warming up until then.
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -317,7 +317,8 @@
     entry.priority = job.route.priority;
     entry.customer = job.customer;
     entry.needsPrimary = job.needsPrimary;
-    entry.resumed = job.sentToServer && needsOf(job.route.service) != nullptr;
+    const bool begun = job.sentToServer || job.inTransaction || job.attempts > 0;
+    entry.resumed = begun && needsOf(job.route.service) != nullptr;
     entry.arrived = job.arrived;
     entry.expiresAt = job.sentToServer ? job.timeoutAt : std::min(job.timeoutAt, job.arrived + waitLimit(job));
     const double capacity = capacityPerSecond(job);
--- a/src/gateway_urgency.cpp
+++ b/src/gateway_urgency.cpp
@@ -20,6 +20,9 @@
 
     constexpr double usPerMs = 1000;
 
+    /// Shortest interval between two events of a level for one server.
+    constexpr Duration levelLogInterval = std::chrono::seconds(1);
+
     std::string describe(const GatewayServer& server, unsigned priority)
     {
         const ServerPressure& known = server.admission.knowledge();
@@ -80,8 +83,10 @@
         = m_settings.evenLoad ? m_loads.estimate(server.id, now) : std::nullopt;
     if (!estimate || estimate->sources == 0)
         return result;
-    result.hasFreeSlot = estimate->running + estimate->waiting < server.slots;
-    if (estimate->responseTime > result.responseTime) {
+    // Hosts that have not reported lately may use the slots that seem free, so own slow answers still count.
+    const bool hasFreeSlot = estimate->running + estimate->waiting < server.slots;
+    result.hasFreeSlot = hasFreeSlot && result.age > estimate->age;
+    if (!hasFreeSlot && estimate->responseTime > result.responseTime) {
         result.responseTime = estimate->responseTime;
         result.age = estimate->age;
         result.sources = estimate->sources;
@@ -100,8 +105,9 @@
         const ServerPressure pressure = pressureAt(server);
         server.admission.update(needs != nullptr ? *needs : none, pressure, now);
         const auto turnedAway = static_cast<unsigned>(std::ceil(server.admission.level()));
-        if (turnedAway == server.loggedLevel)
+        if (turnedAway == server.loggedLevel || now - server.levelLoggedAt < levelLogInterval)
             continue;
+        server.levelLoggedAt = now;
         logEvent(LogEvent::AdmissionLevelChanged,
             { { "service", server.service }, { "server", id }, { "priorities", turnedAway },
                 { "before", server.loggedLevel }, { "response_ms", pressure.responseTime.count() / 1000 },
@@ -134,13 +140,16 @@
 bool Gateway::mayHoldBack(const GatewayServer& server, const Job& job) const
 {
     const UrgencyNeeds* const needs = needsOf(job.route.service);
-    return needs == nullptr || server.admission.lowerRanksTurnedAway(needs->rankOf(job.route.priority));
+    if (needs == nullptr)
+        return true;
+    const size_t rank = needs->rankOf(job.route.priority);
+    return server.admission.lowerRanksTurnedAway(rank) || (rank > 0 && !server.admission.isInformed());
 }
 
 bool Gateway::mayUseConnection(const GatewayServer& server, const Job& job) const
 {
     const UrgencyNeeds* const needs = needsOf(job.route.service);
-    if (needs == nullptr)
+    if (needs == nullptr || job.inTransaction || job.attempts > 0)
         return true;
     ConnectionDemand demand;
     demand.limit = server.allowance.cap();
--- a/src/urgency_admission.h
+++ b/src/urgency_admission.h
@@ -62,6 +62,9 @@
     /// Returns the fraction of the operations of a rank that may begin, from 0 to 1.
     double admittedFraction(size_t rank) const;
 
+    /// Returns whether the last knowledge of the server is recent.
+    bool isInformed() const { return m_knowledge.age <= m_settings.maxAge; }
+
     /// Returns whether all operations of the less urgent ranks are turned away.
     bool lowerRanksTurnedAway(size_t rank) const;
 
--- a/src/work_queue.h
+++ b/src/work_queue.h
@@ -25,7 +25,7 @@
         bool needsPrimary = false;
         Instant arrived;
         Instant expiresAt; ///< The entry expires if it is still queued at this time.
-        bool resumed = false; ///< Has run in part and goes before all that has not.
+        bool resumed = false; ///< Part of an operation that has begun; goes before those that have not.
     };
 
     explicit WorkQueue(const WorkQueueSettings& = {});
