Skip the accounts of callers while the budget has room

Cause: every tick looked at all accounts, also those of thousands of idle sessions, to forget since when they are large. Change: only after pressure. unit.memory-budget and three cases of integration.unruly-callers (slow senders, stopped half-way at both ports) pass; the others were not run again. Result: not measured with idle sessions.

--- a/src/memory_budget.cpp
+++ b/src/memory_budget.cpp
@@ -83,10 +83,14 @@
 {
     std::vector<MemoryAccount*> closing;
     if (!underPressure()) {
-        for (MemoryAccount* const it : m_accounts)
-            it->m_largeSince = {};
+        if (m_watchesLarge) {
+            for (MemoryAccount* const it : m_accounts)
+                it->m_largeSince = {};
+        }
+        m_watchesLarge = false;
         return closing;
     }
+    m_watchesLarge = true;
     std::map<const Owner*, size_t> bytesOf;
     std::vector<MemoryAccount*> candidates;
     size_t held = m_held;
--- a/src/memory_budget.h
+++ b/src/memory_budget.h
@@ -84,6 +84,7 @@
     size_t m_largeOwners = 0; ///< Owners with large accounts.
     Owners m_owners;
     std::vector<MemoryAccount*> m_accounts;
+    bool m_watchesLarge = false; ///< MemoryAccount::m_largeSince is in use.
     std::function<void()> m_fullHandler;
 };
 
