--- a/src/gateway_urgency.cpp
+++ b/src/gateway_urgency.cpp
@@ -149,7 +149,7 @@
 bool Gateway::mayUseConnection(const GatewayServer& server, const Job& job) const
 {
     const UrgencyNeeds* const needs = needsOf(job.route.service);
-    if (needs == nullptr || job.inTransaction || job.attempts > 0)
+    if (needs == nullptr)
         return true;
     ConnectionDemand demand;
     demand.limit = server.allowance.cap();
