--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -75,6 +75,7 @@
             refuseJob(*job, code, "key withdrawn or given to another customer while the statement waited",
                 code == ResultCode::QueueFull ? defaultRetryAfter : Duration(0));
     }
+    refuseQueuedUnplaceable();
 }
 
 void Gateway::setHosts(size_t hosts) { m_hosts = std::max<size_t>(1, hosts); }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -214,6 +214,8 @@
     void noteSent(GatewayServer&);
     /// Refuses a job that no server may run. Returns false if there may be one.
     bool refuseUnplaceable(Job&);
+    /// The same for every job that waits, after what decides where jobs may run has changed.
+    void refuseQueuedUnplaceable();
     /// Stops a statement of an open transaction that its server may not run, or not yet. Returns whether it did.
     bool heldBack(GatewayConnection&, Job&, Session&);
     /// Returns the id of the server to use as primary, whether or not a lease on its word is held; empty if none.
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -84,7 +84,11 @@
 void Gateway::determineRequirement(Job& job)
 {
     job.after.reset();
-    job.onPrimary = job.needsPrimary || job.attempts >= replicaAttempts;
+    job.onPrimary = job.needsPrimary;
+    if (!job.onPrimary && job.attempts >= replicaAttempts) {
+        const auto primary = m_servers.find(primaryFor(job));
+        job.onPrimary = primary == m_servers.end() || mayServe(job, primary->second);
+    }
     if (job.onPrimary)
         return;
     const Instant now = m_clock();
--- a/src/gateway_eligibility.cpp
+++ b/src/gateway_eligibility.cpp
@@ -46,6 +46,7 @@
             requeue(*job, *connection, "data centre evacuated");
     }
     dispatchQueued();
+    refuseQueuedUnplaceable();
 }
 
 void Gateway::noteRegions()
@@ -97,8 +98,10 @@
         server.warmupFleet = m_warmupFleet;
         server.warmup.setPerSecond(WarmupShare::of(perSecond, m_settings.host, m_otherHosts, server.id));
     }
-    const auto unsent = std::count_if(server.connections.begin(), server.connections.end(),
-        [](const auto& connection) { return connection->job != 0 && !connection->statementSent; });
+    // Statements of open transactions are counted once they are sent: each may wait for the others' share otherwise.
+    const auto unsent = std::count_if(server.connections.begin(), server.connections.end(), [](const auto& connection) {
+        return connection->job != 0 && connection->session == 0 && !connection->statementSent;
+    });
     return server.warmup.admits(static_cast<size_t>(unsent), now);
 }
 
@@ -153,6 +156,20 @@
     return true;
 }
 
+void Gateway::refuseQueuedUnplaceable()
+{
+    std::vector<uint64_t> queued;
+    for (const auto& [number, job] : m_jobs) {
+        if (job.queued)
+            queued.push_back(number);
+    }
+    for (const uint64_t number : queued) {
+        Job* const job = findJob(number);
+        if (job != nullptr && job->queued)
+            refuseUnplaceable(*job);
+    }
+}
+
 bool Gateway::heldBack(GatewayConnection& connection, Job& job, Session& session)
 {
     if (session.pinned != &connection)
@@ -163,9 +180,15 @@
                                            : "its server is no longer in a region of the route and the customer");
         return true;
     }
+    // Neither has the statement been sent, nor does an earlier reply leave open whether it has run.
+    connection.statementSent = false;
     if (admitsWarming(connection.server))
         return false;
-    job.resendAt = m_clock() + m_settings.busyRetryDelay;
+    const Instant resendAt = m_clock() + m_settings.busyRetryDelay;
+    if (session.sink == nullptr || resendAt >= job.timeoutAt)
+        failTransaction(session, job, ResultCode::TransactionAborted, "its server is warming up");
+    else
+        job.resendAt = resendAt;
     return true;
 }
 
--- a/src/link_lender.h
+++ b/src/link_lender.h
@@ -19,7 +19,7 @@
     LinkLender& operator=(const LinkLender&) = delete;
 
     /// Sets which servers get no statements through this host.
-    void setClosedServers(std::function<bool(const std::string& server)> closed) { m_isClosed = std::move(closed); }
+    void setRefusedServers(std::function<bool(const std::string& server)> closed) { m_isClosed = std::move(closed); }
 
     /// Handles a line from the borrower. Throws std::exception if it is malformed.
     void line(std::string_view);
--- a/src/promotion_coordinator.cpp
+++ b/src/promotion_coordinator.cpp
@@ -232,9 +232,13 @@
     const std::vector<const ServerEntry*> registered = m_gateway.directory().members(service);
     const auto evacuated
         = [&](const ServerEntry* entry) { return m_gateway.evacuations().contains(entry->dataCentre); };
-    // Without a server elsewhere a new primary would have to be replaced again.
+    const auto answers = [&](const ServerEntry* entry) {
+        const auto it = m_members.find(entry->id);
+        return it != m_members.end() && it->second->report.status && !it->second->report.silentSince;
+    };
+    // Without a server elsewhere that can be promoted, a new primary would have to be replaced again.
     const bool mayMove = std::any_of(registered.begin(), registered.end(),
-        [&](const ServerEntry* entry) { return !entry->draining && !evacuated(entry); });
+        [&](const ServerEntry* entry) { return !entry->draining && !evacuated(entry) && answers(entry); });
     for (const ServerEntry* const entry : registered) {
         Member& member = pollServer(*entry, customer, now);
         member.report.registered = true;
--- a/tests/unit_link_borrower.cpp
+++ b/tests/unit_link_borrower.cpp
@@ -278,7 +278,7 @@
     BOOST_TEST(first.opened);
     for (const char* host : { "a", "b" }) {
         if (hosts[host].lender != nullptr)
-            hosts[host].lender->setClosedServers([](const std::string& server) { return server == "p"; });
+            hosts[host].lender->setRefusedServers([](const std::string& server) { return server == "p"; });
     }
     BackendCommand command;
     command.id = "1";
--- a/tests/unit_promotion_coordinator.cpp
+++ b/tests/unit_promotion_coordinator.cpp
@@ -117,6 +117,22 @@
     BOOST_TEST(it.service.leader() == "p");
 }
 
+// Nor does a server elsewhere count that does not answer: it could not be promoted.
+BOOST_AUTO_TEST_CASE(evacuated_primary_stays_while_the_server_elsewhere_is_silent)
+{
+    LaggingReplica it;
+    it.service.setDark("r2", true);
+    it.service.pass(seconds(2));
+    for (const char* id : { "r1", "p" })
+        it.service.evacuate(id);
+    it.service.pass(seconds(10));
+    BOOST_TEST(it.service.promotions() == 0U);
+    BOOST_TEST(it.service.leader() == "p");
+    it.service.setDark("r2", false);
+    it.check();
+    BOOST_TEST(it.service.leader() == "r2");
+}
+
 // Case a.
 BOOST_AUTO_TEST_CASE(live_replica_whose_registration_lapsed)
 {
--- a/tests/unit_server_eligibility.cpp
+++ b/tests/unit_server_eligibility.cpp
@@ -94,6 +94,29 @@
             [&](const FakeConnector::Opened& link) { return link.server == server && !link.closed; }));
     }
 
+    /// Lets the primary warm up at one statement per second, of which this host sends none or all.
+    void warmPrimary(bool sends)
+    {
+        const std::vector<std::string> others
+            = sends ? std::vector<std::string>() : std::vector<std::string> { "h1", "h2", "h3", "h4", "h5" };
+        BOOST_REQUIRE(WarmupShare::of(1, "h0", others, "p") == (sends ? 1U : 0U));
+        gateway.setOtherHosts(others);
+        restrict("bounded", {}, {}, 1);
+        place("p", "mill", seconds(60));
+        gateway.serversChanged();
+    }
+
+    /// Opens a transaction in which one write has been answered. Returns the link of its server.
+    size_t openTransaction(uint64_t session)
+    {
+        execute(session, StatementKind::Begin, "BEGIN", "1");
+        execute(session, StatementKind::Write, "WRITE a b", "2");
+        BOOST_REQUIRE(statementServer() == "p");
+        const size_t link = connector.statementLink();
+        connector.reply(link, okReply("", { 1, 5 }, TransactionState::Open));
+        return link;
+    }
+
     uint64_t sequence = 0;
 };
 
@@ -137,7 +160,7 @@
 }
 
 // A copy of the store that is older than the request does not take the evacuation back.
-BOOST_AUTO_TEST_CASE(evacuation_outlives_a_restore_until_it_is_taken_back)
+BOOST_AUTO_TEST_CASE(evacuation_stays_in_force_after_a_restore)
 {
     Evacuations it;
     it.request("mill");
@@ -472,6 +495,128 @@
     BOOST_TEST(starting.connector.links.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(held_back_statement_times_out, PlacedFixture)
+{
+    FakeCaller caller;
+    const uint64_t session = open(caller, "primary");
+    const size_t link = openTransaction(session);
+    warmPrimary(false);
+    execute(session, StatementKind::Write, "WRITE a b", "3");
+    pass(milliseconds(900));
+    BOOST_TEST(caller.answers.size() == 2U);
+    pass(milliseconds(200));
+    BOOST_REQUIRE(caller.answers.size() == 3U);
+    BOOST_TEST((caller.answers[2].code == ResultCode::TransactionAborted));
+    BOOST_TEST(statementServer().empty());
+    execute(session, StatementKind::Rollback, "ROLLBACK", "4");
+    BOOST_REQUIRE(caller.answers.size() == 4U);
+    BOOST_TEST((caller.answers[3].code == ResultCode::Ok));
+    gateway.closeSession(session);
+    gateway.drain();
+    pass(seconds(20));
+    BOOST_TEST(gateway.drained());
+    BOOST_TEST(connector.links[link].commands.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(held_back_statement_ends_with_its_session, PlacedFixture)
+{
+    FakeCaller caller;
+    const uint64_t session = open(caller, "primary");
+    const size_t link = openTransaction(session);
+    warmPrimary(false);
+    execute(session, StatementKind::Write, "WRITE a b", "3");
+    gateway.closeSession(session);
+    pass(milliseconds(100));
+    BOOST_REQUIRE(!connector.links[link].commands.empty());
+    BOOST_TEST((connector.links[link].commands.front().kind == BackendCommandKind::Rollback));
+    connector.answerOwnCommands({ 1, 7 });
+    gateway.drain();
+    pass(seconds(20));
+    BOOST_TEST(gateway.drained());
+}
+
+// Nothing of a held-back COMMIT has reached the server.
+BOOST_FIXTURE_TEST_CASE(held_back_commit_whose_connection_closes_is_aborted, PlacedFixture)
+{
+    FakeCaller caller;
+    const uint64_t session = open(caller, "primary");
+    const size_t link = openTransaction(session);
+    warmPrimary(false);
+    execute(session, StatementKind::Commit, "COMMIT", "3");
+    BOOST_TEST(caller.answers.size() == 2U);
+    connector.links[link].observer->backendClosed(BackendCloseReason::Lost);
+    BOOST_REQUIRE(caller.answers.size() == 3U);
+    BOOST_TEST((caller.answers[2].code == ResultCode::TransactionAborted));
+}
+
+// With a share of one statement per second, held-back statements neither block themselves nor each other.
+BOOST_FIXTURE_TEST_CASE(held_back_statements_take_turns, PlacedFixture)
+{
+    FakeCaller callers[2];
+    uint64_t sessions[2];
+    for (size_t i = 0; i < 2; ++i) {
+        sessions[i] = open(callers[i], "primary");
+        openTransaction(sessions[i]);
+    }
+    warmPrimary(true);
+    FakeCaller first;
+    execute(open(first, "primary"), StatementKind::Write, "WRITE a b", "3");
+    BOOST_REQUIRE(statementServer() == "p");
+    connector.reply(connector.statementLink(), okReply("", { 1, 6 }));
+    pass(milliseconds(500));
+    for (size_t i = 0; i < 2; ++i)
+        execute(sessions[i], StatementKind::Write, "WRITE a b", "4");
+    BOOST_TEST(statementServer().empty());
+    pass(milliseconds(540));
+    BOOST_REQUIRE(statementServer() == "p");
+    connector.reply(connector.statementLink(), okReply("", { 1, 6 }, TransactionState::Open));
+    BOOST_TEST(statementServer().empty());
+    BOOST_TEST(callers[0].answers.size() + callers[1].answers.size() == 5U);
+}
+
+// Failed attempts do not send a read to a primary that may not serve it.
+BOOST_FIXTURE_TEST_CASE(failed_reads_stay_off_an_evacuated_primary, PlacedFixture)
+{
+    place("r1", "quay");
+    gateway.serversChanged();
+    provePrimary({ 1, 7 });
+    evacuate("mill");
+    FakeCaller caller;
+    execute(open(caller, "bounded"), StatementKind::Read, "READ a");
+    for (int i = 0; i < 2; ++i) {
+        const std::string server = statementServer();
+        BOOST_REQUIRE(!server.empty());
+        BOOST_TEST(server != "p");
+        connector.reply(connector.statementLink(), errorReply(BackendError::Busy));
+    }
+    pass(milliseconds(40));
+    BOOST_TEST(!statementServer().empty());
+    BOOST_REQUIRE(connector.statementLink() != connector.links.size());
+    connector.reply(connector.statementLink(), okReply("x", { 1, 7 }));
+    BOOST_REQUIRE(caller.answers.size() == 1U);
+    BOOST_TEST((caller.answers[0].code == ResultCode::Ok));
+}
+
+// A statement that waits is refused as soon as no server may run it.
+BOOST_FIXTURE_TEST_CASE(waiting_statements_without_a_server_are_refused_at_once, PlacedFixture)
+{
+    evacuate("mill");
+    FakeCaller waiting;
+    execute(open(waiting, "primary"), StatementKind::Write, "WRITE a b");
+    BOOST_TEST(waiting.answers.empty()); // "r2" may become primary.
+    evacuate("quay");
+    BOOST_REQUIRE(waiting.answers.size() == 1U);
+    BOOST_TEST((waiting.answers[0].code == ResultCode::NoPrimary));
+    takeBack("quay");
+
+    FakeCaller restricted;
+    execute(open(restricted, "primary"), StatementKind::Write, "WRITE a b");
+    BOOST_TEST(restricted.answers.empty());
+    restrict("primary", { "north" });
+    BOOST_REQUIRE(restricted.answers.size() == 1U);
+    BOOST_TEST((restricted.answers[0].code == ResultCode::NoPrimary));
+}
+
 // Hosts that start, are cut off from the store, or follow a store that was replaced by an older copy.
 BOOST_AUTO_TEST_CASE(evacuation_is_in_force_on_every_host)
 {
--- a/tests/unit_store_client.cpp
+++ b/tests/unit_store_client.cpp
@@ -362,8 +362,6 @@
     BOOST_CHECK_THROW(entry(R"(,"born":1700000000123,"seq_no":"x")"), std::exception);
 }
 
-// Another writer's entry names no server: not one with four billion slots, one that nobody can reach, or one whose
-// start makes the true entries of its id seem older.
 BOOST_AUTO_TEST_CASE(evacuations_are_named_by_their_keys)
 {
     const DocumentDecoder decoder;
@@ -394,6 +392,8 @@
     BOOST_CHECK_THROW(configurationWith("[]", "\"5\""), std::exception);
 }
 
+// Another writer's entry names no server: not one with four billion slots, one that nobody can reach, or one whose
+// start makes the true entries of its id seem older.
 BOOST_AUTO_TEST_CASE(odd_server_entries_are_rejected)
 {
     const DocumentDecoder decoder;
