Call no handler of a socket that closes after sending

Cause: closeAfterSend() kept the handlers until the output was sent, while the owner of a caller's connection ends at once.

Change: closeAfterSend() clears the handlers; from then on nothing is read or delivered.

Result: unit.memory-budget, closing_socket_calls_no_handler, fails for a line and for the end of the stream on ("line was handled", "end was handled") and passes.

--- a/src/line_socket.cpp
+++ b/src/line_socket.cpp
@@ -119,7 +119,7 @@
 
 void LineSocket::awaitInput()
 {
-    if (!m_open || m_ended || m_reading)
+    if (!m_open || m_ended || m_reading || m_closing)
         return;
     m_reading = true;
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code& ec) {
@@ -148,7 +148,7 @@
 
 void LineSocket::readAvailable()
 {
-    if (stalled())
+    if (m_closing || stalled())
         return;
     size_t limit = readBuffer.size();
     if (m_memory != nullptr) {
@@ -199,7 +199,7 @@
     // Copied, as the handler may close the socket, which destroys the handlers.
     const std::function<bool(std::string_view)> line = m_handlers.line;
     size_t start = 0;
-    while (m_open && !blocked()) {
+    while (m_open && !m_closing && !blocked()) {
         const size_t end = m_in.find('\n', std::max(start, m_searched));
         m_searched = end == std::string::npos ? m_in.size() : end;
         if (end == std::string::npos)
@@ -238,7 +238,7 @@
 
 void LineSocket::deliverLater()
 {
-    if (m_in.empty() || !m_open)
+    if (m_in.empty() || !m_open || m_closing)
         return;
     boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
         self->deliver();
@@ -300,6 +300,8 @@
 void LineSocket::closeAfterSend()
 {
     m_closing = true;
+    // Their owner may end before the output has been sent.
+    m_handlers = {};
     if (!m_writing)
         writeAvailable();
 }
--- a/src/line_socket.h
+++ b/src/line_socket.h
@@ -39,7 +39,7 @@
     void send(std::string_view);
     void resume();
 
-    /// Closes the connection after all queued data has been sent.
+    /// Closes the connection after all queued data has been sent; no further handler is called and nothing is read.
     void closeAfterSend();
 
     /// Closes the connection immediately; no handler is called afterwards.
--- a/tests/unit_memory_budget.cpp
+++ b/tests/unit_memory_budget.cpp
@@ -319,3 +319,41 @@
     BOOST_TEST(tooLong);
     BOOST_TEST(fixture.reader->memory()->held(MemoryUse::Input) < kibibyte);
 }
+
+// Load pattern: a caller that reads slowly ends its session, or is ended, and sends or disconnects before all answers
+// have been sent.
+BOOST_AUTO_TEST_CASE(closing_socket_calls_no_handler)
+{
+    for (const bool sends : { true, false }) {
+        ReaderFixture fixture(32 * mebibyte, mebibyte);
+        unsigned calls = 0;
+        LineSocket::Handlers handlers;
+        handlers.line = [&](std::string_view) {
+            ++calls;
+            return true;
+        };
+        handlers.closed = [&](bool) { ++calls; };
+        fixture.reader->start(std::move(handlers));
+        const std::string chunk(4 * kibibyte, 'z');
+        while (fixture.reader->memory()->held(MemoryUse::Output) < 2 * chunk.size())
+            fixture.reader->send(chunk);
+        fixture.reader->closeAfterSend();
+        boost::system::error_code ec;
+        if (sends)
+            fixture.sender.write_some(boost::asio::buffer("late\n", 5), ec);
+        else
+            fixture.sender.close(ec);
+        fixture.loop.run_for(std::chrono::milliseconds(100));
+        BOOST_TEST(calls == 0U, (sends ? "line" : "end") << " was handled");
+        // The rest of the output is still sent.
+        BOOST_TEST((fixture.reader->memory() != nullptr) == sends);
+        std::string buf(64 * kibibyte, '\0');
+        for (int i = 0; sends && i < 1000 && fixture.reader->memory() != nullptr; ++i) {
+            fixture.sender.read_some(boost::asio::buffer(buf), ec);
+            fixture.loop.restart();
+            fixture.loop.run_for(std::chrono::milliseconds(1));
+        }
+        BOOST_TEST(fixture.reader->memory() == nullptr);
+        BOOST_TEST(fixture.budget.held() == 0U);
+    }
+}
