Fail an open transaction when memory refuses a statement of it

Cause: a statement over the budget, and SET or PREPARE without room, got the code of a statement that did not run while the transaction stayed open.

Change: such a refusal rolls an open transaction back and says that it is aborted.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -166,6 +166,8 @@
     ResultCode authorize(const Session&, const GatewayRoute&, std::string& customer) const;
     void answer(Session&, const Statement&, StatementAnswer);
     void refuse(Session&, const Statement&, ResultCode, const std::string& detail, Duration retryAfter = Duration(0));
+    /// Refuses a statement that exceeds the budget of memory. An open transaction is rolled back and fails.
+    void refuseForMemory(Session&, const Statement&, const std::string& detail, Duration retryAfter);
     bool executeLocally(Session&, const Statement&);
     /// Counts the change of a value or prepared name. Returns false and refuses the statement if it exceeds a limit.
     bool resizeState(Session&, const Statement&, size_t removed, size_t added);
--- a/src/gateway_session.cpp
+++ b/src/gateway_session.cpp
@@ -121,10 +121,27 @@
     Session* const session = findSession(number);
     if (session != nullptr)
         session->statementExpected = false;
-    if (session != nullptr && session->job == 0 && session->quotaRequest == 0)
+    if (session == nullptr || session->job != 0 || session->quotaRequest != 0)
+        return;
+    if (code == ResultCode::QueueFull)
+        refuseForMemory(*session, statement, detail, retryAfter);
+    else
         refuse(*session, statement, code, detail, retryAfter);
 }
 
+void Gateway::refuseForMemory(
+    Session& session, const Statement& statement, const std::string& detail, Duration retryAfter)
+{
+    if (session.state != TransactionState::Open) {
+        refuse(session, statement, ResultCode::QueueFull, detail, retryAfter);
+        return;
+    }
+    // QueueFull says that nothing was run, which would not be so if the transaction could still be committed.
+    releasePinned(session);
+    session.state = TransactionState::Failed;
+    refuse(session, statement, ResultCode::TransactionAborted, detail, retryAfter);
+}
+
 bool Gateway::statementWrites(const Session& session, const Statement& statement) const
 {
     if (statement.kind != StatementKind::Execute)
@@ -143,10 +160,10 @@
         session.stateBytes = bytes;
         return true;
     }
-    const bool ofSession = code == ResultCode::RequestTooLarge;
-    refuse(session, statement, code,
-        ofSession ? "the session's values and prepared names are too large" : "no memory for session values now",
-        ofSession ? Duration(0) : defaultRetryAfter);
+    if (code == ResultCode::QueueFull)
+        refuseForMemory(session, statement, "no memory for session values now", defaultRetryAfter);
+    else
+        refuse(session, statement, code, "the session's values and prepared names are too large");
     return false;
 }
 
--- a/tests/unit_caller_port.cpp
+++ b/tests/unit_caller_port.cpp
@@ -57,6 +57,39 @@
         return text;
     }
 
+    /// Opens a session and a transaction, and runs a write in it. Returns the index of its link.
+    size_t writeInTransaction()
+    {
+        send("STARTUP primary key\r\n");
+        receive("READY");
+        send("QUERY 1 BEGIN\r\n");
+        receive("READY T");
+        send("QUERY 2 WRITE a b\r\n");
+        for (int i = 0; i < 100 && connector.statementLink() == connector.links.size(); ++i) {
+            loop.poll();
+            connector.acceptAll();
+            connector.answerOwnCommands({ 1, 2 });
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        const size_t link = connector.statementLink();
+        BOOST_REQUIRE(link < connector.links.size());
+        connector.reply(link, okReply("", { 1, 2 }, TransactionState::Open));
+        BOOST_TEST(receive("READY T").rfind("COMPLETE", 0) == 0U);
+        return link;
+    }
+
+    /// Expects that the session's transaction has failed and was rolled back, and that COMMIT says so.
+    void checkRolledBack(size_t link)
+    {
+        BOOST_REQUIRE(!connector.links[link].commands.empty());
+        BOOST_TEST((connector.links[link].commands.back().kind == BackendCommandKind::Rollback));
+        send("QUERY 4 COMMIT\r\n");
+        const std::string text = receive("READY");
+        BOOST_TEST(text.rfind("ERROR ABORTED", 0) == 0U, text);
+        BOOST_TEST(text.find("READY I") != std::string::npos, text);
+        BOOST_TEST(connector.statementLink() == connector.links.size()); // No COMMIT has been sent.
+    }
+
     uint16_t portNumber;
     MemoryBudget budget { 64 * 1024 * 1024 };
     boost::asio::io_context loop;
@@ -188,6 +221,51 @@
     BOOST_TEST(receive("READY").rfind("COMPLETE", 0) == 0U);
 }
 
+// Load pattern: the budget is used up while a transaction is open. BUSY would promise that nothing of it is kept.
+BOOST_FIXTURE_TEST_CASE(statement_without_room_fails_the_transaction, PortFixture)
+{
+    const size_t link = writeInTransaction();
+    MemoryAccount others(budget, "hare", [] {});
+    others.set(MemoryUse::Output, 54 * 1024 * 1024);
+    send("QUERY 3 WRITE c " + std::string(900 * 1000, 'x') + "\r\n");
+    const std::string text = receive("READY");
+    BOOST_TEST(text.rfind("ERROR ABORTED", 0) == 0U, text);
+    BOOST_TEST(text.find("READY E") != std::string::npos, text);
+    checkRolledBack(link);
+}
+
+BOOST_FIXTURE_TEST_CASE(value_without_room_fails_the_transaction, PortFixture)
+{
+    const size_t link = writeInTransaction();
+    MemoryAccount others(budget, "hare", [] {});
+    others.set(MemoryUse::State, 32 * 1024 * 1024);
+    send("QUERY 3 SET n " + std::string(20 * 1000, 'v') + "\r\n");
+    const std::string text = receive("READY");
+    BOOST_TEST(text.rfind("ERROR ABORTED", 0) == 0U, text);
+    BOOST_TEST(text.find("READY E") != std::string::npos, text);
+    checkRolledBack(link);
+}
+
+// Load pattern: the budget is used up while a COMMIT that has been received waits for the statement before it.
+BOOST_FIXTURE_TEST_CASE(commit_and_rollback_are_not_refused_for_memory, PortFixture)
+{
+    const size_t link = writeInTransaction();
+    const auto awaitStatement = [&] {
+        for (int i = 0; i < 100 && connector.links[link].commands.empty(); ++i) {
+            loop.poll();
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        BOOST_REQUIRE(!connector.links[link].commands.empty());
+    };
+    send("QUERY 3 WRITE c d\r\nQUERY 4 COMMIT\r\n");
+    awaitStatement();
+    MemoryAccount others(budget, "hare", [] {});
+    others.set(MemoryUse::Output, budget.total());
+    connector.reply(link, okReply("", { 1, 3 }, TransactionState::Open));
+    awaitStatement();
+    BOOST_TEST(connector.links[link].commands.front().text == "COMMIT");
+}
+
 // Load pattern: more connections without a session than the host has room for, and an ordinary caller.
 BOOST_FIXTURE_TEST_CASE(oldest_connection_without_a_session_makes_room, PortFixture)
 {
