Release the buffers of idle sockets

Cause: empty buffers kept up to 64 KiB, and the budget counts capacity.

Change: an empty buffer of more than 4 KiB is released.

Result: unit.memory-budget, idle_socket_is_small_after_a_long_line, fails on (20,481 bytes of input and 20,480 of output held) and passes. The processor time of callers with long lines was not measured.

--- a/src/line_socket.cpp
+++ b/src/line_socket.cpp
@@ -24,6 +24,9 @@
     /// Input that is buffered on such connections while a line is handled.
     constexpr size_t maxInputAhead = 64 * 1024;
 
+    /// Capacity of an empty buffer, in bytes, beyond which its memory is released: a part of a small account's.
+    constexpr size_t keptBufferBytes = MemoryBudget::smallBytes / 4;
+
     /// Receive buffer of such connections. The kernel may use twice as much.
     constexpr int receiveBufferBytes = 64 * 1024;
 
@@ -224,7 +227,9 @@
     }
     m_in.erase(0, start);
     m_searched -= std::min(m_searched, start);
-    if (m_in.capacity() > readBuffer.size() && m_in.size() < m_in.capacity() / 4)
+    if (m_in.empty() && m_in.capacity() > keptBufferBytes)
+        release(m_in);
+    else if (m_in.capacity() > readBuffer.size() && m_in.size() < m_in.capacity() / 4)
         m_in.shrink_to_fit();
 }
 
@@ -275,8 +280,8 @@
         }
     }
     m_out.erase(0, sent);
-    if (m_out.empty() && m_out.capacity() > readBuffer.size())
-        m_out.shrink_to_fit();
+    if (m_out.empty() && m_out.capacity() > keptBufferBytes)
+        release(m_out);
     if (m_out.empty() && m_closing && m_open) {
         close();
         return;
--- a/tests/unit_memory_budget.cpp
+++ b/tests/unit_memory_budget.cpp
@@ -357,3 +357,29 @@
         BOOST_TEST(fixture.budget.held() == 0U);
     }
 }
+
+// Load pattern: thousands of sessions that once sent or received some kilobytes and are idle since.
+BOOST_AUTO_TEST_CASE(idle_socket_is_small_after_a_long_line)
+{
+    ReaderFixture fixture(32 * mebibyte, mebibyte);
+    size_t received = 0;
+    LineSocket::Handlers handlers;
+    handlers.line = [&](std::string_view line) {
+        received = line.size();
+        fixture.reader->send(line);
+        return true;
+    };
+    fixture.reader->start(std::move(handlers));
+    const std::string out = std::string(20 * kibibyte, 'a') + "\n";
+    boost::system::error_code ec;
+    size_t sent = 0;
+    for (int i = 0; i < 100; ++i) {
+        sent += fixture.sender.write_some(boost::asio::buffer(out.data() + sent, out.size() - sent), ec);
+        fixture.loop.restart();
+        fixture.loop.run_for(std::chrono::milliseconds(1));
+    }
+    BOOST_TEST(received == 20 * kibibyte);
+    BOOST_TEST(!fixture.reader->memory()->large());
+    BOOST_TEST(fixture.reader->memory()->held(MemoryUse::Input) < 5 * kibibyte);
+    BOOST_TEST(fixture.reader->memory()->held(MemoryUse::Output) < 5 * kibibyte);
+}
