--- a/tests/unit_caller_port.cpp
+++ b/tests/unit_caller_port.cpp
@@ -266,6 +266,40 @@
     BOOST_TEST(connector.links[link].commands.front().text == "COMMIT");
 }
 
+// Load pattern: an idle session is ended while much of its answers is unsent, and the caller goes on sending.
+BOOST_FIXTURE_TEST_CASE(connection_counts_until_its_output_is_sent, PortFixture)
+{
+    send("STARTUP primary key\r\n");
+    receive("READY");
+    send("QUERY 1 READ a\r\n");
+    for (int i = 0; i < 100 && connector.statementLink() == connector.links.size(); ++i) {
+        loop.poll();
+        connector.acceptAll();
+        connector.answerOwnCommands({ 1, 2 });
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    const size_t link = connector.statementLink();
+    BOOST_REQUIRE(link < connector.links.size());
+    connector.reply(link, okReply(std::string(24 * 1024 * 1024, 'r'), { 1, 2 }, TransactionState::Open));
+    connector.answerOwnCommands({ 1, 2 });
+    gateway.drain();
+    pass(std::chrono::seconds(3));
+    BOOST_REQUIRE(gateway.sessions() == 0U);
+    BOOST_TEST(port.connections() == 1U);
+    send("QUERY 2 READ a\r\n");
+    for (int i = 0; i < 100; ++i)
+        loop.poll();
+    BOOST_TEST(port.connections() == 1U);
+    std::string buf(256 * 1024, '\0');
+    for (int i = 0; i < 5000 && port.connections() > 0; ++i) {
+        loop.poll();
+        boost::system::error_code ec;
+        socket.read_some(boost::asio::buffer(buf), ec);
+        std::this_thread::sleep_for(std::chrono::milliseconds(ec ? 1 : 0));
+    }
+    BOOST_TEST(port.connections() == 0U);
+}
+
 // Load pattern: more connections without a session than the host has room for, and an ordinary caller.
 BOOST_FIXTURE_TEST_CASE(oldest_connection_without_a_session_makes_room, PortFixture)
 {
