Decide largeness without unread bytes and close lending streams last

Without pressure every tick walked all accounts to clear their marks. Streams over which another host uses connections were closed before callers, which leaves the outcome of that host's writes unknown.

Change: unread bytes count in the total only; when the budget is full, paused small accounts may still be closed, as they would wait for each other. Marks are cleared once. A stream that lends is closed after all others, and only when full.

The time of a tick was not measured.

--- a/src/memory_budget.cpp
+++ b/src/memory_budget.cpp
@@ -34,7 +34,7 @@
         return true;
     if (account.ofServer())
         return next < fullLevel() || isLargestOfServers(account);
-    const size_t own = account.m_held + bytes;
+    const size_t own = account.size() + bytes;
     if (own <= smallBytes)
         return next < m_total;
     return next < fullLevel() && own <= share(account);
@@ -64,12 +64,13 @@
 void MemoryBudget::add(MemoryAccount& account, size_t removed, size_t added)
 {
     Owner& owner = account.m_owner->second;
-    const bool wasLarge = account.large();
+    const bool wasLarge = account.m_large;
     const bool wasFull = full();
     account.m_held = account.m_held - removed + added;
     owner.bytes = owner.bytes - removed + added;
     m_held = m_held - removed + added;
-    if (account.large() != wasLarge) {
+    account.m_large = account.size() > smallBytes;
+    if (account.m_large != wasLarge) {
         if (wasLarge)
             m_largeOwners -= --owner.large == 0 ? 1 : 0;
         else
@@ -83,8 +84,10 @@
 {
     std::vector<MemoryAccount*> closing;
     if (!underPressure()) {
-        for (MemoryAccount* const it : m_accounts)
-            it->m_largeSince = {};
+        if (std::exchange(m_marked, false)) {
+            for (MemoryAccount* const it : m_accounts)
+                it->m_largeSince = {};
+        }
         return closing;
     }
     std::map<const Owner*, size_t> bytesOf;
@@ -98,11 +101,15 @@
         if (it->m_closing) {
             bytesOf[owner] -= it->m_held;
             held -= it->m_held;
-        } else if (!it->large())
+        } else if (!it->large()) {
             it->m_largeSince = {};
-        else {
+            // Small ones that wait for room would otherwise wait for each other.
+            if (full() && it->m_held > smallBytes)
+                candidates.push_back(it);
+        } else {
             if (it->m_largeSince == Instant())
                 it->m_largeSince = now;
+            m_marked = true;
             candidates.push_back(it);
         }
     }
@@ -110,6 +117,8 @@
         const bool urgent = held >= fullLevel();
         auto chosen = candidates.end();
         const auto before = [&](const MemoryAccount& a, const MemoryAccount& b) {
+            if (a.m_lends != b.m_lends)
+                return b.m_lends;
             const size_t aOwner = bytesOf[&a.m_owner->second];
             const size_t bOwner = bytesOf[&b.m_owner->second];
             if (aOwner != bOwner)
@@ -119,7 +128,8 @@
             return aRuns != bRuns ? bRuns : a.m_held > b.m_held;
         };
         for (auto it = candidates.begin(); it != candidates.end(); ++it) {
-            if (!urgent && now - (*it)->m_largeSince < largeLimit)
+            const bool isDue = (*it)->large() && now - (*it)->m_largeSince >= largeLimit;
+            if (!urgent && ((*it)->m_lends || !isDue))
                 continue;
             if (chosen == candidates.end() || before(**it, **chosen))
                 chosen = it;
@@ -180,7 +190,7 @@
 {
     if (m_budget.mayGrow(*this, wanted))
         return wanted;
-    const size_t room = m_held < MemoryBudget::smallBytes ? MemoryBudget::smallBytes - m_held : 0;
+    const size_t room = size() < MemoryBudget::smallBytes ? MemoryBudget::smallBytes - size() : 0;
     const size_t some = std::min(wanted, room);
     return some > 0 && m_budget.mayGrow(*this, some) ? some : 0;
 }
--- a/src/memory_budget.h
+++ b/src/memory_budget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plantainwall/plantainwall.h"
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <map>
@@ -84,6 +85,7 @@
     size_t m_largeOwners = 0; ///< Owners with large accounts.
     Owners m_owners;
     std::vector<MemoryAccount*> m_accounts;
+    bool m_marked = false; ///< Accounts may have MemoryAccount::m_largeSince set.
     std::function<void()> m_fullHandler;
 };
 
@@ -103,12 +105,16 @@
 
     size_t held() const { return m_held; }
     size_t held(MemoryUse use) const { return m_uses[static_cast<size_t>(use)]; }
-    bool large() const { return m_held > MemoryBudget::smallBytes; }
+    bool large() const { return m_large; }
     bool ofServer() const { return !close; }
 
     /// Sets what is held for a use, in bytes, after the fact.
     void set(MemoryUse, size_t bytes);
 
+    /// Sets whether statements of other connections run over this one. It is then closed after all others, and only
+    /// when the budget is full: closing it leaves the outcome of their writes unknown.
+    void setLends(bool lends) { m_lends = lends; }
+
     /// Returns how many bytes may be read now, at most those wanted; 0: reading has to pause.
     size_t readAllowance(size_t wanted) const;
 
@@ -126,12 +132,18 @@
 private:
     friend class MemoryBudget;
 
+    /// Returns what decides whether the account is large. Unread bytes are not part of it, as they are the budget's
+    /// doing.
+    size_t size() const { return m_held - std::min(m_held, held(MemoryUse::Unread)); }
+
     MemoryBudget& m_budget;
     MemoryBudget::Owners::iterator m_owner;
     size_t m_index = 0; ///< In MemoryBudget::m_accounts.
     std::array<size_t, static_cast<size_t>(MemoryUse::Count)> m_uses {};
     size_t m_held = 0;
     Instant m_largeSince; ///< Zero: not large when last looked at.
+    bool m_large = false;
+    bool m_lends = false;
     bool m_closing = false;
 };
 
--- a/src/peer_stream.cpp
+++ b/src/peer_stream.cpp
@@ -139,6 +139,8 @@
 {
     try {
         borrower.lender->line(text);
+        if (borrower.socket->memory() != nullptr)
+            borrower.socket->memory()->setLends(borrower.lender->size() > 0);
     } catch (const std::exception& error) {
         logEvent(LogEvent::BadRequest, { { "from", "borrower of connections" }, { "reason", error.what() } });
         borrower.ended = true;
@@ -151,6 +153,8 @@
         if (it->ended)
             it->socket->close();
         it->lender->tick();
+        if (it->socket->memory() != nullptr)
+            it->socket->memory()->setLends(it->lender->size() > 0);
     }
     m_borrowers.erase(std::remove_if(m_borrowers.begin(), m_borrowers.end(),
                           [](const std::unique_ptr<Borrower>& it) { return it->ended; }),
--- a/tests/unit_memory_budget.cpp
+++ b/tests/unit_memory_budget.cpp
@@ -128,6 +128,81 @@
     BOOST_TEST(account->held() == mebibyte);
 }
 
+// Load pattern: many sessions of one customer, each paused with little input, beside one large message.
+BOOST_FIXTURE_TEST_CASE(unread_bytes_count_in_the_total_and_make_no_account_large, BudgetFixture)
+{
+    std::vector<AccountPtr> crowd;
+    for (int i = 0; i < 300; ++i) {
+        crowd.push_back(open("crowd"));
+        crowd.back()->set(MemoryUse::Unread, 64 * kibibyte);
+        crowd.back()->set(MemoryUse::Input, kibibyte);
+        BOOST_TEST(!crowd.back()->large());
+    }
+    BOOST_TEST(budget.held() == 300 * 65 * kibibyte);
+    BOOST_TEST(budget.underPressure());
+    BOOST_TEST(crowd.front()->readAllowance(64 * kibibyte) == 64 * kibibyte); // Its share, as no other is large.
+    BOOST_TEST(crowd.front()->mayRun(kibibyte));
+    budget.accountsToClose(now);
+    now += MemoryBudget::largeLimit;
+    BOOST_TEST(budget.accountsToClose(now).empty());
+    crowd.front()->set(MemoryUse::Input, 17 * kibibyte);
+    BOOST_TEST(crowd.front()->large());
+    crowd.front()->setOwner("hatter");
+    BOOST_TEST(crowd.front()->large());
+}
+
+// Load pattern: more small messages that stop half-way than the budget has room for.
+BOOST_FIXTURE_TEST_CASE(unread_bytes_of_small_accounts_are_made_room_for_when_full, BudgetFixture)
+{
+    std::vector<AccountPtr> crowd;
+    while (budget.held() < total) {
+        crowd.push_back(open("crowd"));
+        crowd.back()->set(MemoryUse::Input, 10 * kibibyte);
+    }
+    BOOST_TEST(crowd.front()->readAllowance(kibibyte) == 0U);
+    for (size_t i = 0; i < 100; ++i)
+        crowd[i]->set(MemoryUse::Unread, 64 * kibibyte);
+    size_t closed = 0;
+    for (const MemoryAccount* const it : budget.accountsToClose(now))
+        closed += it->held();
+    BOOST_TEST(closed > 0U);
+    BOOST_TEST(budget.held() - closed < total);
+}
+
+BOOST_FIXTURE_TEST_CASE(account_is_not_closed_for_time_in_an_earlier_pressure, BudgetFixture)
+{
+    const AccountPtr account = open("hatter");
+    account->set(MemoryUse::Output, 20 * mebibyte);
+    BOOST_TEST(budget.accountsToClose(now).empty());
+    account->set(MemoryUse::Output, mebibyte);
+    now += std::chrono::seconds(1);
+    BOOST_TEST(budget.accountsToClose(now).empty());
+    account->set(MemoryUse::Output, 20 * mebibyte);
+    now += MemoryBudget::largeLimit;
+    BOOST_TEST(budget.accountsToClose(now).empty());
+    now += MemoryBudget::largeLimit;
+    BOOST_TEST(budget.accountsToClose(now).size() == 1U);
+}
+
+// Load pattern: a stream over which another host runs statements, beside callers.
+BOOST_FIXTURE_TEST_CASE(stream_that_lends_is_closed_last_and_only_when_full, BudgetFixture)
+{
+    const AccountPtr stream = open("peers");
+    stream->setLends(true);
+    stream->set(MemoryUse::Output, 20 * mebibyte);
+    budget.accountsToClose(now);
+    now += MemoryBudget::largeLimit;
+    BOOST_TEST(budget.accountsToClose(now).empty());
+    const AccountPtr running = open("hatter");
+    running->set(MemoryUse::Statement, 9 * mebibyte);
+    BOOST_TEST(budget.full());
+    const std::vector<MemoryAccount*> closing = budget.accountsToClose(now);
+    BOOST_REQUIRE(!closing.empty());
+    BOOST_TEST(closing.front() == running.get());
+    stream->setLends(false);
+    BOOST_REQUIRE(budget.accountsToClose(now).size() == 1U);
+}
+
 // Any order of growth that the budget allows, and of growth that cannot be refused, which the closing makes up for.
 BOOST_AUTO_TEST_CASE(random_use_keeps_the_sum_and_the_limit)
 {
