--- a/src/memory_budget.cpp
+++ b/src/memory_budget.cpp
@@ -84,21 +84,12 @@
 {
     std::vector<MemoryAccount*> closing;
     if (!underPressure()) {
-<<<<<<< HEAD
-        if (m_watchesLarge) {
-            for (MemoryAccount* const it : m_accounts)
-                it->m_largeSince = {};
-        }
-        m_watchesLarge = false;
-=======
         if (std::exchange(m_marked, false)) {
             for (MemoryAccount* const it : m_accounts)
                 it->m_largeSince = {};
         }
->>>>>>> part/budgetfix
         return closing;
     }
-    m_watchesLarge = true;
     std::map<const Owner*, size_t> bytesOf;
     std::vector<MemoryAccount*> candidates;
     size_t held = m_held;
--- a/src/memory_budget.h
+++ b/src/memory_budget.h
@@ -85,11 +85,7 @@
     size_t m_largeOwners = 0; ///< Owners with large accounts.
     Owners m_owners;
     std::vector<MemoryAccount*> m_accounts;
-<<<<<<< HEAD
-    bool m_watchesLarge = false; ///< MemoryAccount::m_largeSince is in use.
-=======
     bool m_marked = false; ///< Accounts may have MemoryAccount::m_largeSince set.
->>>>>>> part/budgetfix
     std::function<void()> m_fullHandler;
 };
 
