Accept borrowing streams of more than 300 hosts and report refusals

Cause: the port for other hosts refused the 301st stream when all borrowed connections, without a log entry.

Change: beyond 300 streams the oldest that borrows nothing ends, as before; if all borrow, up to 2,048 are accepted. A refusal is logged (connection_limit_reached) and counted.

Result: integration.unruly-callers, peers_that_only_connect: 319 descriptors and passes. No test has more than 300 streams that borrow.

--- a/src/peer_stream.cpp
+++ b/src/peer_stream.cpp
@@ -15,8 +15,12 @@
     /// Enough for an encoded statement or reply of a megabyte.
     constexpr size_t maxLineBytes = 4 * 1024 * 1024;
 
-    /// Streams of other hosts. A fleet has fewer hosts that borrow from one.
-    constexpr size_t maxBorrowers = 300;
+    /// Streams of other hosts beyond which those that borrow nothing end, the oldest first.
+    constexpr size_t maxWithUnused = 300;
+
+    /// Streams of other hosts. A fleet has fewer hosts that borrow from one, also while streams of hosts that restarted
+    /// have not ended yet.
+    constexpr size_t maxBorrowers = 2048;
 
     /// Pause after a failed accept.
     constexpr std::chrono::milliseconds acceptPause(100);
@@ -69,11 +73,12 @@
     bool ended = false;
 };
 
-LenderPort::LenderPort(
-    boost::asio::io_context& loop, const std::string& address, MemoryBudget& budget, MakeLender makeLender)
+LenderPort::LenderPort(boost::asio::io_context& loop, const std::string& address, MemoryBudget& budget,
+    Metrics& metrics, MakeLender makeLender)
     : m_acceptor(loop, endpointOf<tcp::endpoint>(address))
     , m_retryTimer(loop)
     , m_budget(budget)
+    , m_metrics(metrics)
     , m_makeLender(std::move(makeLender))
 {
     accept();
@@ -105,11 +110,17 @@
 {
     const auto unused = [](const std::unique_ptr<Borrower>& it) { return !it->ended && it->lender->size() == 0; };
     const auto open = [](const std::unique_ptr<Borrower>& it) { return !it->ended; };
-    if (static_cast<size_t>(std::count_if(m_borrowers.begin(), m_borrowers.end(), open)) < maxBorrowers)
+    const auto n = static_cast<size_t>(std::count_if(m_borrowers.begin(), m_borrowers.end(), open));
+    if (n < maxWithUnused)
         return true;
     const auto it = std::find_if(m_borrowers.begin(), m_borrowers.end(), unused);
-    if (it == m_borrowers.end())
+    if (it == m_borrowers.end()) {
+        if (n < maxBorrowers)
+            return true;
+        m_metrics.count(MetricCounter::ConnectionsRefused);
+        logEvent(LogEvent::ConnectionLimitReached, { { "reason", "all streams of other hosts borrow connections" } });
         return false;
+    }
     logEvent(LogEvent::ConnectionEndedForRoom, { { "port", "peers" } });
     (*it)->ended = true;
     (*it)->socket->close();
--- a/src/peer_stream.h
+++ b/src/peer_stream.h
@@ -3,6 +3,7 @@
 #include "gateway_ports.h"
 #include "link_lender.h"
 #include "memory_budget.h"
+#include "metrics.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -24,7 +25,7 @@
     using MakeLender = std::function<std::unique_ptr<LinkLender>(LinkLender::Send)>;
 
     /// Listens on address (ip:port). Throws boost::system::system_error.
-    LenderPort(boost::asio::io_context&, const std::string& address, MemoryBudget&, MakeLender);
+    LenderPort(boost::asio::io_context&, const std::string& address, MemoryBudget&, Metrics&, MakeLender);
     ~LenderPort();
 
     /// Closes ended streams. Must be called every few milliseconds.
@@ -45,6 +46,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_retryTimer;
     MemoryBudget& m_budget;
+    Metrics& m_metrics;
     MakeLender m_makeLender;
     std::vector<std::unique_ptr<Borrower>> m_borrowers;
 };
--- a/tests/unit_lender_port.cpp
+++ b/tests/unit_lender_port.cpp
@@ -14,13 +14,14 @@
 BOOST_AUTO_TEST_CASE(port_without_descriptors_waits_before_the_next_attempt)
 {
     MemoryBudget budget(64 * 1024 * 1024);
+    Metrics metrics;
     boost::asio::io_context loop;
     FakeConnector connector;
     unsigned lenders = 0;
     const uint16_t number = [&loop] {
         return tcp::acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)).local_endpoint().port();
     }();
-    LenderPort port(loop, "127.0.0.1:" + std::to_string(number), budget, [&](LinkLender::Send send) {
+    LenderPort port(loop, "127.0.0.1:" + std::to_string(number), budget, metrics, [&](LinkLender::Send send) {
         ++lenders;
         return std::make_unique<LinkLender>(
             connector, [](const std::string&) { return nullptr; }, [] { return false; }, std::move(send));
