Give a fleet of a restored store enough connections where the number of its hosts is checked

unit.restored-store took largeFleet() for the number of known hosts. It now also says whether connections are scarce, which they are for 24 hosts and the 32 connections of the fake. The check stays; the fleet of this case allows 1,000.

--- a/tests/support_fleet.cpp
+++ b/tests/support_fleet.cpp
@@ -340,7 +340,10 @@
 
 std::shared_ptr<const GatewayConfiguration> FakeFleetDecoder::configuration(const StoreItem& item) const
 {
-    return GatewayFixture::configuration(std::stoul(item.value));
+    const std::shared_ptr<GatewayConfiguration> result = GatewayFixture::configuration(std::stoul(item.value));
+    for (auto& [name, service] : result->services)
+        service.maxConnections = connectionsPerServer;
+    return result;
 }
 
 ServerEntry FakeFleetDecoder::server(const StoreItem& item) const
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -163,6 +163,8 @@
     std::shared_ptr<const GatewayConfiguration> configuration(const StoreItem&) const override;
     std::string serverId(std::string_view key) const override { return std::string(key.substr(2)); }
     ServerEntry server(const StoreItem&) const override;
+
+    unsigned connectionsPerServer = 32; ///< Of each service, over all hosts.
 };
 
 /// Datagrams between the hosts of a fleet, by address.
--- a/tests/unit_restored_store.cpp
+++ b/tests/unit_restored_store.cpp
@@ -482,6 +482,8 @@
     const CerrCapture capture;
     const size_t remaining = GatewaySettings().largeFleet - 1;
     RestoredFleet fleet(0);
+    fleet.decoder.connectionsPerServer = 1000; // Hosts share connections by their number only.
+    fleet.store.put("config", "2");
     fleet.store.snapshot();
     fleet.addHosts(remaining);
     fleet.pass(seconds(5));
