Log messages that cannot be read, and the prepared name that an EXECUTE ran under

Connections to servers end with protocol_error, and nothing tells what was read: neither which part of a reply was unexpected, nor whether the line ended with CR LF or with LF alone, nor what the entry host called a prepared shape.

Nothing is decided differently.

--- a/src/gateway_backend.cpp
+++ b/src/gateway_backend.cpp
@@ -185,6 +185,7 @@
     }
     if (!job.inTransaction && !job.writes && !job.onPrimary)
         command.after = job.after;
+    connection.preparedName = command.name;
     job.sentToServer = true;
     job.sentAt = m_clock();
     noteSent(connection.server);
@@ -427,7 +428,8 @@
             { "ms", std::chrono::duration_cast<Duration>(now - job.arrived).count() / 1000 },
             { "server_ms", std::chrono::duration_cast<Duration>(now - sentAt).count() / 1000 },
             { "term", reply.position.term }, { "position", reply.position.position },
-            { "after_position", job.after ? job.after->position : 0 }, { "configuration", m_configuration->version } });
+            { "after_position", job.after ? job.after->position : 0 }, { "configuration", m_configuration->version },
+            { "prepared", connection.preparedName } });
     m_metrics.count(job.onPrimary ? MetricCounter::ReadsByPrimary : MetricCounter::ReadsByReplica);
     if (job.after)
         connection.server.laggingReplies = 0;
--- a/src/gateway_connection.h
+++ b/src/gateway_connection.h
@@ -65,6 +65,7 @@
     bool valuesKnown = true; ///< Whether `values` is what the server has; if not, they are reset before the next use.
     std::map<std::string, std::string> values; ///< Session values set on the connection.
     std::set<std::string> prepared; ///< Names of the prepared statements on the connection.
+    std::string preparedName; ///< Name under which the statement under way was prepared; empty: it is no EXECUTE.
     size_t preparedBytes = 0; ///< Length of all names that were prepared since the last reset.
     unsigned proofsMissing = 0; ///< Replies that must show the transaction before its first statement is sent.
     LogPosition began; ///< Position in the reply to the last BEGIN.
--- a/src/line_socket.cpp
+++ b/src/line_socket.cpp
@@ -208,7 +208,8 @@
         if (end == std::string::npos)
             break;
         size_t length = end - start;
-        if (length > 0 && m_in[end - 1] == '\r')
+        m_lfAlone = length == 0 || m_in[end - 1] != '\r';
+        if (!m_lfAlone)
             --length;
         try {
             m_paused = !line(std::string_view(m_in).substr(start, length));
--- a/src/line_socket.h
+++ b/src/line_socket.h
@@ -34,6 +34,9 @@
     /// Returns the account of setMemory(); null without one and after close().
     MemoryAccount* memory() const { return m_memory.get(); }
 
+    /// Returns whether the line that is being handled ended with LF alone.
+    bool lineEndsWithLfAlone() const { return m_lfAlone; }
+
     void start(Handlers);
     void connect(const boost::asio::ip::tcp::endpoint&, Handlers);
     void send(std::string_view);
@@ -73,6 +76,7 @@
     bool m_open = false;
     bool m_paused = false;
     bool m_delivering = false;
+    bool m_lfAlone = false; ///< See lineEndsWithLfAlone().
     bool m_writing = false;
     bool m_closing = false;
     bool m_limitsSender = false; ///< See setMemory().
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -85,6 +85,7 @@
     AdmissionLevelChanged,
     CallerClosedForMemory,
     ConnectionEndedForRoom,
+    MessageUnreadable,
     Count
 };
 
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -39,6 +39,7 @@
         AdmissionLevel,
         MemoryRejections,
         CallerMemory,
+        UnreadableMessages,
         Count
     };
 
@@ -85,6 +86,8 @@
         { "plantainwall_memory_rejections_total", MetricType::Counter, "cause",
             "Connections closed and statements refused because of the memory or connections that they would hold." },
         { "plantainwall_caller_memory_bytes", MetricType::Gauge, "", "Memory held for callers and other hosts." },
+        { "plantainwall_unreadable_messages_total", MetricType::Counter, "side",
+            "Messages that could not be read; one from a server ends its connection." },
     };
     static_assert(sizeof(families) / sizeof(families[0]) == static_cast<size_t>(Family::Count), "one for each Family");
 
@@ -112,6 +115,8 @@
         { Family::MemoryRejections, "room" },
         { Family::MemoryRejections, "statement" },
         { Family::MemoryRejections, "state" },
+        { Family::UnreadableMessages, "callers" },
+        { Family::UnreadableMessages, "databases" },
     };
     static_assert(sizeof(counters) / sizeof(counters[0]) == static_cast<size_t>(MetricCounter::Count),
         "one for each MetricCounter");
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -25,6 +25,8 @@
     EndedForRoom,
     StatementsOverBudget,
     StateOverBudget,
+    UnreadableFromCallers,
+    UnreadableFromServers,
     Count
 };
 
