--- a/tests/integration_soak.cpp
+++ b/tests/integration_soak.cpp
@@ -13,7 +13,7 @@
 // To run more seeds by hand: SOAK_SEEDS=50 SOAK_FIRST=1 SOAK_SECONDS=30 build/integration_soak
 // SOAK_FAULTS=wipe,crash runs only the faults with these names. SOAK_HOSTS=60 runs that many entry hosts.
 // SOAK_REPEATS=20 repeats that many of a thousand answers of the databases, up to SOAK_REPEAT_MS later; SOAK_BUSY=20
-// answers BUSY to as many.
+// answers BUSY to as many. SOAK_ODD=200 makes that many of a thousand texts of callers and servers odd (OddTexts).
 
 namespace plantainwall::test {
 
@@ -36,7 +36,6 @@
     constexpr milliseconds rewriteTime(1800);
     /// Time after a fault until hosts count as undisturbed again.
     constexpr seconds settleTime(5);
-    constexpr size_t maxProbeLine = 65536;
 
     /// Time at the end of a run in which at least nine of ten operations must be served.
     constexpr seconds finalPhase(4);
@@ -60,6 +59,7 @@
     const unsigned repeatedPerThousand = numberFromEnvironment("SOAK_REPEATS", 100);
     const milliseconds maxRepeatDelay(numberFromEnvironment("SOAK_REPEAT_MS", 300));
     const unsigned busyPerThousand = numberFromEnvironment("SOAK_BUSY", 50);
+    const unsigned oddPerThousand = numberFromEnvironment("SOAK_ODD", 200);
 
     /// Returns whether SOAK_FAULTS (names with commas between them) allows a fault.
     bool faultEnabled(const std::string& name)
@@ -225,7 +225,9 @@
             start(m_hosts[i]);
             ports.push_back(m_hosts[i].callers);
         }
-        m_fleet.reset(new LineClient::Fleet { m_ledger, m_acknowledgements, ports, m_clientRandom });
+        m_fleet.reset(new LineClient::Fleet {
+            m_ledger, m_acknowledgements, ports, m_clientRandom, oddPerThousand, OddTexts(seed) });
+        m_group->setOddTexts(oddPerThousand, seed);
         for (unsigned i = 0; i < clientCount; ++i)
             m_clients.push_back(std::make_unique<LineClient>(
                 m_loop, *m_fleet, i, static_cast<LineRoute>(i % static_cast<unsigned>(LineRoute::Count))));
@@ -320,21 +322,20 @@
 
     void Soak::probe(Host& host, uint64_t version)
     {
-        const auto socket = std::make_shared<LineSocket>(boost::asio::ip::tcp::socket(m_loop), maxProbeLine);
-        LineSocket* const raw = socket.get();
-        LineSocket::Handlers handlers;
+        const auto socket = std::make_shared<WireStream>(boost::asio::ip::tcp::socket(m_loop));
+        WireStream* const raw = socket.get();
+        WireStream::Handlers handlers;
         handlers.connected = [raw, version] {
             raw->send(std::string("STARTUP ") + lineRouteName(LineRoute::Primary) + " version-"
                 + std::to_string(version) + "\r\n");
         };
         const Probe details { version, Clock::now(), host.inForce, host.starts };
-        handlers.line = [this, raw, &host, details](std::string_view line) {
+        handlers.message = [this, raw, &host, details](std::string_view line) {
             if (details.starts == host.starts)
                 checkProbe(host, details, line);
             raw->close();
-            return true;
         };
-        handlers.closed = [](bool) {};
+        handlers.closed = [] {};
         socket->connect({ boost::asio::ip::address_v4::loopback(), host.callers }, std::move(handlers));
         after(seconds(2), [socket] { socket->close(); });
     }
--- a/tests/support_gateway_fleet.cpp
+++ b/tests/support_gateway_fleet.cpp
@@ -1,5 +1,6 @@
 #include "support_gateway_fleet.h"
 #include <algorithm>
+#include <fstream>
 
 namespace plantainwall::test {
 
@@ -14,6 +15,7 @@
 } // namespace
 
 GatewayFleet::GatewayFleet(const Settings& settings)
+    : m_name(settings.name)
 {
     std::vector<uint16_t> serverPorts;
     for (size_t i = 0; i < serverCount; ++i)
@@ -47,7 +49,8 @@
             "plantainwall", std::vector<std::string> { "gateway", "--config", m_settingsFiles.back() }));
         ports.push_back(options.back().callers);
     }
-    m_fleet.reset(new LineClient::Fleet { ledger, m_acknowledgements, ports, random });
+    m_fleet.reset(new LineClient::Fleet { ledger, m_acknowledgements, ports, random, settings.oddPerThousand });
+    group->setOddTexts(settings.oddPerThousand, 1);
     for (unsigned i = 0; i < settings.clients; ++i)
         clients.push_back(std::make_unique<LineClient>(
             loop, *m_fleet, i, static_cast<LineRoute>(i % static_cast<unsigned>(LineRoute::Count))));
@@ -90,6 +93,14 @@
     return std::all_of(hosts.begin(), hosts.end(), [](const auto& host) { return host->running(); });
 }
 
+void GatewayFleet::saveLogs() const
+{
+    const std::string prefix = "/tmp/plantainwall-" + m_name + "-" + std::to_string(getpid()) + "-";
+    std::ofstream(prefix + "events.log") << ledger.events;
+    for (size_t i = 0; i < hosts.size(); ++i)
+        std::ofstream(prefix + "host" + std::to_string(i) + ".log") << hosts[i]->output();
+}
+
 void GatewayFleet::registerServers()
 {
     group->registerAll();
--- a/tests/support_gateway_fleet.h
+++ b/tests/support_gateway_fleet.h
@@ -19,6 +19,7 @@
         unsigned largeFleet = 25; ///< Hosts from which on connections are lent.
         std::string memory {}; ///< Of each host: size with unit; empty: the setting's default.
         unsigned maxDescriptors = 0; ///< Of each host; 0: the setting's default.
+        unsigned oddPerThousand = 0; ///< Of the texts of callers and servers, see OddTexts.
     };
 
     explicit GatewayFleet(const Settings&);
@@ -33,6 +34,9 @@
 
     bool allRunning() const;
 
+    /// Writes what the hosts logged and the events of the ledger to files below /tmp.
+    void saveLogs() const;
+
     boost::asio::io_context loop;
     Ledger ledger;
     std::unique_ptr<KvStore> store;
@@ -45,6 +49,7 @@
 private:
     void registerServers();
 
+    std::string m_name;
     boost::asio::steady_timer m_registerTimer { loop };
     Acknowledgements m_acknowledgements;
     uint16_t m_storePort = reserveport();
--- a/tests/support_line_client.cpp
+++ b/tests/support_line_client.cpp
@@ -1,5 +1,4 @@
 #include "support_line_client.h"
-#include "line_codec.h"
 
 namespace plantainwall::test {
 
@@ -84,10 +83,14 @@
     m_values.clear();
     m_prepared.clear();
     m_ownPosition = 0;
-    m_socket = std::make_shared<LineSocket>(tcp::socket(m_loop), platform::maxMessageBytes);
-    LineSocket::Handlers handlers;
-    handlers.line = [this](std::string_view line) { return take(line); };
-    handlers.closed = [this](bool) { closed(); };
+    m_readName = odd() ? m_fleet.odd.field() : "s0";
+    m_writeName = odd() ? "w" + m_fleet.odd.field() : "s1";
+    m_socket = std::make_shared<WireStream>(tcp::socket(m_loop));
+    if (m_fleet.oddPerThousand != 0)
+        m_socket->cutSegments(1000 / m_fleet.oddPerThousand + 1, m_fleet.random());
+    WireStream::Handlers handlers;
+    handlers.message = [this](std::string_view line) { take(line); };
+    handlers.closed = [this] { closed(); };
     handlers.connected
         = [this] { m_socket->send(std::string("STARTUP ") + lineRouteName(m_route) + " key-" + m_customer + "\r\n"); };
     const uint16_t port = m_fleet.ports[m_fleet.random() % m_fleet.ports.size()];
@@ -105,7 +108,7 @@
         pause();
 }
 
-bool LineClient::take(std::string_view line)
+void LineClient::take(std::string_view line)
 {
     const size_t end = line.find(' ');
     const std::string word(line.substr(0, end));
@@ -116,22 +119,21 @@
             m_timer.cancel();
             pause();
         }
-        return true;
+        return;
     }
     if (m_id.empty()) {
         if (word != "ERROR")
             m_fleet.ledger.violation("MIXED", m_name + " was sent without asking: " + std::string(line));
-        return true;
+        return;
     }
     if (word == "DATAROW")
-        m_row = rest;
+        m_rows.push_back(rest);
     else if (word == "COMPLETE")
         m_signature = rest;
     else if (word == "ERROR")
         m_error = rest.substr(0, rest.find(' '));
     else if (word == "READY")
         answered(rest.substr(0, 1));
-    return true;
 }
 
 void LineClient::begin()
@@ -156,16 +158,26 @@
 std::deque<std::string> LineClient::chooseSteps()
 {
     const unsigned choice = m_fleet.random() % 10;
-    const std::string item = "item" + std::to_string(m_fleet.random() % 20);
-    const std::string shape = "q" + std::to_string(m_fleet.random() % 6);
+    std::string item = "item" + std::to_string(m_fleet.random() % 20);
+    std::string shape = "q" + std::to_string(m_fleet.random() % 6);
     if (m_values.empty() && !m_valueName.empty())
-        return { "SET " + m_valueName + " " + m_name };
-    if (m_prepared.count("s0") == 0 || m_fleet.random() % 20 == 0)
-        return { "PREPARE s0 READ " + shape };
-    if (m_prepared.count("s1") == 0 || m_fleet.random() % 20 == 0)
-        return { "PREPARE s1 WRITE " + shape };
-    const std::string read = (m_fleet.random() % 2 == 0 ? "READ " : "EXECUTE s0 ") + item;
-    const std::string write = (m_fleet.random() % 2 == 0 ? "WRITE " : "EXECUTE s1 ") + item + " data";
+        return { "SET " + m_valueName + " " + (odd() ? m_fleet.odd.lastField() : m_name) };
+    if (m_fleet.oddPerThousand != 0 && m_fleet.odd.chance(30))
+        return { "SET " + (odd() ? m_fleet.odd.field() : "shed") + " " + m_fleet.odd.lastField() };
+    if (odd())
+        shape = m_fleet.odd.shape();
+    if (m_prepared.count(m_readName) == 0 || m_fleet.random() % 20 == 0)
+        return { "PREPARE " + m_readName + " READ " + shape };
+    if (m_prepared.count(m_writeName) == 0 || m_fleet.random() % 20 == 0)
+        return { "PREPARE " + m_writeName + " WRITE " + shape };
+    const std::string readItem = odd() ? m_fleet.odd.lastField() : item;
+    const std::string data = odd() ? m_fleet.odd.lastField() : "data";
+    if (odd())
+        item = m_fleet.odd.field();
+    const std::string read
+        = (m_fleet.random() % 2 == 0 ? std::string("READ ") : "EXECUTE " + m_readName + " ") + readItem;
+    const std::string write
+        = (m_fleet.random() % 2 == 0 ? std::string("WRITE ") : "EXECUTE " + m_writeName + " ") + item + " " + data;
     if (choice < 5)
         return { read };
     if (choice < 7)
@@ -193,9 +205,9 @@
 
 void LineClient::send(const std::string& text)
 {
-    m_id = m_name + "-" + std::to_string(++m_sent);
+    m_id = m_name + "-" + std::to_string(++m_sent) + (odd() ? m_fleet.odd.field() : std::string());
     m_text = text;
-    m_row.clear();
+    m_rows.clear();
     m_signature.clear();
     m_error.clear();
     const std::string verb = verbOf(text);
@@ -231,9 +243,13 @@
     if (std::none_of(first, last, [&](const auto& it) { return it.second == m_signature; }))
         ledger.violation(
             "MIXED", m_id + " " + m_text + " with signature " + m_signature + " of " + ledger.signedFor(m_signature));
-    if (verb == "READ" && (m_row.empty() || std::stoull(m_row) < m_needed))
+    const auto sent = ledger.rows.find(m_signature);
+    if (m_rows != (sent == ledger.rows.end() ? std::vector<std::string>() : sent->second))
+        ledger.violation("MIXED", m_id + " " + m_text + " with other rows than its server has sent");
+    // The first row of a read tells the log that it ran on.
+    if (verb == "READ" && !m_rows.empty() && std::strtoull(m_rows.front().c_str(), nullptr, 10) < m_needed)
         ledger.violation("STALE",
-            m_id + " " + m_text + " on " + lineRouteName(m_route) + " read at " + m_row + ", needed "
+            m_id + " " + m_text + " on " + lineRouteName(m_route) + " read at " + m_rows.front() + ", needed "
                 + std::to_string(m_needed) + ", answered by " + m_signature);
     const bool commits = verb == "COMMIT" || (verb == "WRITE" && m_transaction == 0);
     if (!commits)
@@ -261,8 +277,11 @@
 void LineClient::noteSessionState()
 {
     constexpr std::string_view prepare = "PREPARE ";
-    if (m_text.rfind("SET ", 0) == 0)
-        m_values[m_valueName] = m_name;
+    constexpr std::string_view set = "SET ";
+    if (m_text.rfind(set, 0) == 0) {
+        const size_t end = m_text.find(' ', set.size());
+        m_values[m_text.substr(set.size(), end - set.size())] = m_text.substr(end + 1);
+    }
     if (m_text.rfind(prepare, 0) != 0)
         return;
     const size_t end = m_text.find(' ', prepare.size());
--- a/tests/support_line_client.h
+++ b/tests/support_line_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "support_line_group.h"
+#include "support_odd_texts.h"
 
 namespace plantainwall::test {
 
@@ -41,6 +42,9 @@
         Acknowledgements& acknowledgements;
         std::vector<uint16_t> ports; ///< Of the entry hosts.
         std::mt19937_64& random;
+        /// Of a thousand texts of callers, so many are odd, and as many messages arrive in two segments.
+        unsigned oddPerThousand = 0;
+        OddTexts odd { 1 };
     };
     struct Outcome {
         Clock::time_point started;
@@ -66,7 +70,7 @@
     void pause();
     void armTimeout(std::chrono::milliseconds);
     void closed();
-    bool take(std::string_view line);
+    void take(std::string_view line);
     void begin();
     void send(const std::string& text);
     void answered(const std::string& state);
@@ -76,6 +80,7 @@
     void noteRefusal();
     void noteSessionState();
     std::deque<std::string> chooseSteps();
+    bool odd() { return m_fleet.odd.chance(m_fleet.oddPerThousand); }
     std::string preparedUnder(const std::string& text) const;
     std::string verbOf(const std::string& text) const;
 
@@ -85,7 +90,9 @@
     std::string m_customer;
     LineRoute m_route;
     std::string m_valueName; ///< Session value that the caller sets; empty: none.
-    std::shared_ptr<LineSocket> m_socket;
+    std::string m_readName; ///< Of the session's prepared statement that reads.
+    std::string m_writeName;
+    std::shared_ptr<WireStream> m_socket;
     boost::asio::steady_timer m_timer;
     bool m_stopped = false;
     bool m_ready = false;
@@ -102,7 +109,7 @@
     // The statement in progress.
     std::string m_id;
     std::string m_text;
-    std::string m_row;
+    std::vector<std::string> m_rows;
     std::string m_signature;
     std::string m_error;
     std::vector<Outcome> m_outcomes;
--- a/tests/support_line_group.cpp
+++ b/tests/support_line_group.cpp
@@ -1,5 +1,4 @@
 #include "support_line_group.h"
-#include "line_codec.h"
 #include <algorithm>
 
 namespace plantainwall::test {
@@ -8,6 +7,8 @@
 
     using boost::asio::ip::tcp;
 
+    constexpr size_t maxMessageBytes = 1024 * 1024;
+
     uint64_t unixMilliseconds()
     {
         using std::chrono::milliseconds;
@@ -25,7 +26,10 @@
 
 } // namespace
 
-void Ledger::note(const std::string& event) { events += std::to_string(unixMilliseconds()) + " " + event + "\n"; }
+void Ledger::note(const std::string& event)
+{
+    events += std::to_string(unixMilliseconds()) + " " + printable(event) + "\n";
+}
 
 std::string Ledger::signedFor(const std::string& signature) const
 {
@@ -40,21 +44,22 @@
     Connection(LineGroup& group, size_t index, tcp::socket socket)
         : m_group(group)
         , m_index(index)
-        , m_socket(std::make_shared<LineSocket>(std::move(socket), platform::maxMessageBytes))
+        , m_socket(std::make_shared<WireStream>(std::move(socket)))
     {
     }
 
     void start()
     {
-        LineSocket::Handlers handlers;
-        handlers.line = [this](std::string_view line) {
+        if (m_group.m_oddPerThousand != 0)
+            m_socket->cutSegments(1000 / m_group.m_oddPerThousand + 1, m_group.m_signatures);
+        WireStream::Handlers handlers;
+        handlers.message = [this](std::string_view line) {
             const std::shared_ptr<Connection> self = shared_from_this();
             m_lines.emplace_back(line);
             if (!m_busy)
                 next();
-            return true;
         };
-        handlers.closed = [this](bool) { drop(); };
+        handlers.closed = [this] { drop(); };
         m_socket->start(std::move(handlers));
     }
 
@@ -83,6 +88,8 @@
 
     void take(const std::string& line)
     {
+        if (line.size() > maxMessageBytes)
+            m_group.m_ledger.violation("PROTOCOL", "a message of " + std::to_string(line.size()) + " bytes");
         std::string_view rest = line;
         const std::string word = nextWord(rest);
         if (word == "STARTUP") {
@@ -131,15 +138,20 @@
         });
     }
 
-    void complete(const std::string& row = {}, const std::string& signature = "-")
+    bool odd() { return m_group.m_odd.chance(m_group.m_oddPerThousand); }
+
+    void complete(const std::vector<std::string>& rows = {}, const std::string& signature = "-")
     {
-        answer((row.empty() ? std::string() : "DATAROW " + row + "\r\n") + "COMPLETE " + signature + "\r\n");
+        std::string text;
+        for (const std::string& row : rows)
+            text += "DATAROW " + row + "\r\n";
+        answer(text + "COMPLETE " + signature + "\r\n");
     }
 
     void error(const std::string& code)
     {
         m_failed = m_failed || m_open;
-        answer("ERROR " + code + " " + server().id + "\r\n");
+        answer("ERROR " + code + " " + server().id + (odd() ? " " + m_group.m_odd.lastField() : "") + "\r\n");
     }
 
     /// Answers BUSY if there is no free slot. The state of a transaction stays.
@@ -235,9 +247,9 @@
             m_group.registerAll();
         }
         const Server& it = server();
-        complete(std::string(leads() ? "primary " : "replica ") + std::to_string(m_group.m_term) + " "
+        complete({ std::string(leads() ? "primary " : "replica ") + std::to_string(m_group.m_term) + " "
             + std::to_string(m_group.m_term) + "." + std::to_string(it.log.size()) + " "
-            + std::to_string(it.stoppedAtTerm) + " 0 0 " + std::to_string(it.connections.size()));
+            + std::to_string(it.stoppedAtTerm) + " 0 0 " + std::to_string(it.connections.size()) });
     }
 
     void forCaller(const std::string& id, const std::string& text, const std::string& verb, std::string_view rest,
@@ -332,7 +344,12 @@
             // The row tells the log that the read ran on.
             std::string row = std::to_string(server().applied);
             row.resize(std::max(row.size(), m_group.m_rowBytes), ' ');
-            complete(row, sign(id));
+            std::vector<std::string> rows { row };
+            while (odd())
+                rows.push_back(m_group.m_odd.lastField());
+            const std::string signature = sign(id);
+            m_group.m_ledger.rows[signature] = rows;
+            complete(rows, signature);
         } else if (verb == "WRITE" && m_open) {
             m_writes.emplace_back(rest, id);
             complete({}, sign(id));
@@ -361,7 +378,7 @@
 
     LineGroup& m_group;
     size_t m_index;
-    std::shared_ptr<LineSocket> m_socket;
+    std::shared_ptr<WireStream> m_socket;
     std::string m_customer;
     std::deque<std::string> m_lines;
     bool m_busy = false;
--- a/tests/support_line_group.h
+++ b/tests/support_line_group.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "line_socket.h"
+#include "support_odd_texts.h"
+#include "support_wire_stream.h"
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
@@ -40,7 +41,7 @@
     /// Notes a broken promise.
     void violation(const std::string& rule, const std::string& detail)
     {
-        violations.push_back(rule + ": " + detail);
+        violations.push_back(rule + ": " + printable(detail));
         note("violation " + violations.back());
     }
 
@@ -51,6 +52,7 @@
     std::string events; ///< One a line.
     /// Of answers, by request id. A read whose answer is overdue may run on a second server.
     std::multimap<std::string, std::string> signatures;
+    std::map<std::string, std::vector<std::string>> rows; ///< That were sent with a signature; none for writes.
     std::map<std::string, uint64_t>
         committed; ///< Position of each write that took effect, by id of its commit or write.
     std::map<std::string, unsigned> effects; ///< How often each write took effect and was not rolled back.
@@ -129,6 +131,14 @@
     /// Makes the rows of reads this long, in bytes; 0: as long as their content.
     void setRowBytes(size_t bytes) { m_rowBytes = bytes; }
 
+    /// Makes so many of a thousand answers to reads have odd rows, and as many errors an odd text; as many messages of
+    /// the servers arrive in two segments.
+    void setOddTexts(unsigned perThousand, uint64_t seed)
+    {
+        m_oddPerThousand = perThousand;
+        m_odd = OddTexts(seed);
+    }
+
     /// Makes a replica receive this much later.
     void setReceiveDelay(size_t index, std::chrono::milliseconds delay) { m_servers[index].receiveDelay = delay; }
 
@@ -197,6 +207,8 @@
     RepeatRule m_repeats;
     BusyRule m_busyRule;
     size_t m_rowBytes = 0;
+    unsigned m_oddPerThousand = 0;
+    OddTexts m_odd { 1 };
     uint64_t m_repeated = 0;
     std::list<Pending> m_pending;
     std::set<size_t> m_replicating;
