End messages of callers and servers with CR LF only

Callers got answers that were not their own (MIXED), servers ran statements that nobody had sent (UNASKED), and values were cut (PINNED). LineSocket ended a line at any LF, while the wire ends it with CR LF and lets the last field hold any other byte: the rest of a text with LF was read as a message of its own, from callers and from servers.

A CR and a LF in two segments are one line end. The longest line no longer depends on how it is cut.

--- a/src/line_socket.cpp
+++ b/src/line_socket.cpp
@@ -18,6 +18,10 @@
     constexpr int keepAliveIntervalSeconds = 1;
     constexpr int keepAliveProbes = 2;
 
+    /// Indexed by LineEnd.
+    constexpr std::string_view lineEnds[] = { "\r\n", "\n" };
+    static_assert(std::size(lineEnds) == static_cast<size_t>(LineEnd::Count), "one entry for each LineEnd");
+
     /// Unsent output, in bytes, beyond which no further line is handled on connections that a budget limits.
     constexpr size_t maxUnsentBytes = 64 * 1024;
 
@@ -50,8 +54,9 @@
 
 } // namespace
 
-LineSocket::LineSocket(tcp::socket socket, size_t maxLine)
+LineSocket::LineSocket(tcp::socket socket, LineEnd lineEnd, size_t maxLine)
     : m_socket(std::move(socket))
+    , m_lineEnd(lineEnd)
     , m_maxLine(maxLine)
 {
 }
@@ -184,13 +189,8 @@
     if (!m_open)
         return;
     // While a statement runs, some input is buffered. Beyond that, reading stops and the sender has to wait.
-    if (!stalled()) {
-        if (m_in.size() > m_maxLine && !blocked()) {
-            fail(true);
-            return;
-        }
+    if (!stalled())
         awaitInput();
-    }
     countMemory();
 }
 
@@ -201,16 +201,17 @@
     m_delivering = true;
     // Copied, as the handler may close the socket, which destroys the handlers.
     const std::function<bool(std::string_view)> line = m_handlers.line;
+    const std::string_view lineEnd = lineEnds[static_cast<size_t>(m_lineEnd)];
+    bool tooLong = false;
     size_t start = 0;
     while (m_open && !m_closing && !blocked()) {
-        const size_t end = m_in.find('\n', std::max(start, m_searched));
-        m_searched = end == std::string::npos ? m_in.size() : end;
-        if (end == std::string::npos)
+        const size_t end = m_in.find(lineEnd, std::max(start, m_searched));
+        // The input may end within a line end.
+        m_searched = end == std::string::npos ? m_in.size() - std::min(m_in.size() - start, lineEnd.size() - 1) : end;
+        const size_t length = std::min(end, m_searched) - start;
+        tooLong = length > m_maxLine;
+        if (tooLong || end == std::string::npos)
             break;
-        size_t length = end - start;
-        m_lfAlone = length == 0 || m_in[end - 1] != '\r';
-        if (!m_lfAlone)
-            --length;
         try {
             m_paused = !line(std::string_view(m_in).substr(start, length));
         } catch (const std::exception& error) {
@@ -219,7 +220,7 @@
             boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(false); });
             m_paused = true;
         }
-        start = end + 1;
+        start = end + lineEnd.size();
     }
     m_delivering = false;
     if (!m_open && m_memory == nullptr) {
@@ -232,6 +233,8 @@
         release(m_in);
     else if (m_in.capacity() > readBuffer.size() && m_in.size() < m_in.capacity() / 4)
         m_in.shrink_to_fit();
+    if (tooLong)
+        fail(true);
 }
 
 void LineSocket::resume()
--- a/src/line_socket.h
+++ b/src/line_socket.h
@@ -10,11 +10,14 @@
 
 namespace plantainwall {
 
+/// What ends a line. Every other byte, also a part of the line end alone, belongs to the line.
+enum class LineEnd : uint8_t { CrLf, Lf, Count };
+
 /// Connection that carries lines of text, on one event loop. Uses buffer memory only while data is pending.
 class LineSocket : public std::enable_shared_from_this<LineSocket> {
 public:
     struct Handlers {
-        /// Handles a line, passed without its line break. Returns false to receive no further line before resume().
+        /// Handles a line, passed without its line end. Returns false to receive no further line before resume().
         std::function<bool(std::string_view)> line;
         /// Called once when the connection has ended or a line was longer than maxLine, never from within another call
         /// of this class.
@@ -24,7 +27,8 @@
         std::function<void(const boost::system::error_code&)> connectFailed;
     };
 
-    LineSocket(boost::asio::ip::tcp::socket socket, size_t maxLine);
+    /// @param maxLine Longest line that is handled, in bytes without its line end.
+    LineSocket(boost::asio::ip::tcp::socket socket, LineEnd, size_t maxLine);
 
     /// Lets a budget limit what is read and counts what is held; close() ends the account. Must be called before
     /// start() or connect(). Unless the account is a backend server's, reading also pauses while much output is unsent,
@@ -34,9 +38,6 @@
     /// Returns the account of setMemory(); null without one and after close().
     MemoryAccount* memory() const { return m_memory.get(); }
 
-    /// Returns whether the line that is being handled ended with LF alone.
-    bool lineEndsWithLfAlone() const { return m_lfAlone; }
-
     void start(Handlers);
     void connect(const boost::asio::ip::tcp::endpoint&, Handlers);
     void send(std::string_view);
@@ -66,17 +67,17 @@
     void fail(bool tooLong);
 
     boost::asio::ip::tcp::socket m_socket;
+    LineEnd m_lineEnd;
     size_t m_maxLine;
     Handlers m_handlers;
     std::string m_in;
-    size_t m_searched = 0; ///< The start of m_in up to here has no line break that was not handled.
+    size_t m_searched = 0; ///< No line end that was not handled begins before this position of m_in.
     std::string m_out;
     std::unique_ptr<MemoryAccount> m_memory;
     std::unique_ptr<boost::asio::steady_timer> m_readTimer; ///< Set while reading is paused by the budget.
     bool m_open = false;
     bool m_paused = false;
     bool m_delivering = false;
-    bool m_lfAlone = false; ///< See lineEndsWithLfAlone().
     bool m_writing = false;
     bool m_closing = false;
     bool m_limitsSender = false; ///< See setMemory().
