Give a prepared shape a number for its name on a connection

Statements ran another shape than their session had prepared (PINNED), with other arguments than the caller's (UNASKED), and a write was acknowledged that was in no log, because a shape that reads had run in its place (LOST).

The name on a connection was r_ or w_ and the shape, and a shape may hold blanks: to prepare READ "q1 READ kb" the entry host sent PREPARE r_q1 READ kb READ q1 READ kb, which defines the name r_q1 of another session, and EXECUTE r_q1 READ kb item passed "READ kb item" as the arguments. The class is a key that is built from a text without a check that it reads back as the same.

PreparedNames numbers the shapes of a connection. A number is never given twice on it, so a name stands for one shape even if the server has kept what was taken for dropped. Names are shorter than before; as many are prepared.

--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -66,6 +66,7 @@
     std::unique_ptr<BackendLink> open(const ServerEntry&, const std::string& customer, BackendObserver&) override;
     std::unique_ptr<BackendLink> openWithPriority(
         const ServerEntry&, const std::string& customer, unsigned priority, BackendObserver&) override;
+    bool carries(const BackendCommand& command) const override { return m_connector.carries(command); }
     std::optional<ServerStatus> statusOf(const BackendReply& reply) override { return m_connector.statusOf(reply); }
 
     /// Closes connections that were unused for too long or lead to draining servers, and times out openings, tests,
--- a/src/gateway_backend.cpp
+++ b/src/gateway_backend.cpp
@@ -33,15 +33,9 @@
     /// Repeats of a failed read before the caller receives the error.
     constexpr unsigned maxFailedRuns = 2;
 
-    /// Memory of a prepared name beside its text, in bytes.
-    constexpr size_t stateEntryBytes = 64;
-
-    /// A connection is reset before its next use when its prepared names are longer than this in sum, in bytes.
+    /// A connection is reset before its next use when its prepared statements hold more than this, in bytes.
     constexpr size_t maxPreparedBytes = 256 * 1024;
 
-    /// Returns the name under which a shape is prepared on connections, so that sessions share prepared statements.
-    std::string sharedName(const PreparedShape& shape) { return (shape.writes ? "w_" : "r_") + shape.shape; }
-
     bool contains(const std::map<std::string, std::string>& all, const std::map<std::string, std::string>& subset)
     {
         return std::all_of(
@@ -88,14 +82,13 @@
 
 void Gateway::sendSetup(GatewayConnection& connection, const Session& session, const Job& job)
 {
-    const bool crowded = connection.preparedBytes > maxPreparedBytes && connection.session == 0;
+    const bool crowded = connection.prepared.bytes() > maxPreparedBytes && connection.session == 0;
     if (!connection.valuesKnown || crowded || !contains(session.values, connection.values)) {
         BackendCommand reset;
         reset.kind = BackendCommandKind::Reset;
         send(connection, CommandRole::Setup, reset);
         connection.values.clear();
-        connection.prepared.clear();
-        connection.preparedBytes = 0;
+        connection.prepared.reset();
         connection.valuesKnown = true;
     }
     for (const auto& [name, value] : session.values) {
@@ -114,12 +107,11 @@
     if (job.statement.kind != StatementKind::Execute)
         return;
     const auto it = session.prepared.find(job.statement.name);
-    if (it == session.prepared.end() || !connection.prepared.insert(sharedName(it->second)).second)
+    if (it == session.prepared.end() || connection.prepared.find(it->second))
         return;
-    connection.preparedBytes += it->second.shape.size() + stateEntryBytes;
     BackendCommand prepare;
     prepare.kind = BackendCommandKind::Prepare;
-    prepare.name = sharedName(it->second);
+    prepare.name = connection.prepared.add(it->second);
     prepare.argument = it->second.shape;
     prepare.writes = it->second.writes;
     send(connection, CommandRole::Setup, prepare);
@@ -176,13 +168,16 @@
     const Session* const session = findSession(job.session);
     BackendCommand command;
     command.id = job.statement.id;
-    command.text = job.statement.text;
-    if (job.statement.kind == StatementKind::Execute && session != nullptr) {
+    if (job.statement.kind == StatementKind::Execute) {
         command.kind = BackendCommandKind::Execute;
-        const auto it = session->prepared.find(job.statement.name);
-        command.name = it != session->prepared.end() ? sharedName(it->second) : job.statement.name;
+        std::optional<std::string> name;
+        if (session != nullptr && session->prepared.count(job.statement.name) != 0)
+            name = connection.prepared.find(session->prepared.at(job.statement.name));
+        // Without one the server has refused to prepare the shape since.
+        command.name = name ? *name : connection.prepared.unknown();
         command.argument = job.statement.argument;
-    }
+    } else
+        command.text = job.statement.text;
     if (!job.inTransaction && !job.writes && !job.onPrimary)
         command.after = job.after;
     connection.preparedName = command.name;
@@ -307,7 +302,7 @@
     case CommandRole::Ending:
         if (reply.error != BackendError::None) {
             connection.valuesKnown = false;
-            connection.prepared.clear();
+            connection.prepared.forget();
         }
         if (command.role == CommandRole::Ending && connection.valueChangedInTransaction) {
             connection.valuesKnown = false;
@@ -455,7 +450,7 @@
     const std::string cause
         = std::string(backendErrorName(reply.error)) + (reply.detail.empty() ? "" : " " + reply.detail);
     if (reply.error == BackendError::StatementUnknown)
-        connection.prepared.clear();
+        connection.prepared.forget();
     if (reply.error == BackendError::Busy)
         connection.server.busyUntil = m_clock() + busyServerPause;
     if (reply.error == BackendError::Behind)
--- a/src/gateway_connection.h
+++ b/src/gateway_connection.h
@@ -2,12 +2,12 @@
 
 #include "connection_allowance.h"
 #include "gateway_ports.h"
+#include "prepared_names.h"
 #include "server_choice.h"
 #include "urgency_admission.h"
 #include "warmup_share.h"
 #include <deque>
 #include <list>
-#include <set>
 
 namespace plantainwall {
 
@@ -64,9 +64,8 @@
     bool valueChangedInTransaction = false;
     bool valuesKnown = true; ///< Whether `values` is what the server has; if not, they are reset before the next use.
     std::map<std::string, std::string> values; ///< Session values set on the connection.
-    std::set<std::string> prepared; ///< Names of the prepared statements on the connection.
+    PreparedNames prepared;
     std::string preparedName; ///< Name under which the statement under way was prepared; empty: it is no EXECUTE.
-    size_t preparedBytes = 0; ///< Length of all names that were prepared since the last reset.
     unsigned proofsMissing = 0; ///< Replies that must show the transaction before its first statement is sent.
     LogPosition began; ///< Position in the reply to the last BEGIN.
     LogPosition failed; ///< Position in the last error of a statement.
--- a/src/link_borrower.h
+++ b/src/link_borrower.h
@@ -64,6 +64,7 @@
     std::unique_ptr<BackendLink> open(const ServerEntry&, const std::string& customer, BackendObserver&) override;
     std::unique_ptr<BackendLink> openWithPriority(
         const ServerEntry&, const std::string& customer, unsigned priority, BackendObserver&) override;
+    bool carries(const BackendCommand& command) const override { return m_pool.carries(command); }
     std::optional<ServerStatus> statusOf(const BackendReply& reply) override { return m_pool.statusOf(reply); }
 
     /// Times out unanswered openings and closes unused streams. Must be called every few milliseconds.
--- a/src/matched_connector.h
+++ b/src/matched_connector.h
@@ -16,6 +16,7 @@
     }
 
     std::unique_ptr<BackendLink> open(const ServerEntry&, const std::string& customer, BackendObserver&) override;
+    bool carries(const BackendCommand& command) const override { return m_connector.carries(command); }
     std::optional<ServerStatus> statusOf(const BackendReply& reply) override { return m_connector.statusOf(reply); }
 
 private:
