Check that what is written to servers and callers reads back as itself

"COMMIT " and "BEGIN " were taken for COMMIT and BEGIN, but sent as they came; DEALLOC s1 x removed s1; a caller could send statements under the id "-", which servers take for the entry host's own.

Statements are decoded to the letter, and the id "-" is refused. unit.line-codec has a case for each.

--- a/src/gateway_ports.h
+++ b/src/gateway_ports.h
@@ -123,7 +123,7 @@
     {
         return open(entry, customer, observer);
     }
-    /// Returns whether a command reaches a server as it is: not too long, and each of its texts reads back as itself.
+    /// Returns whether a command reaches a server as it is: it is not too long, and its texts read back as themselves.
     virtual bool carries(const BackendCommand&) const { return true; }
     /// Returns the status in a reply to Status, StopReceiving, ResumeReceiving or Demote, or nothing if it has none.
     virtual std::optional<ServerStatus> statusOf(const BackendReply&) = 0;
--- a/tests/unit_line_codec.cpp
+++ b/tests/unit_line_codec.cpp
@@ -39,11 +39,13 @@
 
 BOOST_AUTO_TEST_CASE(bad_input_is_malformed)
 {
-    for (const char* line : { "", "STARTUP", "QUERY", "HELLO x", "QUERY  READ a", "\x7f" })
+    for (const char* line : { "", "STARTUP", "QUERY", "HELLO x", "QUERY  READ a", "\x7f", "TERMINATE now",
+             "QUERY - READ a", "QUERY - ROLLBACK", "READY\n" })
         BOOST_TEST((decodeMessage(line).kind == CallerMessageKind::Malformed), line);
-    for (const char* line :
-        { "QUERY 1 PREPARE s1 MAYBE q", "QUERY 1 PREPARE s1 READ", "QUERY 1 COMMIT now", "QUERY 1 READ",
-            "QUERY 1 BEGIN WRITE", "QUERY 1 AFTERLSN 1.2 READ a", "QUERY 1 STATUS", "QUERY 1 PAUSE 9", "QUERY 1 SET" })
+    for (const char* line : { "QUERY 1 PREPARE s1 MAYBE q", "QUERY 1 PREPARE s1 READ", "QUERY 1 COMMIT now",
+             "QUERY 1 READ", "QUERY 1 BEGIN WRITE", "QUERY 1 AFTERLSN 1.2 READ a", "QUERY 1 STATUS", "QUERY 1 PAUSE 9",
+             "QUERY 1 SET", "QUERY 1 BEGIN ", "QUERY 1 COMMIT ", "QUERY 1  READ a", "QUERY 1 READ ",
+             "QUERY 1 EXECUTE s1", "QUERY 1 EXECUTE s1 ", "QUERY 1 DEALLOC ", "QUERY 1 SET v", "QUERY 1 READ\na" })
         BOOST_TEST((decodeMessage(line).statement.kind == StatementKind::Malformed), line);
 }
 
@@ -121,12 +123,55 @@
     command.id = "5c0e";
     command.text = "READ 1a4";
     command.after = LogPosition { 3, 1207 };
-    BOOST_TEST(encodeCommand(command) == "QUERY 5c0e AFTERLSN 3.1207 READ 1a4\r\n");
+    BOOST_TEST(encodeCommand(command).value() == "QUERY 5c0e AFTERLSN 3.1207 READ 1a4\r\n");
     command = {};
     command.kind = BackendCommandKind::StopReceiving;
     command.term = 4;
-    BOOST_TEST(encodeCommand(command) == "QUERY - PAUSE 4\r\n");
-    BOOST_TEST(encodeStartup("huvo11a", "tenant", "i-7") == "STARTUP huvo11a tenant i-7\r\n");
+    BOOST_TEST(encodeCommand(command).value() == "QUERY - PAUSE 4\r\n");
+    BOOST_TEST(encodeStartup("huvo11a", "tenant", "i-7").value() == "STARTUP huvo11a tenant i-7\r\n");
+    BOOST_TEST(encodeStartup("huvo11a", "", "i-7").value() == "STARTUP huvo11a - i-7\r\n");
+}
+
+// A name or a customer with a blank would be read as two fields, and the customer "-" as none.
+BOOST_AUTO_TEST_CASE(text_that_does_not_read_back_is_not_sent)
+{
+    BOOST_TEST(!encodeStartup("a b", "tenant", "i-7").has_value());
+    BOOST_TEST(!encodeStartup("", "tenant", "i-7").has_value());
+    BOOST_TEST(!encodeStartup("a", "b c", "i-7").has_value());
+    BOOST_TEST(!encodeStartup("a", "-", "i-7").has_value());
+    BOOST_TEST(!encodeStartup("a", "b", "i\r\n7").has_value());
+    BOOST_TEST(encodeStartup("a", "b\n", "i 7\r").value() == "STARTUP a b\n i 7\r\r\n");
+    BackendCommand command;
+    command.id = "1";
+    command.text = "READ a\r\nQUERY 2 READ b";
+    BOOST_TEST(!encodeCommand(command).has_value());
+    BOOST_TEST(!isEncodable(command));
+    command = {};
+    command.kind = BackendCommandKind::Prepare;
+    command.name = "r_q1 READ kb";
+    command.argument = "q";
+    BOOST_TEST(!isEncodable(command));
+    StatementAnswer answer;
+    answer.signature = "s";
+    answer.rows = { "a\r\nCOMPLETE t" };
+    BOOST_TEST(encodeAnswer(answer).rfind("ERROR FAILED ", 0) == 0U);
+    answer.code = ResultCode::RateExceeded;
+    answer.detail = "rate of x\r\nREADY I - is used up";
+    BOOST_TEST(encodeAnswer(answer) == "ERROR BUSY rate of x\r\nREADY I -\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(longest_message_is_sent_and_a_longer_one_is_not)
+{
+    BackendCommand command;
+    command.id = "1";
+    command.text = "READ " + std::string(maxMessageBytes - std::string("QUERY 1 READ ").size(), 'a');
+    BOOST_TEST(isEncodable(command));
+    BOOST_TEST((encodeCommand(command).value().size() == maxMessageBytes + 2));
+    command.after = LogPosition { 1, 1 };
+    BOOST_TEST(!isEncodable(command));
+    command.after.reset();
+    command.text += 'a';
+    BOOST_TEST(!isEncodable(command));
 }
 
 // A server that answers runs: it is busy, not down.
--- a/tests/unit_prepared_names.cpp
+++ b/tests/unit_prepared_names.cpp
@@ -40,7 +40,7 @@
     void answer(size_t link, bool fails)
     {
         const BackendCommand command = connector.links[link].commands.front();
-        const std::string line = platform::encodeCommand(command);
+        const std::string line = platform::encodeCommand(command).value();
         std::string_view rest(line.data(), line.size() - 2);
         nextWord(rest);
         const std::string id = nextWord(rest);
