Refuse a statement that is too long for servers before it runs, and read near the limit on the primary

A message of a caller may have 1 MiB, but the one to a server is longer by the name on the connection, and for a read on a replica by the position that it needs. Such a statement was sent all the same; what a server does with a message beyond the limit is open, and its connection carries other sessions' statements.

The gateway asks the connector whether a command can be sent (carries): SET, PREPARE and what runs on servers is refused with request_too_large otherwise, before the quota is asked.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -203,6 +203,9 @@
     /// Refuses a statement that exceeds the budget of memory. An open transaction is rolled back and fails.
     void refuseForMemory(Session&, const Statement&, const std::string& detail, Duration retryAfter);
     bool executeLocally(Session&, const Statement&);
+    /// Returns the command for a statement that a server runs.
+    /// @param preparedName Name on the connection, for an EXECUTE.
+    static BackendCommand commandOf(const Statement&, std::string preparedName);
     /// Counts the change of a value or prepared name. Returns false and refuses the statement if it exceeds a limit.
     bool resizeState(Session&, const Statement&, size_t removed, size_t added);
     void quotaAnswered(uint64_t session, uint64_t quotaRequest, Statement, QuotaBuckets::Verdict);
--- a/src/gateway_backend.cpp
+++ b/src/gateway_backend.cpp
@@ -163,21 +163,31 @@
     sendStatement(connection, job);
 }
 
+BackendCommand Gateway::commandOf(const Statement& statement, std::string preparedName)
+{
+    BackendCommand command;
+    command.id = statement.id;
+    if (statement.kind == StatementKind::Execute) {
+        command.kind = BackendCommandKind::Execute;
+        command.name = std::move(preparedName);
+        command.argument = statement.argument;
+    } else
+        command.text = statement.text;
+    return command;
+}
+
 void Gateway::sendStatement(GatewayConnection& connection, Job& job)
 {
     const Session* const session = findSession(job.session);
-    BackendCommand command;
-    command.id = job.statement.id;
+    std::string preparedName;
     if (job.statement.kind == StatementKind::Execute) {
-        command.kind = BackendCommandKind::Execute;
         std::optional<std::string> name;
         if (session != nullptr && session->prepared.count(job.statement.name) != 0)
             name = connection.prepared.find(session->prepared.at(job.statement.name));
-        // Without one the server has refused to prepare the shape since.
-        command.name = name ? *name : connection.prepared.unknown();
-        command.argument = job.statement.argument;
-    } else
-        command.text = job.statement.text;
+        // Without a name the server has refused to prepare the shape since.
+        preparedName = name ? *name : connection.prepared.unknown();
+    }
+    BackendCommand command = commandOf(job.statement, std::move(preparedName));
     if (!job.inTransaction && !job.writes && !job.onPrimary)
         command.after = job.after;
     connection.preparedName = command.name;
--- a/src/gateway_session.cpp
+++ b/src/gateway_session.cpp
@@ -14,6 +14,20 @@
     /// Memory of a session value or a prepared name beside its texts, in bytes.
     constexpr size_t stateEntryBytes = 160;
 
+    constexpr const char* tooLongForServers = "the statement is too long to be sent to a server";
+
+    /// Returns the command that leaves a value or a prepared statement on a connection.
+    BackendCommand setupCommand(const Statement& statement)
+    {
+        BackendCommand command;
+        const bool sets = statement.kind == StatementKind::SetValue;
+        command.kind = sets ? BackendCommandKind::SetValue : BackendCommandKind::Prepare;
+        command.name = sets ? statement.name : PreparedNames::longest();
+        command.argument = statement.argument;
+        command.writes = statement.writes;
+        return command;
+    }
+
 } // namespace
 
 ResultCode Gateway::openSession(CallerSink& sink, const std::string& database, const std::string& key, uint64_t& number)
@@ -172,6 +186,11 @@
 bool Gateway::executeLocally(Session& session, const Statement& statement)
 {
     const auto bytesOf = [&](const std::string& text) { return stateEntryBytes + statement.name.size() + text.size(); };
+    const bool setup = statement.kind == StatementKind::SetValue || statement.kind == StatementKind::Prepare;
+    if (setup && !m_connector.carries(setupCommand(statement))) {
+        refuse(session, statement, ResultCode::RequestTooLarge, tooLongForServers);
+        return true;
+    }
     switch (statement.kind) {
     case StatementKind::SetValue: {
         const auto it = session.values.find(statement.name);
@@ -262,6 +281,10 @@
         refuse(*session, statement, ResultCode::StatementUnknown, "no such prepared statement");
         return;
     }
+    if (!m_connector.carries(commandOf(statement, PreparedNames::longest()))) {
+        refuse(*session, statement, ResultCode::RequestTooLarge, tooLongForServers);
+        return;
+    }
     const bool begins = statement.kind == StatementKind::Begin || statement.kind == StatementKind::BeginReadOnly;
     const bool ends = statement.kind == StatementKind::Commit || statement.kind == StatementKind::Rollback;
     const bool open = session->state == TransactionState::Open;
@@ -374,6 +397,12 @@
 {
     Job& job = addJob(session, std::move(statement), session.route, session.customer);
     job.needsPrimary = job.writes || job.route.consistency == ReadConsistency::Primary;
+    if (!job.needsPrimary) {
+        // A replica has to be told a position, which may make the command too long; the primary does not.
+        BackendCommand command = commandOf(job.statement, PreparedNames::longest());
+        command.after = LogPosition { maxLogNumber, maxLogNumber };
+        job.needsPrimary = !m_connector.carries(command);
+    }
     dispatch(job);
 }
 
--- a/src/prepared_names.h
+++ b/src/prepared_names.h
@@ -13,8 +13,8 @@
 /// it stands for one shape even where the server has kept what was taken for dropped.
 class PreparedNames {
 public:
-    /// Longest name, in bytes.
-    static constexpr size_t maxLength = 11;
+    /// Returns a name that is as long as any.
+    static std::string longest() { return nameOf(UINT32_MAX); }
 
     /// Returns the name under which a shape is prepared, or nothing if it is not.
     std::optional<std::string> find(const PreparedShape& shape) const
--- a/tests/support_gateway.h
+++ b/tests/support_gateway.h
@@ -37,6 +37,12 @@
         return std::make_unique<Link>(*this, links.size() - 1);
     }
 
+    bool carries(const BackendCommand& command) const override
+    {
+        return command.id.size() + command.text.size() + command.name.size() + command.argument.size()
+            + (command.after ? positionBytes : 0)
+            <= maxCommandBytes;
+    }
     std::optional<ServerStatus> statusOf(const BackendReply&) override { return std::nullopt; }
 
     /// Accepts every pending connection.
@@ -52,6 +58,8 @@
     /// Returns the index of the open link with an unanswered statement of a caller, or links.size().
     size_t statementLink() const;
 
+    static constexpr size_t positionBytes = 40; ///< Of a command with a position.
+    size_t maxCommandBytes = SIZE_MAX;
     std::deque<Opened> links;
 };
 
--- a/tests/unit_gateway.cpp
+++ b/tests/unit_gateway.cpp
@@ -362,6 +362,55 @@
     BOOST_TEST((caller.answers.back().code == ResultCode::Ok));
 }
 
+// A caller's text may fit in its own message, but not in the longer one to a server.
+BOOST_FIXTURE_TEST_CASE(statement_that_is_too_long_for_servers_is_refused_before_it_runs, GatewayFixture)
+{
+    connector.maxCommandBytes = 100;
+    FakeCaller caller;
+    const uint64_t session = open(caller, "bounded");
+    Statement statement;
+    statement.id = "1";
+    statement.name = "v";
+    statement.argument = std::string(100, 'a');
+    for (const StatementKind kind : { StatementKind::SetValue, StatementKind::Prepare, StatementKind::Write }) {
+        statement.kind = kind;
+        statement.text = "WRITE " + statement.argument;
+        gateway.execute(session, statement);
+        BOOST_TEST((caller.answers.back().code == ResultCode::RequestTooLarge));
+        BOOST_TEST((caller.answers.back().state == TransactionState::Idle));
+    }
+    BOOST_TEST(connector.links.empty());
+    // The name on the connection may be longer than the caller's.
+    statement.kind = StatementKind::Prepare;
+    statement.argument = "q";
+    gateway.execute(session, statement);
+    BOOST_TEST((caller.answers.back().code == ResultCode::Ok));
+    statement.kind = StatementKind::Execute;
+    statement.argument = std::string(95, 'a');
+    gateway.execute(session, statement);
+    BOOST_TEST((caller.answers.back().code == ResultCode::RequestTooLarge));
+    BOOST_TEST(connector.links.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(read_that_is_too_long_with_a_position_runs_on_the_primary, GatewayFixture)
+{
+    connector.maxCommandBytes = 100;
+    FakeCaller caller;
+    const uint64_t session = open(caller, "bounded");
+    provePrimary({ 1, 5 });
+    const size_t before = caller.answers.size();
+    execute(session, StatementKind::Read, "READ " + std::string(90, 'a'), "r");
+    connector.acceptAll();
+    connector.answerOwnCommands({ 1, 6 });
+    const size_t link = connector.statementLink();
+    BOOST_REQUIRE(link < connector.links.size());
+    BOOST_TEST(connector.links[link].server == "p");
+    BOOST_TEST(!connector.links[link].commands.front().after.has_value());
+    connector.reply(link, okReply("row", { 1, 6 }, TransactionState::Open));
+    BOOST_REQUIRE(caller.answers.size() == before + 1);
+    BOOST_TEST((caller.answers.back().code == ResultCode::Ok));
+}
+
 // Without a primary, a write is refused after the queue's waiting limit instead of waiting for its deadline.
 BOOST_FIXTURE_TEST_CASE(unservable_write_is_refused_early, GatewayFixture)
 {
