--- a/tests/support_line_client.cpp
+++ b/tests/support_line_client.cpp
@@ -207,19 +207,24 @@
 {
     m_id = m_name + "-" + std::to_string(++m_sent) + (odd() ? m_fleet.odd.field() : std::string());
     m_text = text;
+    const std::string verb = verbOf(text);
+    const bool direct = text.rfind("READ ", 0) == 0 || text.rfind("WRITE ", 0) == 0;
+    if (direct && m_fleet.oddPerThousand != 0 && m_fleet.odd.chance(OddTexts::longPerThousand)) {
+        const size_t bytes = ("QUERY " + m_id + " " + text).size() + m_fleet.random() % 64;
+        m_text += m_fleet.odd.fill(OddTexts::maxMessageBytes - bytes);
+    }
     m_rows.clear();
     m_signature.clear();
     m_error.clear();
-    const std::string verb = verbOf(text);
     if (verb == "WRITE")
         m_writes.push_back(m_id);
     if (verb == "READ" || verb == "WRITE" || verb == "COMMIT") {
         // Transactions of different callers must not look alike.
         const uint64_t transaction
             = m_transaction == 0 ? 0 : std::hash<std::string> {}(m_name + std::to_string(m_transaction)) | 1U;
-        m_fleet.ledger.ask(m_id, { m_customer, text, transaction, m_values, preparedUnder(text) });
+        m_fleet.ledger.ask(m_id, { m_customer, m_text, transaction, m_values, preparedUnder(text) });
     }
-    m_socket->send("QUERY " + m_id + " " + text + "\r\n");
+    m_socket->send("QUERY " + m_id + " " + m_text + "\r\n");
     armTimeout(answerTimeout);
 }
 
--- a/tests/support_line_fleet.cpp
+++ b/tests/support_line_fleet.cpp
@@ -21,7 +21,9 @@
                         << (place.memory.empty() ? std::string() : "memory = \"" + place.memory + "\"\n")
                         << (place.maxDescriptors == 0
                                    ? std::string()
-                                   : "max_descriptors = " + std::to_string(place.maxDescriptors) + "\n");
+                                   : "max_descriptors = " + std::to_string(place.maxDescriptors) + "\n")
+                        // Hosts lend connections only to servers of data centres whose region is known.
+                        << "[regions]\ndc = \"r\"\n";
     std::filesystem::rename(next, path);
 }
 
--- a/tests/support_line_group.cpp
+++ b/tests/support_line_group.cpp
@@ -7,8 +7,6 @@
 
     using boost::asio::ip::tcp;
 
-    constexpr size_t maxMessageBytes = 1024 * 1024;
-
     uint64_t unixMilliseconds()
     {
         using std::chrono::milliseconds;
@@ -88,7 +86,7 @@
 
     void take(const std::string& line)
     {
-        if (line.size() > maxMessageBytes)
+        if (line.size() > OddTexts::maxMessageBytes)
             m_group.m_ledger.violation("PROTOCOL", "a message of " + std::to_string(line.size()) + " bytes");
         std::string_view rest = line;
         const std::string word = nextWord(rest);
@@ -347,6 +345,8 @@
             std::vector<std::string> rows { row };
             while (odd())
                 rows.push_back(m_group.m_odd.lastField());
+            if (m_group.m_oddPerThousand != 0 && m_group.m_odd.chance(OddTexts::longPerThousand))
+                rows.push_back(m_group.m_odd.fill(OddTexts::maxMessageBytes - std::string("DATAROW ").size()));
             const std::string signature = sign(id);
             m_group.m_ledger.rows[signature] = rows;
             complete(rows, signature);
--- a/tests/support_odd_texts.cpp
+++ b/tests/support_odd_texts.cpp
@@ -35,6 +35,19 @@
 
 std::string OddTexts::field() { return compose(false); }
 
+std::string OddTexts::fill(size_t bytes)
+{
+    // Half of them are of one byte: control bytes are the longest in other encodings.
+    std::string text(bytes, static_cast<char>(m_random() % 256));
+    if (m_random() % 2 == 0) {
+        for (char& c : text)
+            c = static_cast<char>(m_random() % 256);
+    }
+    for (size_t end = text.find(lineEnd); end != std::string::npos; end = text.find(lineEnd, end))
+        text[end] = 'x';
+    return text;
+}
+
 std::string OddTexts::shape()
 {
     const std::string plain = "q" + std::to_string(m_random() % 6);
--- a/tests/support_odd_texts.h
+++ b/tests/support_odd_texts.h
@@ -11,6 +11,12 @@
 /// encoding: control bytes, blanks, words of the protocol, quotes, bytes that are no UTF-8.
 class OddTexts {
 public:
+    /// Of a thousand statements and rows, how many are as long as a message allows, or a few bytes shorter.
+    static constexpr unsigned longPerThousand = 4;
+
+    /// Longest message, in bytes without its line end.
+    static constexpr size_t maxMessageBytes = 1024 * 1024;
+
     explicit OddTexts(uint64_t seed)
         : m_random(seed)
     {
@@ -25,6 +31,9 @@
     /// Returns a shape that begins like a plain one and goes on like a statement.
     std::string shape();
 
+    /// Returns a text of so many bytes for a last field: any bytes, but not CR LF.
+    std::string fill(size_t bytes);
+
     /// Returns true for so many of a thousand calls.
     bool chance(unsigned perThousand) { return m_random() % 1000 < perThousand; }
 
