--- a/tests/unit_backend_link.cpp
+++ b/tests/unit_backend_link.cpp
@@ -1,6 +1,6 @@
 #include "backend_link.h"
+#include "support_wire_stream.h"
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <sys/resource.h>
 
@@ -56,3 +56,74 @@
     BOOST_REQUIRE(observer.reason.has_value());
     BOOST_TEST((*observer.reason != BackendCloseReason::Refused));
 }
+
+namespace {
+
+/// A server that notes the messages it gets and accepts every connection.
+struct NotingServer {
+    NotingServer()
+        : acceptor(loop, { boost::asio::ip::address_v4::loopback(), 0 })
+    {
+        acceptor.async_accept([this](const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket) {
+            if (ec)
+                return;
+            stream = std::make_shared<plantainwall::test::WireStream>(std::move(socket));
+            plantainwall::test::WireStream::Handlers handlers;
+            handlers.message = [this](std::string_view message) {
+                messages.emplace_back(message);
+                stream->send(messages.size() == 1 ? "READY I 1.1\r\n" : "COMPLETE -\r\nREADY I 1.1\r\n");
+            };
+            handlers.closed = [] {};
+            stream->start(std::move(handlers));
+        });
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()); }
+
+    boost::asio::io_context loop;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::shared_ptr<plantainwall::test::WireStream> stream;
+    std::vector<std::string> messages;
+};
+
+BackendCommand forward(const std::string& text)
+{
+    BackendCommand command;
+    command.id = "1";
+    command.text = text;
+    return command;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(customer_that_reads_as_two_fields_opens_no_connection)
+{
+    for (const char* const customer : { "a i-7", "a\r\nQUERY 1 READ x", "-" }) {
+        NotingServer server;
+        LineConnector connector(server.loop);
+        CloseReason observer;
+        const std::unique_ptr<BackendLink> link = connector.open(entryAt(server.address()), customer, observer);
+        server.loop.run_for(std::chrono::milliseconds(50));
+        BOOST_TEST((observer.reason == BackendCloseReason::ProtocolError));
+        BOOST_TEST(server.messages.empty());
+    }
+}
+
+// What is sent after a command that was not sent would run without it.
+BOOST_AUTO_TEST_CASE(command_that_reads_as_two_messages_ends_the_connection)
+{
+    NotingServer server;
+    LineConnector connector(server.loop);
+    CloseReason observer;
+    const std::unique_ptr<BackendLink> link = connector.open(entryAt(server.address()), "customer", observer);
+    server.loop.run_for(std::chrono::milliseconds(50));
+    link->send(forward("READ a\nQUERY 2 READ b"));
+    link->send(forward("READ a\r\nQUERY 3 READ c"));
+    link->send(forward("READ d"));
+    server.loop.restart();
+    server.loop.run_for(std::chrono::milliseconds(50));
+    BOOST_TEST((observer.reason == BackendCloseReason::ProtocolError));
+    BOOST_TEST(
+        server.messages == (std::vector<std::string> { "STARTUP orders customer a", "QUERY 1 READ a\nQUERY 2 READ b" }),
+        boost::test_tools::per_element());
+}
