--- a/src/caller_memory.h
+++ b/src/caller_memory.h
@@ -11,6 +11,12 @@
 constexpr std::string_view ownerPeers = "#peers";
 constexpr std::string_view ownerServers = "#servers";
 
+/// Returns the owner of a customer's accounts, which is none of those above.
+inline std::string ownerOfCustomer(std::string_view customer)
+{
+    return (customer.substr(0, 1) == "#" ? "#" : "") + std::string(customer);
+}
+
 /// Applies a budget on the event loop: closes connections, logs and counts.
 class CallerMemory {
 public:
--- a/tests/unit_memory_budget.cpp
+++ b/tests/unit_memory_budget.cpp
@@ -1,9 +1,11 @@
+#include "caller_memory.h"
 #include "line_socket.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <memory>
 #include <random>
+#include <set>
 
 using namespace plantainwall;
 using boost::asio::ip::tcp;
@@ -296,6 +298,16 @@
 
 } // namespace
 
+// A customer called "#servers" would share the memory of the servers' replies.
+BOOST_AUTO_TEST_CASE(customer_owns_no_account_of_the_host)
+{
+    std::set<std::string> owners { std::string(ownerWithoutSession), std::string(ownerPeers),
+        std::string(ownerServers) };
+    for (const std::string name : { "hatter", "", "#", "##", "#servers", "##servers", "#peers", "#unopened" })
+        BOOST_TEST(owners.insert(ownerOfCustomer(name)).second, name);
+    BOOST_TEST(ownerOfCustomer("hatter") == "hatter");
+}
+
 // Lines of any length, sent in pieces of any length, to a reader that pauses at any line and answers at length.
 BOOST_AUTO_TEST_CASE(random_pieces_arrive_as_the_lines_that_were_sent)
 {
