Keep texts that differ apart in the log and in spans

The check of UTF-8 let overlong forms and surrogates pass, which strict readers of JSON refuse with the whole line, and DEL and the control characters from U+0080 reached terminals.

A byte that belongs to no character is now \xHH, and a backslash that starts such a form \x5c, so that no two texts have the same value; all other texts keep theirs. Control characters are escaped by JSON. Names and endpoints of spans, which were written unchecked, follow the same rule.

--- a/src/log_event.cpp
+++ b/src/log_event.cpp
@@ -1,8 +1,8 @@
 #include "log_event.h"
 #include "log_appender.h"
+#include "text_escape.h"
 #include <algorithm>
 #include <cmath>
-#include <cpprest/asyncrt_utils.h>
 #include <cpprest/json.h>
 #include <ctime>
 #include <log4cplus/consoleappender.h>
@@ -124,61 +124,36 @@
         return log;
     }
 
-    web::json::value jsonOf(const LogValue::Variant& value)
-    {
-        return std::visit(
-            [](const auto& v) {
-                using Type = std::decay_t<decltype(v)>;
-                if constexpr (std::is_same_v<Type, std::string>)
-                    return web::json::value::string(validUtf8(v));
-                else if constexpr (std::is_same_v<Type, bool>)
-                    return web::json::value::boolean(v);
-                else if constexpr (std::is_same_v<Type, double>) // JSON has neither infinity nor NaN.
-                    return std::isfinite(v) ? web::json::value::number(v) : web::json::value::null();
-                else
-                    return web::json::value::number(v);
-            },
-            value);
-    }
-
-    bool needsQuotes(const std::string& text)
-    {
-        if (text.empty())
-            return true;
-        for (const unsigned char c : text) {
-            if (c <= ' ' || c == '"' || c == '=' || c == '\\' || c >= 0x7f)
-                return true;
-        }
-        return false;
-    }
-
     void appendField(std::string& line, bool json, std::string_view name, const LogValue& value)
     {
-        const std::string serialized = jsonOf(value.variant()).serialize();
         if (json) {
-            line += line.empty() ? "{" : ",";
-            line += '"' + std::string(name) + "\":" + serialized;
-            return;
+            line += line.empty() ? "{\"" : ",\"";
+            line.append(name).append("\":");
+        } else {
+            line += line.empty() ? "" : " ";
+            line.append(name).append(1, '=');
         }
-        if (!line.empty())
-            line += ' ';
-        const std::string* const text = std::get_if<std::string>(&value.variant());
-        line += std::string(name) + '=' + (text != nullptr && !needsQuotes(*text) ? *text : serialized);
+        std::visit(
+            [&](const auto& v) {
+                using Type = std::decay_t<decltype(v)>;
+                if constexpr (std::is_same_v<Type, std::string>) {
+                    if (json)
+                        appendJsonString(line, escapedUtf8(v));
+                    else
+                        line += printableWord(escapedUtf8(v));
+                } else if constexpr (std::is_same_v<Type, bool>) {
+                    line += v ? "true" : "false";
+                } else if constexpr (std::is_same_v<Type, double>) { // JSON has neither infinity nor NaN.
+                    line += std::isfinite(v) ? web::json::value::number(v).serialize() : "null";
+                } else {
+                    line += std::to_string(v);
+                }
+            },
+            value.variant());
     }
 
 } // namespace
 
-std::string validUtf8(std::string text)
-{
-    try {
-        utility::conversions::utf8_to_utf16(text);
-    } catch (const std::range_error&) {
-        std::replace_if(
-            text.begin(), text.end(), [](unsigned char c) { return c >= 0x80; }, '?');
-    }
-    return text;
-}
-
 void initializeLogging(const Settings& settings)
 {
     processLog().configure(settings.host, settings.logFormat, settings.logLevel);
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -169,11 +169,10 @@
 /// Returns whether an event would be written. Allows callers to skip building costly fields.
 bool logEnabled(LogEvent);
 
-/// Returns the line that logEvent writes. time is UTC in ISO 8601, format "json" or "text".
+/// Returns the line that logEvent writes. Texts that differ have values that differ, see escapedUtf8.
+/// @param time UTC in ISO 8601.
+/// @param format "json" or "text".
 std::string logEventLine(
     LogEvent, std::initializer_list<LogField>, std::string_view time, std::string_view host, std::string_view format);
 
-/// Returns the text with every byte outside ASCII replaced by "?" if it is not valid UTF-8, which JSON requires.
-std::string validUtf8(std::string text);
-
 } // namespace plantainwall
--- a/src/trace_span.cpp
+++ b/src/trace_span.cpp
@@ -1,5 +1,5 @@
 #include "trace_span.h"
-#include "log_event.h"
+#include "text_escape.h"
 #include <algorithm>
 #include <cerrno>
 #include <cpprest/json.h>
@@ -92,16 +92,16 @@
     json["id"] = Json::string(span.context.spanId);
     if (!span.parentId.empty())
         json["parentId"] = Json::string(span.parentId);
-    json["name"] = Json::string(span.name);
+    json["name"] = Json::string(escapedUtf8(span.name));
     json["kind"] = Json::string(std::string(kindNames[static_cast<size_t>(span.kind)]));
     json["timestamp"] = Json::number(static_cast<int64_t>(span.start.count()));
     // Zipkin does not accept a duration of 0.
     json["duration"] = Json::number(std::max<int64_t>(span.duration.count(), 1));
     json["localEndpoint"] = Json::object();
-    json["localEndpoint"]["serviceName"] = Json::string(endpointName);
+    json["localEndpoint"]["serviceName"] = Json::string(escapedUtf8(endpointName));
     json["tags"] = Json::object();
     for (const std::pair<const SpanTag, std::string>& tag : span.tags)
-        json["tags"][std::string(tagNames[static_cast<size_t>(tag.first)])] = Json::string(validUtf8(tag.second));
+        json["tags"][std::string(tagNames[static_cast<size_t>(tag.first)])] = Json::string(escapedUtf8(tag.second));
     return json.serialize();
 }
 
