Find a request by its id as the log shows it, and keep texts of logs in their line

Hosts, events, codes, reasons and the id itself were printed as they are, so that a reason with a line feed showed as lines of its own, and control bytes reached the terminal. A line of another program with half a surrogate pair ended the tool with an exception.

An id is now the JSON string of the log, or its value, or, where that is no UTF-8, what the caller sent. It is compared as it stands in the log. Printed ids and names are words of ASCII or JSON strings, reasons are lines or JSON strings. Lines of the version before are read as before (lines_of_the_version_before_are_read).

--- a/src/cli_explain.cpp
+++ b/src/cli_explain.cpp
@@ -41,7 +41,8 @@
     const std::shared_ptr<ExplainArguments> arguments = std::make_shared<ExplainArguments>();
     CLI::App* const command
         = app.add_subcommand("explain", "Print what logs say about a request: its path, the outcome, what is missing");
-    command->add_option("request", arguments->request, "Request id")->required();
+    command->add_option("request", arguments->request, "Request id as the log shows it, with or without its quotes")
+        ->required();
     command->add_option("logs", arguments->files, "Logs in JSON, one or more hosts each; standard input if absent");
     command->callback([arguments] { explain(*arguments); });
 }
--- a/src/log_explain.cpp
+++ b/src/log_explain.cpp
@@ -1,4 +1,5 @@
 #include "log_explain.h"
+#include "text_escape.h"
 #include <algorithm>
 #include <istream>
 #include <map>
@@ -66,18 +67,43 @@
 
     std::string eventName(const LogRecord& record) { return record.text("name"); }
 
+    /// Returns UTF-8; only lines of other programs and of earlier versions hold other bytes.
+    std::string utf8Text(std::string_view text) { return isUtf8(text) ? std::string(text) : escapedUtf8(text); }
+
+    /// Parses JSON. Returns null for text that is none.
+    web::json::value parseJson(const std::string& text)
+    {
+        std::error_code ec;
+        try {
+            web::json::value value = web::json::value::parse(text, ec);
+            return ec ? web::json::value::null() : value;
+        } catch (const std::range_error&) { // Halves of surrogate pairs, in spite of ec.
+            return web::json::value::null();
+        }
+    }
+
+    std::string printableValue(const web::json::value& value)
+    {
+        if (!value.is_string())
+            return printableLine(utf8Text(value.serialize()));
+        std::string text;
+        appendJsonString(text, utf8Text(value.as_string()));
+        return text;
+    }
+
     constexpr size_t timestampLength = sizeof("2026-01-01T00:00:00.000000Z") - 1;
 
     void printRecord(std::ostream& out, const LogRecord& record)
     {
         static const std::set<std::string> skippedFields { "time", "host", "event", "name", "level", "request" };
-        std::string time = record.text("time");
-        time.resize(timestampLength, ' ');
-        out << "  " << time << "  " << record.host << "  " << eventName(record);
+        std::string time = printableWord(record.text("time"));
+        time.resize(std::max(time.size(), timestampLength), ' ');
+        out << "  " << time << "  " << (record.host.empty() ? "" : printableWord(record.host)) << "  "
+            << printableWord(eventName(record));
         for (const auto& [name, value] : record.fields.as_object()) {
             const bool empty = value.is_string() && value.as_string().empty();
             if (skippedFields.count(name) == 0 && !empty)
-                out << ' ' << name << '=' << value.serialize();
+                out << ' ' << printableWord(utf8Text(name)) << '=' << printableValue(value);
         }
         out << '\n';
     }
@@ -89,7 +115,7 @@
     if (!fields.has_field(name))
         return {};
     const web::json::value& value = fields.at(name);
-    return value.is_string() ? value.as_string() : value.serialize();
+    return utf8Text(value.is_string() ? value.as_string() : value.serialize());
 }
 
 int64_t LogRecord::number(const std::string& name) const
@@ -97,6 +123,16 @@
     return fields.has_integer_field(name) ? fields.at(name).as_number().to_int64() : 0;
 }
 
+std::string requestInLog(std::string_view argument)
+{
+    if (!argument.empty() && argument.front() == '"') {
+        const web::json::value json = parseJson(std::string(argument));
+        if (json.is_string())
+            return utf8Text(json.as_string());
+    }
+    return utf8Text(argument);
+}
+
 void LogExplainer::read(std::istream& in)
 {
     std::map<std::string, uint64_t> lastTimes; // By host.
@@ -104,10 +140,9 @@
     while (std::getline(in, line)) {
         if (line.empty())
             continue;
-        std::error_code ec;
         LogRecord record;
-        record.fields = web::json::value::parse(line, ec);
-        if (ec || !record.fields.is_object() || !record.fields.has_string_field("name")) {
+        record.fields = parseJson(line);
+        if (!record.fields.is_object() || !record.fields.has_string_field("name")) {
             ++m_unreadable;
             continue;
         }
@@ -150,9 +185,10 @@
 
 RequestExplanation LogExplainer::explain(std::string_view request) const
 {
+    const std::string value = requestInLog(request);
     RequestExplanation result;
     for (const LogRecord& record : m_records) {
-        if (record.text("request") == request)
+        if (record.fields.has_string_field("request") && record.text("request") == value)
             result.path.push_back(record);
     }
     result.answered = std::any_of(result.path.begin(), result.path.end(), reportsAnswer);
@@ -179,7 +215,7 @@
 {
     const bool found = !result.path.empty();
     if (!found)
-        result.gaps.push_back("no line on request " + std::string(request));
+        result.gaps.push_back("no line on request " + printableWord(requestInLog(request)));
     else if (!result.answered)
         result.gaps.emplace_back(
             "no line on the answer: the caller disconnected, the host stopped, or the line was suppressed");
@@ -196,7 +232,8 @@
             omittedLines[{ record.host, "any event (log reader too slow)" }] += record.number("lines");
     }
     for (const auto& [key, lines] : omittedLines)
-        result.gaps.push_back(key.first + " suppressed " + std::to_string(lines) + " lines: " + key.second);
+        result.gaps.push_back(
+            printableWord(key.first) + " suppressed " + std::to_string(lines) + " lines: " + printableLine(key.second));
     const auto moved = std::count_if(result.path.begin(), result.path.end(),
         [](const LogRecord& line) { return line.event == LogEvent::StatementMoved; });
     const int64_t attempts = found ? result.path.back().number("attempt") : 0;
@@ -206,7 +243,7 @@
 
 void printExplanation(std::ostream& out, std::string_view request, const RequestExplanation& explanation)
 {
-    out << "request " << request << '\n';
+    out << "request " << printableWord(requestInLog(request)) << '\n';
     for (const LogRecord& record : explanation.path)
         printRecord(out, record);
     if (explanation.answered) {
@@ -214,9 +251,9 @@
         out << "outcome\n  " << logEventInfo(*last->event).meaning << '\n';
         const std::string code = last->text("code");
         if (!code.empty())
-            out << "  " << code << ": " << resultCodeInfo(resultCodeFromName(code)).meaning << '\n';
+            out << "  " << printableWord(code) << ": " << resultCodeInfo(resultCodeFromName(code)).meaning << '\n';
         if (!last->text("reason").empty())
-            out << "  reason: " << last->text("reason") << '\n';
+            out << "  reason: " << printableLine(last->text("reason")) << '\n';
     }
     if (!explanation.relatedEvents.empty())
         out << "around it, on its hosts, servers and services\n";
--- a/src/log_explain.h
+++ b/src/log_explain.h
@@ -19,7 +19,7 @@
     std::optional<LogEvent> event; ///< Absent if this version does not know the name.
     web::json::value fields; ///< The whole line.
 
-    /// Returns a field as text without quotes; empty if it is absent.
+    /// Returns a field as text without quotes, in UTF-8; empty if it is absent.
     std::string text(const std::string& name) const;
 
     /// Returns an integer field; 0 if it is absent or not an integer.
@@ -34,6 +34,11 @@
     bool answered = false; ///< The path contains the line that reports the outcome.
 };
 
+/// Returns the value that the field "request" has in a log.
+/// @param argument Id in quotes, as in the log; without quotes, as a reader of JSON returns it; or, if that is no
+/// UTF-8, as the caller sent it.
+std::string requestInLog(std::string_view argument);
+
 /// Collects log lines of several hosts and explains single requests from them.
 class LogExplainer {
 public:
@@ -44,6 +49,7 @@
     size_t unreadable() const { return m_unreadable; }
 
     /// Returns the lines about a request, the related events and the gaps in the logs.
+    /// @param request See requestInLog.
     RequestExplanation explain(std::string_view request) const;
 
 private:
@@ -54,7 +60,9 @@
     size_t m_unreadable = 0;
 };
 
-/// Prints an explanation for operators: the path, the outcome, related events and gaps.
+/// Prints an explanation for operators: the path, the outcome, related events and gaps. Texts of the logs stay within
+/// their line.
+/// @param request See requestInLog.
 void printExplanation(std::ostream&, std::string_view request, const RequestExplanation&);
 
 } // namespace plantainwall
--- a/tests/unit_log_explain.cpp
+++ b/tests/unit_log_explain.cpp
@@ -1,5 +1,8 @@
 #include "log_explain.h"
+#include "support_odd_texts.h"
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <set>
 #include <sstream>
 
 using namespace plantainwall;
@@ -138,3 +141,92 @@
     BOOST_TEST((explanation.path[1].event == LogEvent::StatementServed));
     BOOST_TEST(explanation.gaps.empty());
 }
+
+// Each id finds its own line only: as JSON in the log shows it, as a reader of JSON returns it, and as the caller sent
+// it.
+BOOST_AUTO_TEST_CASE(odd_ids_find_their_own_lines)
+{
+    test::OddTexts texts(5);
+    std::set<std::string> ids { "r1", "\xff", "\xfe", "?", "\\xff", "\\x5cxff", "a\nb", "a\\nb", "a\\", "\"a", "-" };
+    while (ids.size() < 400)
+        ids.insert(texts.field());
+    std::string log = line("20.000000", "a", LogEvent::Stopped, "") + line("20.000000", "a", LogEvent::BadRequest, "");
+    std::vector<std::string> lines;
+    for (const std::string& id : ids) {
+        lines.push_back(logEventLine(LogEvent::StatementServed, { { "request", id }, { "n", lines.size() } },
+            "2026-12-04T10:00:21.000000Z", "a", "json"));
+        log += lines.back() + '\n';
+    }
+    LogExplainer explainer;
+    std::istringstream in(log);
+    explainer.read(in);
+    BOOST_TEST(explainer.unreadable() == 0U);
+    const auto findsOnly = [&explainer](std::string_view argument, size_t n) {
+        const RequestExplanation found = explainer.explain(argument);
+        return found.path.size() == 1 && found.path[0].number("n") == static_cast<int64_t>(n);
+    };
+    size_t n = 0;
+    for (const std::string& id : ids) {
+        const size_t begin = lines[n].find("\"request\":") + sizeof("\"request\":") - 1;
+        const std::string shown = lines[n].substr(begin, lines[n].rfind(",\"n\":") - begin);
+        const std::string value = web::json::value::parse(shown).as_string();
+        const bool quoted = id.front() == '"'; // Such an argument is read as JSON where it can be.
+        BOOST_TEST(findsOnly(shown, n), "as in the log: " << test::printable(shown));
+        BOOST_TEST((quoted || findsOnly(value, n)), "as read from JSON: " << test::printable(value));
+        BOOST_TEST((quoted || value != id || findsOnly(id, n)), "as sent: " << test::printable(id));
+        ++n;
+    }
+    BOOST_TEST(explainer.explain("").path.empty());
+}
+
+// A text in a log shows neither as a line of its own nor as a command to the terminal.
+BOOST_AUTO_TEST_CASE(odd_texts_are_printed_in_their_line)
+{
+    test::OddTexts texts(6);
+    for (int i = 0; i < 300; ++i) {
+        const std::string id = "r" + texts.field();
+        const std::string host = texts.lastField() + "\nmissing";
+        const std::string log
+            = logEventLine(LogEvent::LinesDropped, { { "lines", 2 } }, "2026-12-04T10:00:20Z", host, "json") + '\n'
+            + logEventLine(LogEvent::StatementRefused,
+                { { "request", id }, { "reason", texts.lastField() }, { "code", "\x1b[" + texts.lastField() } },
+                "2026-12-04T10:00:20Z", host, "json");
+        std::ostringstream out;
+        printExplanation(out, id, explain({ log }, id));
+        const std::string text = out.str();
+        BOOST_TEST(std::none_of(text.begin(), text.end(),
+                       [](unsigned char c) { return (c < ' ' && c != '\n') || c == 0x7f || c == 0xff || c == 0xfe; }),
+            "a control byte in " << test::printable(text));
+        // Request, line, outcome, its meaning, code, reason, heading, related line, heading, gap.
+        BOOST_TEST(std::count(text.begin(), text.end(), '\n') == 10, test::printable(text));
+    }
+}
+
+// Lines that the version before wrote: "?" for bytes that are no UTF-8, and such bytes where its check let them pass.
+BOOST_AUTO_TEST_CASE(lines_of_the_version_before_are_read)
+{
+    const std::string log = line("20.000000", "a", LogEvent::StatementServed, R"("request":"r??","n":1)")
+        + line("20.000000", "a", LogEvent::StatementServed, "\"request\":\"r\xc0\x80\x7f\",\"n\":2")
+        + line("20.000000", "a", LogEvent::StatementServed, R"("request":"r\u0000\n","n":3)")
+        + line("20.000000", "a", LogEvent::StatementServed, R"("request":"r\\xff","n":4)");
+    const std::pair<std::string, int> cases[] = { { "r??", 1 }, { "r\xc0\x80\x7f", 2 }, { R"("r\u0000\n")", 3 },
+        { std::string("r\0\n", 3), 3 }, { R"("r\\xff")", 4 }, { R"(r\xff)", 4 } };
+    for (const std::pair<std::string, int>& it : cases) {
+        const RequestExplanation found = explain({ log }, it.first);
+        BOOST_REQUIRE_EQUAL(found.path.size(), 1U);
+        BOOST_TEST(found.path[0].number("n") == it.second);
+    }
+}
+
+// A line that no reader of JSON accepts does not end the reading, and a log may end without a line end.
+BOOST_AUTO_TEST_CASE(unreadable_lines_do_not_hide_others)
+{
+    const std::string served = line("20.000000", "a", LogEvent::StatementServed, R"("request":"r1","n":1)");
+    LogExplainer explainer;
+    std::istringstream in(line("19.000000", "a", LogEvent::Stopped, R"("reason":"\ud800\u0041")") + '\xff' + served
+        + served.substr(0, served.size() - 1));
+    explainer.read(in);
+    BOOST_TEST(explainer.unreadable() == 2U);
+    BOOST_TEST(explainer.explain("r1").path.size() == 1U);
+    BOOST_TEST(explainer.explain(R"("\ud800\u0041")").path.empty());
+}
