Keep texts of the status page in their line

Texts of the document are UTF-8 as in the log; the page prints names as words and faults as lines, or as JSON strings. Names that the configuration allows (a-z, 0-9 and -) are printed as before.

--- a/src/log_explain.cpp
+++ b/src/log_explain.cpp
@@ -67,9 +67,6 @@
 
     std::string eventName(const LogRecord& record) { return record.text("name"); }
 
-    /// Returns UTF-8; only lines of other programs and of earlier versions hold other bytes.
-    std::string utf8Text(std::string_view text) { return isUtf8(text) ? std::string(text) : escapedUtf8(text); }
-
     /// Parses JSON. Returns null for text that is none.
     web::json::value parseJson(const std::string& text)
     {
--- a/src/status_report.cpp
+++ b/src/status_report.cpp
@@ -1,4 +1,5 @@
 #include "status_report.h"
+#include "text_escape.h"
 #include <sstream>
 
 namespace plantainwall {
@@ -11,7 +12,7 @@
     static_assert(sizeof(hostStateNames) / sizeof(hostStateNames[0]) == static_cast<size_t>(HostState::Count),
         "one entry for each HostState");
 
-    Json text(std::string_view value) { return Json::string(std::string(value)); }
+    Json text(std::string_view value) { return Json::string(escapedUtf8(value)); }
 
     Json milliseconds(Duration duration)
     {
@@ -78,15 +79,22 @@
         return json.at("term").serialize() + ":" + json.at("position").serialize();
     }
 
+    /// Returns a field for a line of words; empty if it is empty.
+    std::string word(const Json& json, const std::string& name)
+    {
+        const std::string value = utf8Text(json.at(name).as_string());
+        return value.empty() ? value : printableWord(value);
+    }
+
     void writeGroup(std::ostream& out, const Json& group)
     {
-        const std::string primary = group.at("primary").as_string();
-        out << "group " << group.at("name").as_string() << "  primary " << (primary.empty() ? "none" : primary)
-            << "  term " << group.at("term").serialize() << "  " << group.at("phase").as_string() << "  confirmed "
+        const std::string primary = word(group, "primary");
+        out << "group " << word(group, "name") << "  primary " << (primary.empty() ? "none" : primary) << "  term "
+            << group.at("term").serialize() << "  " << word(group, "phase") << "  confirmed "
             << positionText(group.at("confirmed")) << "\n";
         for (const Json& member : group.at("members").as_array())
-            out << "  " << member.at("name").as_string() << "  owner " << member.at("owner").as_string() << "  "
-                << (member.at("reachable").as_bool() ? member.at("role").as_string() : "unreachable")
+            out << "  " << word(member, "name") << "  owner " << word(member, "owner") << "  "
+                << (member.at("reachable").as_bool() ? word(member, "role") : "unreachable")
                 << (member.at("leaving").as_bool() ? " leaving" : "") << "  received "
                 << positionText(member.at("received")) << "  applied " << positionText(member.at("applied"))
                 << "  connections " << member.at("connections_in_use").serialize() << "/"
@@ -132,20 +140,20 @@
 std::string statusText(const Json& report)
 {
     std::ostringstream out;
-    out << "host " << report.at("host").as_string() << "  incarnation " << report.at("incarnation").serialize()
+    out << "host " << word(report, "host") << "  incarnation " << report.at("incarnation").serialize()
         << (report.at("draining").as_bool() ? "  draining" : "") << "\n"
         << "configuration  revision " << report.at("configuration_revision").serialize() << "  age "
         << report.at("configuration_age_ms").serialize() << " ms\n";
     for (const Json& fault : report.at("configuration_faults").as_array())
-        out << "  not in force: " << fault.as_string() << "\n";
+        out << "  not in force: " << printableLine(utf8Text(fault.as_string())) << "\n";
     for (const Json& host : report.at("hosts").as_array())
-        out << "peer " << host.at("name").as_string() << "  " << host.at("data_centre").as_string() << "  "
-            << host.at("state").as_string() << "\n";
+        out << "peer " << word(host, "name") << "  " << word(host, "data_centre") << "  " << word(host, "state")
+            << "\n";
     for (const Json& group : report.at("groups").as_array())
         writeGroup(out, group);
     out << "rate  seats " << report.at("seat_part").serialize() << " of every customer's rate\n";
     for (const Json& share : report.at("shares").as_array())
-        out << "  " << share.at("customer").as_string() << "  share " << share.at("share").serialize() << "\n";
+        out << "  " << word(share, "customer") << "  share " << share.at("share").serialize() << "\n";
     return out.str();
 }
 
--- a/src/text_escape.cpp
+++ b/src/text_escape.cpp
@@ -132,6 +132,8 @@
     return result;
 }
 
+std::string utf8Text(std::string_view text) { return isUtf8(text) ? std::string(text) : escapedUtf8(text); }
+
 void appendJsonString(std::string& out, std::string_view text)
 {
     out += '"';
--- a/src/text_escape.h
+++ b/src/text_escape.h
@@ -12,6 +12,10 @@
 /// this form itself \x5c, so that different texts have different results. Other text is unchanged.
 std::string escapedUtf8(std::string_view);
 
+/// Returns a text that was escaped when it was written unchanged, and one of earlier versions and other programs that
+/// is no UTF-8 escaped.
+std::string utf8Text(std::string_view);
+
 /// Appends a JSON string, on one line and without bytes that a terminal interprets.
 /// @param text UTF-8, see escapedUtf8.
 void appendJsonString(std::string& out, std::string_view text);
