Give each customer a label of its own in the metrics, in UTF-8

Line breaks, quotes and backslashes were escaped and are as before.

The label is escaped as in the log. Names that the configuration allows are unchanged.

--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -1,4 +1,5 @@
 #include "metrics.h"
+#include "text_escape.h"
 #include <array>
 #include <map>
 #include <mutex>
@@ -249,7 +250,7 @@
     const std::lock_guard<std::mutex> lock(m_data->mutex);
     prometheus::Gauge*& gauge = m_data->shares[customer];
     if (gauge == nullptr)
-        gauge = &m_data->shareFamily->Add(labelsOf(Family::RateShare, customer));
+        gauge = &m_data->shareFamily->Add(labelsOf(Family::RateShare, escapedUtf8(customer)));
     gauge->Set(share);
 }
 
--- a/tests/unit_metrics.cpp
+++ b/tests/unit_metrics.cpp
@@ -1,6 +1,9 @@
 #include "metrics.h"
+#include "support_odd_texts.h"
+#include "text_escape.h"
 #include <boost/test/unit_test.hpp>
 #include <fstream>
+#include <map>
 #include <sstream>
 #include <thread>
 
@@ -13,8 +16,51 @@
     return text.find('\n' + line + '\n') != std::string::npos;
 }
 
+/// Returns the values of plantainwall_rate_share by label, as the text format of Prometheus defines it.
+std::map<std::string, std::string> sharesOf(const std::string& text)
+{
+    constexpr std::string_view begin = "plantainwall_rate_share{team=\"";
+    std::map<std::string, std::string> shares;
+    std::istringstream in(text);
+    for (std::string line; std::getline(in, line);) {
+        if (line.compare(0, begin.size(), begin) != 0)
+            continue;
+        std::string label;
+        size_t i = begin.size();
+        for (; i < line.size() && line[i] != '"'; ++i) {
+            if (line[i] == '\\' && ++i < line.size() && line[i] == 'n')
+                label += '\n';
+            else
+                label += line[i];
+        }
+        BOOST_TEST(shares.emplace(label, line.substr(std::min(i + 1, line.size()))).second);
+    }
+    return shares;
+}
+
 } // namespace
 
+// Guards against labels that end their line or are no UTF-8: a scraper refuses the whole page.
+BOOST_AUTO_TEST_CASE(odd_customers_have_labels_of_their_own)
+{
+    test::OddTexts texts(9);
+    Metrics metrics;
+    std::map<std::string, std::string> expected;
+    std::vector<std::string> names { "\xff", "?", "\\xff", "a\nb", "a\\nb", "a\"} 1", "\xc0\x80" };
+    for (int i = 0; i < 300; ++i)
+        names.push_back(texts.lastField());
+    for (size_t i = 0; i < names.size(); ++i) {
+        metrics.setRateShare(names[i], static_cast<double>(i));
+        expected[escapedUtf8(names[i])] = "} " + std::to_string(i);
+    }
+    const std::string text = metrics.metricsText();
+    BOOST_TEST(isUtf8(text));
+    BOOST_TEST((sharesOf(text) == expected));
+    for (const std::string& it : names)
+        metrics.removeRateShare(it);
+    BOOST_TEST(sharesOf(metrics.metricsText()).empty());
+}
+
 // Guards against values that are exported under a wrong name or label.
 BOOST_AUTO_TEST_CASE(values_reach_their_metrics)
 {
