Read the line that follows a cut line of a log

A process that is killed within a line leaves it without an end, and the next process that appends to the file starts its first line there: explain read both as one line that is no JSON, so `started` and what a request met at that time were lost.

Every line starts with {"time":, which occurs nowhere else, as quotes within values are escaped.

--- a/src/log_explain.cpp
+++ b/src/log_explain.cpp
@@ -79,6 +79,9 @@
         }
     }
 
+    /// Start of every line of a log. It occurs nowhere else, as quotes within values are escaped.
+    constexpr std::string_view lineStart = "{\"time\":";
+
     std::string printableValue(const web::json::value& value)
     {
         if (!value.is_string())
@@ -139,6 +142,12 @@
             continue;
         LogRecord record;
         record.fields = parseJson(line);
+        const size_t start = line.rfind(lineStart);
+        if (record.fields.is_null() && start != 0 && start != std::string::npos) {
+            // A process that was killed within a line left it without an end.
+            ++m_unreadable;
+            record.fields = parseJson(line.substr(start));
+        }
         if (!record.fields.is_object() || !record.fields.has_string_field("name")) {
             ++m_unreadable;
             continue;
