Start spans on a line of their own after a cut line

When the disk was full, or the process was killed, the file of spans could end within a line. The next span was appended to this line, counted as written, and could not be read.

The writer notes whether the file ends within a line, at its start and after each write, and then starts with a line end. Plain operation writes what it wrote before.

--- a/src/trace_span.cpp
+++ b/src/trace_span.cpp
@@ -4,6 +4,8 @@
 #include <cerrno>
 #include <cpprest/json.h>
 #include <fcntl.h>
+#include <filesystem>
+#include <fstream>
 #include <system_error>
 #include <unistd.h>
 
@@ -38,6 +40,18 @@
         return isHexadecimal(text) && text.find_first_not_of('0') != std::string_view::npos;
     }
 
+    /// Returns whether a file has bytes behind its last line end. Pipes have none.
+    bool endsWithinLine(const std::string& path)
+    {
+        std::error_code ec;
+        if (!std::filesystem::is_regular_file(path, ec))
+            return false;
+        std::ifstream file(path, std::ios::binary);
+        file.seekg(-1, std::ios::end);
+        char last = '\n';
+        return file.get(last) && last != '\n';
+    }
+
     unsigned digitValue(char c) { return static_cast<unsigned>(c <= '9' ? c - '0' : c - 'a' + 10); }
 
 } // namespace
@@ -114,6 +128,7 @@
     m_file = open(path.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0640);
     if (m_file < 0)
         throw std::system_error(errno, std::generic_category(), "cannot open trace file " + path);
+    m_lineCut = endsWithinLine(path);
     m_thread = std::thread(&SpanWriter::run, this);
 }
 
@@ -167,7 +182,7 @@
         std::vector<Span> spans;
         spans.swap(m_queue);
         lock.unlock();
-        std::string text;
+        std::string text(m_lineCut ? 1 : 0, '\n');
         for (const Span& span : spans)
             text += spanJson(span, m_endpointName) + '\n';
         const bool success = writeAll(text);
@@ -176,7 +191,7 @@
     }
 }
 
-bool SpanWriter::writeAll(std::string_view text) const
+bool SpanWriter::writeAll(std::string_view text)
 {
     while (!text.empty()) {
         const ssize_t n = ::write(m_file, text.data(), text.size());
@@ -184,6 +199,7 @@
             continue;
         if (n <= 0)
             return false;
+        m_lineCut = text[static_cast<size_t>(n) - 1] != '\n';
         text.remove_prefix(static_cast<size_t>(n));
     }
     return true;
--- a/src/trace_span.h
+++ b/src/trace_span.h
@@ -84,11 +84,12 @@
 
 private:
     void run();
-    bool writeAll(std::string_view text) const;
+    bool writeAll(std::string_view text);
 
     const std::string m_endpointName;
     const size_t m_maxQueued;
     int m_file = -1;
+    bool m_lineCut = false; ///< The file ends within a line. Used by the thread only, once it has started.
     mutable std::mutex m_mutex; // Guards the members below up to m_thread.
     std::condition_variable m_changed;
     std::vector<Span> m_queue;
--- a/tests/unit_trace_span.cpp
+++ b/tests/unit_trace_span.cpp
@@ -1,8 +1,12 @@
+#include "support_odd_texts.h"
 #include "trace_span.h"
 #include <boost/test/unit_test.hpp>
 #include <cpprest/json.h>
+#include <csignal>
 #include <fcntl.h>
 #include <fstream>
+#include <set>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <system_error>
 #include <unistd.h>
@@ -104,6 +108,64 @@
     SpanWriter("", "mill-1").write(exampleSpan());
 }
 
+// Guards against texts that end a line or are one in the file.
+BOOST_AUTO_TEST_CASE(odd_texts_differ_in_the_file)
+{
+    test::OddTexts texts(4);
+    std::set<std::string> names { "\xff", "?", "\\xff", "\xc0\x80", "a\nb", "a\\nb" };
+    while (names.size() < 300)
+        names.insert(texts.lastField());
+    std::set<std::string> lines;
+    for (const std::string& it : names) {
+        Span span = exampleSpan();
+        span.tags = { { SpanTag::Group, it } };
+        const std::string line = spanJson(span, "mill-1");
+        BOOST_TEST(lines.insert(line).second, "another text has the line of " << test::printable(it));
+        BOOST_TEST(line.find('\n') == std::string::npos);
+        BOOST_TEST(web::json::value::parse(line).at("tags").at("group").is_string());
+        span.name = it;
+        BOOST_TEST(web::json::value::parse(spanJson(span, it)).at("name").is_string());
+    }
+}
+
+// Guards against spans that are written behind a line that was cut when the disk was full or the process was killed.
+BOOST_AUTO_TEST_CASE(cut_line_does_not_take_the_next_one)
+{
+    const TemporaryPath file;
+    const std::string cut = "{\"traceId\":";
+    std::ofstream(file.path) << cut;
+    const size_t size = spanJson(exampleSpan(), "mill-1").size() + 1;
+    std::signal(SIGXFSZ, SIG_IGN);
+    rlimit limit {};
+    BOOST_REQUIRE(getrlimit(RLIMIT_FSIZE, &limit) == 0);
+    const rlimit small { cut.size() + 1 + size + size / 2, limit.rlim_max };
+    BOOST_REQUIRE(setrlimit(RLIMIT_FSIZE, &small) == 0);
+    {
+        SpanWriter writer(file.path, "mill-1");
+        const auto writeOne = [&writer] {
+            const uint64_t before = writer.written() + writer.dropped();
+            writer.write(exampleSpan());
+            for (int i = 0; i < 10000 && writer.written() + writer.dropped() == before; ++i)
+                usleep(1000);
+        };
+        writeOne();
+        writeOne();
+        BOOST_TEST(writer.dropped() == 1U);
+        BOOST_REQUIRE(setrlimit(RLIMIT_FSIZE, &limit) == 0);
+        writeOne();
+        BOOST_TEST(writer.written() == 2U);
+    }
+    std::ifstream in(file.path);
+    size_t readable = 0;
+    size_t lines = 0;
+    for (std::string line; std::getline(in, line); ++lines) {
+        std::error_code ec;
+        readable += web::json::value::parse(line, ec).has_field("traceId") && !ec ? 1 : 0;
+    }
+    BOOST_TEST(readable == 2U);
+    BOOST_TEST(lines == 4U);
+}
+
 // Guards against requests that wait for a slow disk, and dropped spans that are not counted. An unread pipe stands in
 // for the disk.
 BOOST_AUTO_TEST_CASE(full_queue_drops_and_counts)
