Tell sessions with one id apart in explain

If two sessions used an id, explain printed the outcome of the later one only, and reported no gap where the other had no line on its answer.

The outcome is printed for each session, with its host and number, and a request counts as answered if each of them is. Lines that name no session belong to the one that is named, so that logs of the version before show as before.

--- a/src/log_explain.cpp
+++ b/src/log_explain.cpp
@@ -65,6 +65,26 @@
             && (*record.event == LogEvent::StatementServed || logEventInfo(*record.event).onFailedRequest);
     }
 
+    /// Host and session that a line names.
+    using SessionKey = std::pair<std::string, std::string>;
+
+    /// Returns the last line on an answer of each session of a path, null if there is none. Lines that name no session
+    /// count as one of their own only if no line names any.
+    std::map<SessionKey, const LogRecord*> answersOf(const std::vector<LogRecord>& path)
+    {
+        const bool named = std::any_of(
+            path.begin(), path.end(), [](const LogRecord& line) { return line.fields.has_field("session"); });
+        std::map<SessionKey, const LogRecord*> answers;
+        for (const LogRecord& line : path) {
+            if (named && !line.fields.has_field("session"))
+                continue;
+            const LogRecord*& answer = answers[{ named ? line.host : std::string(), line.text("session") }];
+            if (reportsAnswer(line))
+                answer = &line;
+        }
+        return answers;
+    }
+
     std::string eventName(const LogRecord& record) { return record.text("name"); }
 
     /// Parses JSON. Returns null for text that is none.
@@ -108,6 +128,16 @@
         out << '\n';
     }
 
+    void printOutcome(std::ostream& out, const LogRecord& answer)
+    {
+        out << "  " << logEventInfo(*answer.event).meaning << '\n';
+        const std::string code = answer.text("code");
+        if (!code.empty())
+            out << "  " << printableWord(code) << ": " << resultCodeInfo(resultCodeFromName(code)).meaning << '\n';
+        if (!answer.text("reason").empty())
+            out << "  reason: " << printableLine(answer.text("reason")) << '\n';
+    }
+
 } // namespace
 
 std::string LogRecord::text(const std::string& name) const
@@ -197,7 +227,10 @@
         if (record.fields.has_string_field("request") && record.text("request") == value)
             result.path.push_back(record);
     }
-    result.answered = std::any_of(result.path.begin(), result.path.end(), reportsAnswer);
+    const std::map<SessionKey, const LogRecord*> answers = answersOf(result.path);
+    result.sessions = answers.size();
+    result.answered = !answers.empty()
+        && std::all_of(answers.begin(), answers.end(), [](const auto& entry) { return entry.second != nullptr; });
     if (!result.path.empty()) {
         const uint64_t from = result.path.front().timeUs - std::min(lookBackUs, result.path.front().timeUs);
         const uint64_t to = result.path.back().timeUs + lookAheadUs;
@@ -243,7 +276,7 @@
     const auto moved = std::count_if(result.path.begin(), result.path.end(),
         [](const LogRecord& line) { return line.event == LogEvent::StatementMoved; });
     const int64_t attempts = found ? result.path.back().number("attempt") : 0;
-    if (result.answered && attempts > 1 + moved)
+    if (result.answered && result.sessions == 1 && attempts > 1 + moved)
         result.gaps.push_back(std::to_string(attempts - 1 - moved) + " moves to another server have no log line");
 }
 
@@ -252,14 +285,15 @@
     out << "request " << printableWord(requestInLog(request)) << '\n';
     for (const LogRecord& record : explanation.path)
         printRecord(out, record);
-    if (explanation.answered) {
-        const auto last = std::find_if(explanation.path.rbegin(), explanation.path.rend(), reportsAnswer);
-        out << "outcome\n  " << logEventInfo(*last->event).meaning << '\n';
-        const std::string code = last->text("code");
-        if (!code.empty())
-            out << "  " << printableWord(code) << ": " << resultCodeInfo(resultCodeFromName(code)).meaning << '\n';
-        if (!last->text("reason").empty())
-            out << "  reason: " << printableLine(last->text("reason")) << '\n';
+    if (explanation.sessions > 1)
+        out << "  " << explanation.sessions << " sessions used this id\n";
+    for (const auto& [session, answer] : answersOf(explanation.path)) {
+        if (answer == nullptr)
+            continue;
+        out << "outcome\n";
+        if (explanation.sessions > 1)
+            out << "  " << printableWord(session.first) << " session " << printableWord(session.second) << '\n';
+        printOutcome(out, *answer);
     }
     if (!explanation.relatedEvents.empty())
         out << "around it, on its hosts, servers and services\n";
--- a/src/log_explain.h
+++ b/src/log_explain.h
@@ -31,7 +31,8 @@
     std::vector<LogRecord> path; ///< Lines about the request, earliest first.
     std::vector<LogRecord> relatedEvents; ///< Events on the servers, services and hosts of the path at that time.
     std::vector<std::string> gaps; ///< Missing lines, and numbers of lines that were suppressed or dropped.
-    bool answered = false; ///< The path contains the line that reports the outcome.
+    size_t sessions = 0; ///< Sessions that used the id of the request; callers choose ids.
+    bool answered = false; ///< The path contains a line that reports the outcome for each session.
 };
 
 /// Returns the value that the field "request" has in a log.
--- a/tests/unit_log_explain.cpp
+++ b/tests/unit_log_explain.cpp
@@ -245,3 +245,34 @@
         BOOST_TEST(explainer.explain(R"({"time":"\)").path.size() == 2U, "cut after " << n << " bytes");
     }
 }
+
+// Callers choose ids, so several sessions may use one: no outcome of one hides that of another.
+BOOST_AUTO_TEST_CASE(sessions_with_one_id_are_told_apart)
+{
+    const std::string refused = line("20.000000", "a", LogEvent::StatementRefused,
+        R"("request":"r1","session":7,"code":"queue_full","reason":"first")");
+    const std::string served
+        = line("20.100000", "a", LogEvent::StatementServed, R"("request":"r1","session":8,"attempt":1)");
+    const std::string otherHost
+        = line("20.200000", "b", LogEvent::StatementMoved, R"("request":"r1","session":7,"attempt":1)");
+    const RequestExplanation both = explain({ refused + served }, "r1");
+    BOOST_TEST(both.answered);
+    BOOST_TEST(both.gaps.empty());
+    const std::string text = printed(both);
+    BOOST_TEST(text.find("2 sessions used this id") != std::string::npos);
+    BOOST_TEST(text.find("a session 7\n  " + std::string(logEventInfo(LogEvent::StatementRefused).meaning))
+        != std::string::npos);
+    BOOST_TEST(text.find("reason: first") != std::string::npos);
+    BOOST_TEST(text.find("a session 8\n  " + std::string(logEventInfo(LogEvent::StatementServed).meaning))
+        != std::string::npos);
+    const RequestExplanation withoutAnswer = explain({ served, otherHost }, "r1");
+    BOOST_TEST(!withoutAnswer.answered);
+    BOOST_TEST(withoutAnswer.gaps.size() == 1U);
+    BOOST_TEST(printed(withoutAnswer).find("a session 8") != std::string::npos);
+    // A line that names no session belongs to the one that is named.
+    const std::string unconfirmed
+        = line("20.050000", "a", LogEvent::CommitNotConfirmed, R"("request":"r1","server":"s-1")");
+    const RequestExplanation one = explain({ unconfirmed + served }, "r1");
+    BOOST_TEST(one.answered);
+    BOOST_TEST(printed(one).find("sessions used") == std::string::npos);
+}
