--- a/tests/unit_odd_names.cpp
+++ b/tests/unit_odd_names.cpp
@@ -140,6 +140,25 @@
     BOOST_CHECK_THROW(serverOf("i\r\n1", "orders"), std::exception);
 }
 
+// A caller who gives no key is nobody, and one whose key two customers have is neither of them.
+BOOST_AUTO_TEST_CASE(a_key_identifies_one_customer_or_none)
+{
+    const auto configuration
+        = decode({ { { "empty", { "", "e" } }, { "other", { "k2", "shared" } }, { "another", { "shared", "k3" } },
+                       { "third", { "shared" } }, { "same", { "s", "s" } }, { "same", { "s", "s2" } } },
+            {}, {} });
+    testPlainEntries(*configuration);
+    BOOST_TEST(configuration->customerByKey.count("") == 0U);
+    BOOST_TEST(configuration->customerByKey.count("shared") == 0U);
+    const std::pair<const char*, const char*> owners[]
+        = { { "e", "empty" }, { "k2", "other" }, { "k3", "another" }, { "s", "same" }, { "s2", "same" } };
+    for (const auto& [key, owner] : owners) {
+        BOOST_REQUIRE(configuration->customerByKey.count(key) == 1U);
+        BOOST_TEST(configuration->customerByKey.at(key) == owner);
+    }
+    BOOST_TEST(configuration->customers.size() == 6U);
+}
+
 // Whatever names a document holds, those in force can be told to a server, and the plain ones are in force.
 BOOST_AUTO_TEST_CASE(names_in_force_read_back)
 {
