Refuse host names that cannot be carried

It is a part of store keys of at most 200 bytes, of the claim of the coordinator ("HOST INCARNATION ERA"), of the requests for tokens and for changes, all split at blanks, and of the header Plantainwall-Lease-Holder, which CR LF ends. A host "mill 1" would claim as "mill", get no tokens and no changes from others, and run all that it does under another name than its own (as read from the code, not run).

All other names, non-ASCII ones too, stay valid, and so do all names of data centres and regions, which stand only in JSON. No format between hosts changes.

unit.gateway-settings, names_of_hosts_can_be_carried: 11 checks fail before, none after.

--- a/src/gateway_settings_file.cpp
+++ b/src/gateway_settings_file.cpp
@@ -10,7 +10,7 @@
 namespace {
 
     /// How a text is checked.
-    enum class ValueKind : uint8_t { Text, Endpoint, OptionalEndpoint, Level, Bytes, Count };
+    enum class ValueKind : uint8_t { Text, HostName, Endpoint, OptionalEndpoint, Level, Bytes, Count };
 
     using Target = std::variant<std::string GatewaySettings::*, Duration GatewaySettings::*, size_t GatewaySettings::*,
         bool GatewaySettings::*, double GatewaySettings::*>;
@@ -29,8 +29,20 @@
     constexpr int64_t minMemory = 32LL << 20; ///< In bytes, as maxMemory.
     constexpr int64_t maxMemory = 1LL << 50;
 
+    /// Keys of the store have at most 200 bytes; those of hosts contain up to 71 others.
+    constexpr size_t maxHostNameBytes = 128;
+
+    /// Returns whether a name reads back as itself in texts that are split at blanks and in headers. Servers take "-"
+    /// for none.
+    bool isHostName(std::string_view text)
+    {
+        const bool printable = std::none_of(
+            text.begin(), text.end(), [](char c) { return static_cast<unsigned char>(c) <= ' ' || c == 0x7f; });
+        return printable && !text.empty() && text.size() <= maxHostNameBytes && text != "-";
+    }
+
     const Key keys[] = {
-        { "host", &GatewaySettings::host, ValueKind::Text, true },
+        { "host", &GatewaySettings::host, ValueKind::HostName, true },
         { "data_centre", &GatewaySettings::dataCentre, ValueKind::Text, true },
         { "region", &GatewaySettings::region, ValueKind::Text, true },
         { "caller_listen", &GatewaySettings::callerAddress, ValueKind::Endpoint, true },
@@ -74,6 +86,9 @@
                 return "must not be empty";
             if (endpoint && !text.empty() && !parseEndpoint(text, address, port))
                 return "must be \"ip:port\"";
+            if (key.kind == ValueKind::HostName && !isHostName(text))
+                return "must be 1 to " + std::to_string(maxHostNameBytes)
+                    + " bytes without blanks and control characters, and not \"-\"";
             if (key.kind == ValueKind::Level && text != "debug" && text != "info" && text != "warn" && text != "error")
                 return "must be \"debug\", \"info\", \"warn\" or \"error\"";
             settings.*target = text;
--- a/tests/unit_gateway_settings.cpp
+++ b/tests/unit_gateway_settings.cpp
@@ -98,3 +98,36 @@
     BOOST_TEST(load("not toml [").faults.size() == 1U);
     BOOST_TEST(load("").faults.size() == 1U);
 }
+
+// The name of a host becomes a part of keys, of texts that are split at blanks, and of a header.
+BOOST_AUTO_TEST_CASE(names_of_hosts_can_be_carried)
+{
+    const std::string field = R"("mill-1")";
+    const auto loadWith = [&](const std::string& name) {
+        std::string text = complete;
+        return load(text.replace(text.find(field), field.size(), '"' + name + '"'));
+    };
+    for (const std::string name : { "frontend-huon-mill-1", "a", "9", "-a", "host_1.mill", "h:1/2@x", "a\\\"b", "{a}",
+             "a!?", "--", "._", "m\\u00fchle" }) {
+        const GatewaySettingsResult result = loadWith(name);
+        BOOST_TEST(result.faults.empty(), name);
+    }
+    BOOST_TEST(loadWith("frontend-huon-mill-1").settings.host == "frontend-huon-mill-1");
+    BOOST_TEST(loadWith(std::string(128, 'a')).faults.empty());
+    for (const std::string name : { "mill 1", " mill", "mill ", "mill\\n1", "mill\\r\\nX: y", "a\\tb", "a\\u000bb",
+             "a\\u0000", "a\\u007f", "-" }) {
+        const GatewaySettingsResult result = loadWith(name);
+        BOOST_TEST(result.faults.size() == 1U, name);
+        for (const SettingsFault& fault : result.faults)
+            BOOST_TEST(settingsFaultText(fault).find(":2: gateway.host: must") != std::string::npos);
+    }
+    BOOST_TEST(loadWith(std::string(129, 'a')).faults.size() == 1U);
+    // Only texts of their own within messages between hosts.
+    std::string text = complete;
+    for (const std::string name : { R"("mill")", R"("huon")" }) {
+        for (size_t at = text.find(name); at != std::string::npos; at = text.find(name, at))
+            text.replace(at, name.size(), "\"m\u00fchle \\n" + name.substr(1));
+    }
+    BOOST_TEST(load(text).faults.empty());
+    BOOST_TEST(load(text).settings.dataCentre == "m\u00fchle \nmill");
+}
