Count a customer on each host if its name fits into no datagram

It was never sent, so the quota host counted as unresponsive for 10 s, for all customers: each of them lost the tokens that it had there, and each host counted for itself.

Such a customer is now counted by each host at its fraction of the rate, without a request.

--- a/src/gateway_ports.h
+++ b/src/gateway_ports.h
@@ -249,6 +249,8 @@
 /// Datagrams between entry hosts. They may be lost, duplicated or reordered.
 class PeerChannel {
 public:
+    static constexpr size_t maxDatagramBytes = 65507; ///< What UDP over IPv4 carries; longer ones are lost.
+
     virtual ~PeerChannel() = default;
     virtual void send(const std::string& address, const std::string& datagram) = 0;
 };
--- a/src/quota_exchange.cpp
+++ b/src/quota_exchange.cpp
@@ -16,6 +16,15 @@
     /// fleets of 90 hosts a dead host counts as unreachable by then, because its reports are missing.
     constexpr Duration avoidanceTime = std::chrono::seconds(10);
 
+    /// More than a request has beside the customer, in bytes: a word, a number and the name of a host.
+    constexpr size_t maxRequestOverhead = 256;
+
+    /// The same on all hosts, whatever their names: they must agree on which customers are counted by one host.
+    bool canBeRequested(const std::string& customer)
+    {
+        return customer.size() + maxRequestOverhead <= PeerChannel::maxDatagramBytes;
+    }
+
     std::string_view nextField(std::string_view& rest)
     {
         const size_t end = rest.find(' ');
@@ -131,7 +140,7 @@
 
 QuotaBuckets::Verdict QuotaExchange::takeLocally(const std::string& customer)
 {
-    const bool own = quotaHost(customer) == m_host;
+    const bool own = quotaHost(customer) == m_host && canBeRequested(customer);
     const double countedHosts = own ? static_cast<double>(m_reachableHosts.size() + 1) : 1;
     return m_buckets.take(customer, countedHosts / static_cast<double>(m_fleetSize), m_clock());
 }
@@ -173,7 +182,7 @@
     request.host = quotaHost(request.customer);
     request.attempts = 0;
     ++request.hostsTried;
-    if (request.host == m_host) {
+    if (request.host == m_host || !canBeRequested(request.customer)) {
         const QuotaBuckets::Verdict verdict = takeLocally(request.customer);
         request.handler(verdict);
         return;
--- a/src/quota_exchange.h
+++ b/src/quota_exchange.h
@@ -19,7 +19,8 @@
 };
 
 /// Limits each customer's rate over the whole fleet: requests a token for every operation from the customer's quota
-/// host, which is chosen by rendezvous hashing among the reachable hosts.
+/// host, which is chosen by rendezvous hashing among the reachable hosts. For a customer whose name is too long for a
+/// request, each host grants tokens within its fraction of the rate.
 ///
 /// An unreachable host may still serve operations and then grants tokens itself within its fraction of the rate, so the
 /// other hosts reserve that fraction until the host is known to be gone. A host that receives a request for a customer
