Send no call whose headers or target do not read back

Plantainwall-Lease-Holder is the name of a host; "h\r\nPlantainwall-Fencing-Token: 9" added a fencing token.

HttpChannel sends no call with a control character or outer blanks in a header, or a blank or control character in its target; it ends without an answer and is logged (internal_failure).

--- a/src/http_channel.cpp
+++ b/src/http_channel.cpp
@@ -1,6 +1,7 @@
 #include "http_channel.h"
 #include "endpoint.h"
 #include "log_event.h"
+#include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -21,6 +22,24 @@
     /// Large enough for the largest configuration, encoded as base64 within a page of items.
     constexpr uint64_t maxResponseBytes = 8 * 1024 * 1024;
 
+    bool isControl(char c) { return static_cast<unsigned char>(c) < ' ' || c == 0x7f; }
+
+    bool isBlank(char c) { return c == ' ' || c == '\t'; }
+
+    /// Returns whether a server reads the target and the headers of a call as they are. The line end of a text would
+    /// begin another header, and blanks around a value are no part of it.
+    bool readsBack(const HttpExchange& exchange)
+    {
+        const auto isRead = [](const std::pair<std::string, std::string>& header) {
+            const std::string& value = header.second;
+            return std::none_of(value.begin(), value.end(), [](char c) { return isControl(c) && c != '\t'; })
+                && (value.empty() || (!isBlank(value.front()) && !isBlank(value.back())));
+        };
+        const std::string& target = exchange.target;
+        return std::none_of(target.begin(), target.end(), [](char c) { return isControl(c) || isBlank(c); })
+            && std::all_of(exchange.headers.begin(), exchange.headers.end(), isRead);
+    }
+
 } // namespace
 
 std::string_view HttpOutcome::header(std::string_view name) const
@@ -138,6 +157,12 @@
         m_parser.reset();
         ++m_number;
         const HttpExchange& exchange = m_calls.front().exchange;
+        if (!readsBack(exchange)) {
+            logEvent(LogEvent::InternalFailure,
+                { { "error", "a target or header does not read back as itself" }, { "address", m_address } });
+            finish({});
+            return;
+        }
         giveUpAfter(exchange.timeout);
         if (isUsable(exchange)) {
             write();
--- a/src/http_channel.h
+++ b/src/http_channel.h
@@ -56,7 +56,8 @@
     ~HttpChannel();
 
     /// Queues a call, which is sent when all earlier calls have ended. The handler is called once, never from
-    /// within call().
+    /// within call(). A call whose target or headers a server would not read as they are is not sent, and ends without
+    /// an answer.
     void call(HttpExchange, std::function<void(HttpOutcome)>);
 
     /// Closes the connection. All calls in progress and queued end without an answer.
--- a/tests/unit_store_client.cpp
+++ b/tests/unit_store_client.cpp
@@ -1,10 +1,12 @@
 #include "store_client.h"
+#include "support_odd_texts.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/test/unit_test.hpp>
+#include <cpprest/base_uri.h>
 #include <cpprest/json.h>
 #include <deque>
 #include <map>
@@ -84,6 +86,8 @@
     size_t connections = 0;
     size_t closedConnections = 0; ///< By the client.
     std::string lastBody; ///< Body of the last request.
+    std::string lastTarget;
+    http::fields lastHeaders;
 
 private:
     struct Connection {
@@ -146,6 +150,8 @@
             }
             ++requests;
             lastBody = it->request.body();
+            lastTarget = std::string(it->request.target());
+            lastHeaders = it->request.base();
             if (m_answers.empty()) {
                 read(it);
                 return;
@@ -552,6 +558,52 @@
     BOOST_TEST(server.requests == 2U);
 }
 
+BOOST_FIXTURE_TEST_CASE(keys_in_calls_read_back, Fixture)
+{
+    test::OddTexts texts(3);
+    for (size_t i = 0; i < 100; ++i) {
+        const std::string prefix = i == 0 ? "a+b%2F&after=c=#d?e f\r\ng" : texts.lastField();
+        const std::string after = texts.field();
+        server.prepare(200, "", R"({"items":[],"more_pages":false,"as_of":10})");
+        std::optional<StoreItems> items;
+        client.list(prefix, after, [&](const StoreItems& read) { items = read; });
+        BOOST_REQUIRE(runUntil([&] { return items.has_value(); }));
+        const std::string& target = server.lastTarget;
+        const size_t end = target.find('&');
+        const std::string first = "/kv-range?prefix=";
+        const std::string second = "&after=";
+        BOOST_REQUIRE((target.rfind(first, 0) == 0 && target.compare(end, second.size(), second) == 0));
+        BOOST_TEST((web::uri::decode(target.substr(first.size(), end - first.size())) == prefix));
+        BOOST_TEST((web::uri::decode(target.substr(end + second.size())) == after));
+    }
+}
+
+// The rest of a value with a line end would be a header of its own, and blanks around a value are not read.
+BOOST_FIXTURE_TEST_CASE(a_call_whose_headers_do_not_read_back_is_not_sent, Fixture)
+{
+    PromotionClient promotions(loop, server.address());
+    const auto promote = [&](const std::string& holder) {
+        std::optional<PromotionOutcome> outcome;
+        promotions.promote("a", "i-1", holder, 5, [&](PromotionOutcome read) { outcome = read; });
+        BOOST_REQUIRE(runUntil([&] { return outcome.has_value(); }));
+        return *outcome;
+    };
+    for (const std::string holder :
+        { "h\r\nPlantainwall-Fencing-Token: 9", "h\r", "\nh", " h", "h ", "\th", "h\x01" }) {
+        server.prepare(200, "", "{}");
+        BOOST_TEST((promote(holder) == PromotionOutcome::Unanswered), test::printable(holder));
+    }
+    BOOST_TEST(server.requests == 0U);
+    size_t n = 0;
+    for (const std::string holder : { "mill-1", "h:1/2@x", "a b", "m\xc3\xbchle", "\"" }) {
+        server.prepare(200, "", "{}");
+        BOOST_TEST((promote(holder) == PromotionOutcome::Done), test::printable(holder));
+        BOOST_TEST(server.requests == ++n);
+        BOOST_TEST(server.lastHeaders["Plantainwall-Lease-Holder"] == holder);
+        BOOST_TEST(server.lastHeaders["Plantainwall-Fencing-Token"] == "5");
+    }
+}
+
 // Reads are sent again, because a failed one makes the store count as unreachable.
 BOOST_FIXTURE_TEST_CASE(a_copy_is_not_the_answer_to_the_next_watch, Fixture)
 {
