--- a/tests/unit_odd_datagrams.cpp
+++ b/tests/unit_odd_datagrams.cpp
@@ -215,7 +215,7 @@
         "a", fromAsking, [&] { return asking.now; }, ownProber);
     ProbeExchange b(
         "b", fromProbing, [&] { return probing.now; }, prober);
-    const std::vector<ProbingHost> hosts { { "b", "b", "north" } };
+    std::vector<ProbingHost> hosts { { "b", "b", "north" } };
     std::vector<ServerEntry> servers;
     for (const std::string& name : oddNames(4)) {
         ServerEntry entry;
