Refuse a backend credential that no header can carry

`serve` and `check` refuse a credential with a control character or with blanks around it (a fault with its line, without the value). isHeaderValue() is now the one check of header values, for HttpChannel too. All other credentials stay valid.

unit.settings, credentials_can_be_sent_in_a_header: 8 checks fail before, none after; unit.store-client passes.

--- a/src/http_channel.cpp
+++ b/src/http_channel.cpp
@@ -1,5 +1,6 @@
 #include "http_channel.h"
 #include "endpoint.h"
+#include "header_value.h"
 #include "log_event.h"
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
@@ -22,22 +23,15 @@
     /// Large enough for the largest configuration, encoded as base64 within a page of items.
     constexpr uint64_t maxResponseBytes = 8 * 1024 * 1024;
 
-    bool isControl(char c) { return static_cast<unsigned char>(c) < ' ' || c == 0x7f; }
-
-    bool isBlank(char c) { return c == ' ' || c == '\t'; }
-
-    /// Returns whether a server reads the target and the headers of a call as they are. The line end of a text would
-    /// begin another header, and blanks around a value are no part of it.
+    /// Returns whether a server reads the target and the headers of a call as they are.
     bool readsBack(const HttpExchange& exchange)
     {
-        const auto isRead = [](const std::pair<std::string, std::string>& header) {
-            const std::string& value = header.second;
-            return std::none_of(value.begin(), value.end(), [](char c) { return isControl(c) && c != '\t'; })
-                && (value.empty() || (!isBlank(value.front()) && !isBlank(value.back())));
-        };
         const std::string& target = exchange.target;
-        return std::none_of(target.begin(), target.end(), [](char c) { return isControl(c) || isBlank(c); })
-            && std::all_of(exchange.headers.begin(), exchange.headers.end(), isRead);
+        return std::none_of(target.begin(), target.end(), [](char c) {
+            return static_cast<unsigned char>(c) <= ' ' || c == 0x7f;
+        }) && std::all_of(exchange.headers.begin(), exchange.headers.end(), [](const auto& header) {
+            return isHeaderValue(header.second);
+        });
     }
 
 } // namespace
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,4 +1,5 @@
 #include "settings.h"
+#include "header_value.h"
 #include "settings_keys.h"
 #include <algorithm>
 #include <cctype>
@@ -74,6 +75,8 @@
             throw InvalidValue { "must have " + numberText(key.min) + " to " + numberText(key.max) + " characters" };
         if (key.kind == SettingKind::Name && !isName(text))
             throw InvalidValue { "must consist of letters, digits, \"-\" and \"_\"" };
+        if (key.kind == SettingKind::HeaderValue && !isHeaderValue(text))
+            throw InvalidValue { "must have no control characters and no blanks around it" };
         if (key.kind == SettingKind::LogLevel && text != "debug" && text != "info" && text != "warn" && text != "error")
             throw InvalidValue { "must be \"debug\", \"info\", \"warn\" or \"error\"" };
         if (key.kind == SettingKind::LogFormat && text != "json" && text != "text")
--- a/src/settings_keys.cpp
+++ b/src/settings_keys.cpp
@@ -32,7 +32,7 @@
                 "Peers asked before the platform's list is known." },
             { "host", "peer_secret", Kind::Text, &s.peerSecret, 32, maxText, true,
                 "Secret shared by all entry hosts; authenticates messages between them." },
-            { "host", "backend_credential", Kind::Text, &s.backendCredential, 0, maxText, false,
+            { "host", "backend_credential", Kind::HeaderValue, &s.backendCredential, 0, maxText, false,
                 "Sent to backend servers in place of a caller's key." },
             { "host", "threads", Kind::Integer, &s.threads, 1, 256, false, "Threads that run requests." },
             { "operator", "bootstrap_digest", Kind::Digest, &s.bootstrapOperatorDigest, 0, 64, false,
--- a/src/settings_keys.h
+++ b/src/settings_keys.h
@@ -9,6 +9,7 @@
 enum class SettingKind : uint8_t {
     Text,
     Name, ///< Letters, digits, "-" and "_"; at most Caps::maxNameBytes.
+    HeaderValue, ///< See isHeaderValue().
     LogLevel,
     LogFormat,
     Digest, ///< 64 lower-case hexadecimal digits, or empty.
--- a/tests/unit_settings.cpp
+++ b/tests/unit_settings.cpp
@@ -70,11 +70,11 @@
     bool range;
 };
 
-constexpr KindText kindTexts[]
-    = { { "string, characters:", true }, { "name, characters:", true }, { "`debug`, `info`, `warn`, `error`", false },
-          { "`json`, `text`", false }, { "64 lower-case hexadecimal digits, or empty", false },
-          { "`http://ip:port`", false }, { "`ip:port`", false }, { "array of `ip:port`, length:", true },
-          { "duration", true }, { "size", true }, { "whole number", true }, { "number", true } };
+constexpr KindText kindTexts[] = { { "string, characters:", true }, { "name, characters:", true },
+    { "header value, characters:", true }, { "`debug`, `info`, `warn`, `error`", false }, { "`json`, `text`", false },
+    { "64 lower-case hexadecimal digits, or empty", false }, { "`http://ip:port`", false }, { "`ip:port`", false },
+    { "array of `ip:port`, length:", true }, { "duration", true }, { "size", true }, { "whole number", true },
+    { "number", true } };
 static_assert(sizeof(kindTexts) / sizeof(kindTexts[0]) == static_cast<size_t>(SettingKind::Count), "one for each");
 
 std::string limitText(const SettingKey& key, double limit)
@@ -197,6 +197,23 @@
     BOOST_TEST(loadSettings("/nonexistent/file.toml").faults.size() == 1U);
 }
 
+// Guards against a credential that a backend server reads as another one, or as a header more.
+BOOST_AUTO_TEST_CASE(credentials_can_be_sent_in_a_header)
+{
+    const auto loadWith = [](const std::string& credential) {
+        return load(hostTable + "backend_credential = \"" + credential + "\"\n");
+    };
+    for (const std::string credential : { "", "a", "a b", "dXNlcjpw+/==", "m\\u00fchle", "\\\\\\\"" })
+        BOOST_TEST(loadWith(credential).faults.empty(), credential);
+    BOOST_TEST(loadWith("a b").settings.backendCredential == "a b");
+    for (const std::string credential : { " ", " a", "a ", "a\\t", "a\\r\\nX: y", "a\\n", "a\\u0000", "\\u007f" }) {
+        const SettingsResult result = loadWith(credential);
+        BOOST_TEST(result.faults.size() == 1U, credential);
+        for (const SettingsFault& fault : result.faults)
+            BOOST_TEST(settingsFaultText(fault).find(":10: host.backend_credential: must") != std::string::npos);
+    }
+}
+
 // Guards against fault messages that contain a secret, which would then appear in logs.
 BOOST_AUTO_TEST_CASE(messages_do_not_contain_values)
 {
