Refuse JSON whose strings are no Unicode

A body with `\ud800\u0041` in a statement ends the host that reads it: 3 of 3 hosts ended, and the next calls to them were refused. One answer was `internal_error` with an unknown outcome before the host ended. unit_caller_api and unit_database_http: std::range_error.

Cause: the JSON library throws std::range_error for a high surrogate that no low one follows, where everybody catches json_exception. The error ends a task that nobody observes, and the library ends the process. The body is read before the key is checked. A low surrogate alone and bytes that are no UTF-8 are accepted, and written to databases, other hosts and callers as JSON that is none.

Change: parseJson() throws json_exception for all of these. It reads the messages of callers, databases (HTTP), member owners and operators, and the configuration. Callers get bad_request, nothing runs; for an answer of a database the outcome is unknown.

--- a/src/caller_api.cpp
+++ b/src/caller_api.cpp
@@ -1,4 +1,5 @@
 #include "caller_api.h"
+#include "json_text.h"
 #include <algorithm>
 #include <charconv>
 #include <cpprest/json.h>
@@ -70,7 +71,7 @@
             return Json::object();
         Json json;
         try {
-            json = Json::parse(body);
+            json = parseJson(body);
         } catch (const web::json::json_exception& error) {
             throw RequestRefused(ResultCode::BadRequest, std::string("body is not JSON: ") + error.what());
         }
--- a/src/cli_operator_client.cpp
+++ b/src/cli_operator_client.cpp
@@ -1,4 +1,5 @@
 #include "cli_operator_client.h"
+#include "json_text.h"
 #include "key_digest.h"
 #include <cpprest/base_uri.h>
 
@@ -17,7 +18,7 @@
     value parseReply(const HttpReply& reply)
     {
         try {
-            return reply.body.empty() ? value::object() : value::parse(reply.body);
+            return reply.body.empty() ? value::object() : parseJson(reply.body);
         } catch (const web::json::json_exception&) {
             return value::object();
         }
--- a/src/config_schema_envelope.cpp
+++ b/src/config_schema_envelope.cpp
@@ -1,4 +1,5 @@
 #include "config_schema_envelope.h"
+#include "json_text.h"
 #include <algorithm>
 #include <cpprest/json.h>
 
@@ -28,7 +29,7 @@
 std::optional<ConfigEnvelope> decodeEnvelope(const std::string& text)
 {
     try {
-        const value json = value::parse(text);
+        const value json = parseJson(text);
         ConfigEnvelope envelope;
         if (!json.at("value").is_null())
             envelope.value = json.at("value").as_string();
@@ -74,7 +75,7 @@
 ConfigBatch decodeBatch(const std::string& text)
 {
     try {
-        const value json = value::parse(text);
+        const value json = parseJson(text);
         ConfigBatch batch;
         batch.from = json.at("from").as_number().to_uint64();
         batch.to = json.at("to").as_number().to_uint64();
--- a/src/database_http.cpp
+++ b/src/database_http.cpp
@@ -1,4 +1,5 @@
 #include "database_http.h"
+#include "json_text.h"
 #include <cpprest/base_uri.h>
 #include <cpprest/json.h>
 
@@ -91,7 +92,7 @@
         if (reply.status != 200)
             throw CallFailed(SendState::Answered,
                 "database: status " + std::to_string(reply.status) + " " + reply.body.substr(0, 200));
-        return value::parse(reply.body);
+        return parseJson(reply.body);
     }
 
     /// Parses the body of an answer. A body of another form fails with CallFailed.
@@ -131,7 +132,7 @@
     bool answersRequest(const HttpReply& reply, const std::string& requestId)
     {
         try {
-            return namesRequest(value::parse(reply.body), requestId);
+            return namesRequest(parseJson(reply.body), requestId);
         } catch (const web::json::json_exception&) {
             return true; // It has no valid form, whosever it is.
         }
@@ -148,7 +149,7 @@
         if (reply.sendState != SendState::Answered)
             return outcome;
         try {
-            const value json = value::parse(reply.body);
+            const value json = parseJson(reply.body);
             if (!namesRequest(json, requestId)) {
                 outcome.message = "database: the answer is that of another request";
                 return outcome;
--- a/src/member_codec.cpp
+++ b/src/member_codec.cpp
@@ -1,4 +1,5 @@
 #include "member_codec.h"
+#include "json_text.h"
 #include <cpprest/json.h>
 
 namespace plantainwall {
@@ -44,7 +45,7 @@
     {
         Json json;
         try {
-            json = Json::parse(std::string(text));
+            json = parseJson(std::string(text));
         } catch (const web::json::json_exception& error) {
             throw std::invalid_argument(std::string("peer message is not JSON: ") + error.what());
         }
--- a/src/operator_api_change.cpp
+++ b/src/operator_api_change.cpp
@@ -1,3 +1,4 @@
+#include "json_text.h"
 #include "operator_api.h"
 #include <algorithm>
 #include <cpprest/base_uri.h>
@@ -68,12 +69,12 @@
 pplx::task<OperatorReply> OperatorApi::startChange(
     bool remove, const std::string& path, const Identity& identity, const std::string& body, const Query& query)
 {
-    value json = body.empty() ? value::object() : value::parse(body);
+    value json = body.empty() ? value::object() : parseJson(body);
     // The query may carry these fields too, since some HTTP clients cannot send a body with DELETE.
     for (const char* name : { "expected_revision", "change_id" }) {
         const auto it = query.find(name);
         if (it != query.end())
-            json[name] = name[0] == 'e' ? value::parse(it->second) : value::string(web::uri::decode(it->second));
+            json[name] = name[0] == 'e' ? parseJson(it->second) : value::string(web::uri::decode(it->second));
     }
     const ChangePtr change = std::make_shared<Change>();
     change->path = path;
--- a/tests/unit_caller_api.cpp
+++ b/tests/unit_caller_api.cpp
@@ -1,8 +1,10 @@
 #include "caller_api.h"
 #include "member_codec.h"
+#include "support_odd_texts.h"
 #include <boost/test/unit_test.hpp>
 
 using namespace plantainwall;
+using test::printable;
 
 namespace {
 
@@ -52,6 +54,22 @@
     BOOST_TEST((refusalOf(post("/v1/transactions/none/commit", "")) == ResultCode::TransactionUnknown));
 }
 
+// Guards against a body whose texts are no Unicode: an exception that nobody catches ends the host, and what is passed
+// on makes the message to the database or the answer to the caller unreadable.
+BOOST_AUTO_TEST_CASE(bodies_with_texts_that_are_no_unicode_are_refused)
+{
+    const std::string path = "/v1/groups/g1/query";
+    for (const std::string text : { "\\ud800\\u0041", "\\ud800", "\\udc00", "\xff", "\xfe", "\x80", "\xc3", "\xc0\xaf",
+             "\xed\xa0\x80", "\xf5\x80\x80\x80" }) {
+        for (const std::string& body : { "{\"statements\":[\"PUT a " + text + "\"]}",
+                 "{\"statements\":[\"GET a\"],\"request_id\":\"" + text + "\"}", "{\"" + text + "\":1}" })
+            BOOST_TEST((refusalOf(post(path, body)) == ResultCode::BadRequest), printable(body));
+    }
+    const RequestContextPtr context
+        = parseCallerRequest(post(path, "{\"statements\":[\"PUT a \\ud83d\\ude00\\u0000\\n\xc3\xbc\x7f\"]}"));
+    BOOST_TEST((context->statements[0] == std::string("PUT a \xf0\x9f\x98\x80\0\n\xc3\xbc\x7f", 15)));
+}
+
 // Guards against a field that one side of the peer protocol writes and the other ignores.
 BOOST_AUTO_TEST_CASE(peer_messages_survive_a_round_trip)
 {
@@ -96,4 +114,6 @@
     BOOST_CHECK_THROW(decodeMemberRequest("[]"), std::invalid_argument);
     BOOST_CHECK_THROW(decodeMemberRequest("{\"group\":1}"), std::invalid_argument);
     BOOST_CHECK_THROW(decodeMemberAnswer("{"), std::invalid_argument);
+    BOOST_CHECK_THROW(decodeMemberRequest("{\"group\":\"\\ud800\\u0041\"}"), std::invalid_argument);
+    BOOST_CHECK_THROW(decodeMemberAnswer("{\"code\":\"\\ud800\\u0041\"}"), std::invalid_argument);
 }
--- a/tests/unit_database_http.cpp
+++ b/tests/unit_database_http.cpp
@@ -41,7 +41,9 @@
     BOOST_TEST(executed() == "outcome_unknown");
     caller->answer(500, R"({"error":"disk","run":"not_run"})");
     BOOST_TEST(executed() == "outcome_unknown");
-    for (const char* body : { "", "{", "[]", R"({"results":7})", R"({"results":[1],"term":1,"position":1})" }) {
+    for (const char* body : { "", "{", "[]", R"({"results":7})", R"({"results":[1],"term":1,"position":1})",
+             R"({"results":["\ud800\u0041"],"term":1,"position":1})", R"({"results":["\udc00"],"term":1,"position":1})",
+             "{\"results\":[\"\xfe\"],\"term\":1,\"position\":1}" }) {
         caller->answer(200, body);
         BOOST_TEST(executed() == "outcome_unknown");
     }
