Split paths before decoding them

Cause: the path was decoded as a whole, then split at `/` (empty parts were skipped) and, for operators, at `?`.

Change: a request holds the path as received; each part is decoded after the split. An empty part is an unknown path, malformed percent-encoding and bytes that are no UTF-8 are bad_request, before anything runs.

--- a/src/caller_api.cpp
+++ b/src/caller_api.cpp
@@ -2,6 +2,7 @@
 #include "json_text.h"
 #include <algorithm>
 #include <charconv>
+#include <cpprest/base_uri.h>
 #include <cpprest/json.h>
 
 namespace plantainwall {
@@ -12,15 +13,30 @@
 
     constexpr Caps caps;
 
+    std::string decodeSegment(const std::string& encoded)
+    {
+        std::string segment;
+        try {
+            segment = web::uri::decode(encoded);
+        } catch (const web::uri_exception& error) {
+            throw RequestRefused(ResultCode::BadRequest, std::string("the path is malformed: ") + error.what());
+        }
+        if (!isUtf8(segment))
+            throw RequestRefused(ResultCode::BadRequest, "a part of the path is not UTF-8");
+        return segment;
+    }
+
+    /// Returns the decoded segments of a path. Throws RequestRefused if one is empty.
     std::vector<std::string> splitPath(const std::string& path)
     {
         std::vector<std::string> segments;
-        size_t begin = 0;
-        while (begin < path.size()) {
-            const size_t end = std::min(path.find('/', begin), path.size());
-            if (end > begin)
-                segments.push_back(path.substr(begin, end - begin));
-            begin = end + 1;
+        for (size_t begin = 0; begin < path.size();) {
+            const size_t end = std::min(path.find('/', begin + 1), path.size());
+            if (end == begin + 1)
+                throw RequestRefused(ResultCode::UnknownRoute, "no such path: " + path);
+            // Decoded after the split: a "/" in a name or id does not end it.
+            segments.push_back(decodeSegment(path.substr(begin + 1, end - begin - 1)));
+            begin = end;
         }
         return segments;
     }
--- a/src/caller_api.h
+++ b/src/caller_api.h
@@ -7,7 +7,7 @@
 /// A request to the callers' HTTP interface, split into its elements.
 struct CallerHttpRequest {
     std::string method;
-    std::string path; ///< Decoded, without query string.
+    std::string path; ///< Not decoded, without query string.
     std::string query; ///< Not decoded.
     std::map<std::string, std::string> headers; ///< Names in lower case.
     std::string body;
--- a/src/http_glue.cpp
+++ b/src/http_glue.cpp
@@ -21,7 +21,7 @@
 {
     CallerHttpRequest result;
     result.method = request.method();
-    result.path = web::uri::decode(request.request_uri().path());
+    result.path = request.request_uri().path();
     result.query = request.request_uri().query();
     for (const std::pair<const std::string, std::string>& header : request.headers())
         result.headers[lowerCase(header.first)] = header.second;
--- a/src/operator_api.cpp
+++ b/src/operator_api.cpp
@@ -1,4 +1,5 @@
 #include "operator_api.h"
+#include "json_text.h"
 #include "key_digest.h"
 #include "log_event.h"
 #include <algorithm>
@@ -211,6 +212,8 @@
         return ready(operatorError(ResultCode::BadRequest, error.what()));
     } catch (const web::json::json_exception& error) {
         return ready(operatorError(ResultCode::BadRequest, error.what()));
+    } catch (const web::uri_exception& error) {
+        return ready(operatorError(ResultCode::BadRequest, error.what()));
     } catch (const std::exception& error) {
         return ready(operatorError(ResultCode::InternalError, error.what()));
     }
@@ -224,13 +227,15 @@
         return ready(operatorError(ResultCode::UnknownRoute, {}));
     target.remove_prefix(apiPrefix.size());
     const size_t queryStart = target.find('?');
-    const std::string_view path = target.substr(0, queryStart);
+    const std::string path = web::uri::decode(std::string(target.substr(0, queryStart)));
+    if (!isUtf8(path))
+        return ready(operatorError(ResultCode::BadRequest, "the path is not UTF-8"));
     const Query query = queryStart == std::string_view::npos
         ? Query()
         : web::uri::split_query(std::string(target.substr(queryStart + 1)));
 
     if (boost::algorithm::starts_with(path, entryPrefix)) {
-        const std::string entryPath(path.substr(entryPrefix.size()));
+        const std::string entryPath = path.substr(entryPrefix.size());
         const bool reading = method == "GET";
         if (!reading && method != "PUT" && method != "DELETE")
             return ready(operatorError(ResultCode::MethodNotAllowed, {}));
--- a/tests/unit_caller_api.cpp
+++ b/tests/unit_caller_api.cpp
@@ -1,7 +1,10 @@
-#include "caller_api.h"
+// Must precede cpprestsdk, which defines a macro U that Boost uses as a name.
+#include <boost/test/unit_test.hpp>
+
+#include "http_glue.h"
+#include "json_text.h"
 #include "member_codec.h"
 #include "support_odd_texts.h"
-#include <boost/test/unit_test.hpp>
 
 using namespace plantainwall;
 using test::printable;
@@ -24,6 +27,16 @@
     return ResultCode::Ok;
 }
 
+/// Returns a request as the listener reads it.
+CallerHttpRequest received(const std::string& method, const std::string& target)
+{
+    web::http::http_request request(method);
+    request.set_request_uri(web::uri(target));
+    request.set_body("");
+    request._get_impl()->_complete(0);
+    return readHttpRequest(request).get();
+}
+
 } // namespace
 
 // Guards against malformed input that is accepted, ignored or answered with the wrong code.
@@ -54,6 +67,32 @@
     BOOST_TEST((refusalOf(post("/v1/transactions/none/commit", "")) == ResultCode::TransactionUnknown));
 }
 
+// Guards against a name or id in a path that is taken for another one, or for a part of the path.
+BOOST_AUTO_TEST_CASE(names_and_ids_in_paths_read_back)
+{
+    test::OddTexts texts(1);
+    std::vector<std::string> ids { "/a", "a/", "a//b", "..", ".", "%2f", "a?b", "a#b", "a+b", "a%",
+        std::string(1, '\0') };
+    for (int n = 0; n < 500; ++n)
+        ids.push_back(texts.lastField());
+    for (const std::string& id : ids) {
+        const std::string encoded = web::uri::encode_data_string(id);
+        const CallerHttpRequest request = received("GET", "/v1/groups/g1/requests/" + encoded);
+        if (!isUtf8(id)) {
+            BOOST_TEST((refusalOf(request) == ResultCode::BadRequest), printable(id));
+            continue;
+        }
+        BOOST_REQUIRE_MESSAGE(refusalOf(request) == ResultCode::Ok, printable(id));
+        BOOST_TEST((parseCallerRequest(request)->requestId == id), printable(id));
+        const CallerHttpRequest other = received("GET", "/v1/groups/" + encoded + "/requests/r");
+        BOOST_REQUIRE_MESSAGE(refusalOf(other) == ResultCode::Ok, printable(id));
+        BOOST_TEST((parseCallerRequest(other)->group == id), printable(id));
+    }
+    for (const char* path : { "/v1/groups/g1/requests//a", "/v1/groups/g1/requests/a/", "/v1/groups/g1/requests/" })
+        BOOST_TEST((refusalOf(received("GET", path)) == ResultCode::UnknownRoute), path);
+    BOOST_TEST((refusalOf({ "GET", "/v1/groups/g1/requests/%zz", "", {}, "" }) == ResultCode::BadRequest));
+}
+
 // Guards against a body whose texts are no Unicode: an exception that nobody catches ends the host, and what is passed
 // on makes the message to the database or the answer to the caller unreadable.
 BOOST_AUTO_TEST_CASE(bodies_with_texts_that_are_no_unicode_are_refused)
