Refuse a request whose session token would be too long before it runs

Seen (unit.filter-session, code before): with group names of 64 bytes the first 41 groups of one session are served; from the 42nd on (19 of 60) the request runs at the database and then fails with std::length_error while its token is written. In the test the chain turns that into internal_error.

Cause: what a token cannot hold was noticed only when it was written, after the request.

Change: the session filter refuses with bad_request, "too many groups in one session", when the token could not hold any position of the group. Tokens have the same form as before.

After: 0 of the refused requests ran, and the token holds all positions of those that did. unit_session_token passes.

--- a/src/filter_session.cpp
+++ b/src/filter_session.cpp
@@ -18,6 +18,11 @@
                     context->finish(refusal(ResultCode::SessionInvalid));
                     return;
                 }
+                // Once the request has run, its answer could not carry the token.
+                if (!SessionToken::hasRoomFor(*positions, context->group)) {
+                    context->finish(refusal(ResultCode::BadRequest, "too many groups in one session"));
+                    return;
+                }
                 context->session = *positions;
             }
             // The callback must not own the context, which owns the callback.
--- a/src/session_token.cpp
+++ b/src/session_token.cpp
@@ -1,5 +1,6 @@
 #include "session_token.h"
 #include <cpprest/json.h>
+#include <limits>
 #include <sodium.h>
 #include <stdexcept>
 
@@ -58,6 +59,18 @@
         return raw;
     }
 
+    std::string formatPositions(const SessionPositions& positions)
+    {
+        web::json::value json = web::json::value::object();
+        for (const std::pair<const std::string, LogPosition>& entry : positions) {
+            web::json::value encoded = web::json::value::array(2);
+            encoded[0] = web::json::value::number(entry.second.term);
+            encoded[1] = web::json::value::number(entry.second.position);
+            json[entry.first] = encoded;
+        }
+        return json.serialize();
+    }
+
     std::optional<SessionPositions> parsePositions(std::string_view text)
     {
         try {
@@ -83,14 +96,7 @@
     const std::optional<std::string> secret = keys.empty() ? std::nullopt : secretBytes(keys[0]);
     if (!secret)
         throw std::invalid_argument("session token: the first token key is missing or not 32 bytes in hexadecimal");
-    web::json::value json = web::json::value::object();
-    for (const std::pair<const std::string, LogPosition>& entry : positions) {
-        web::json::value encoded = web::json::value::array(2);
-        encoded[0] = web::json::value::number(entry.second.term);
-        encoded[1] = web::json::value::number(entry.second.position);
-        json[entry.first] = encoded;
-    }
-    const std::string payload = keyIdText(keys[0].id) + json.serialize();
+    const std::string payload = keyIdText(keys[0].id) + formatPositions(positions);
     const std::string raw = mac(*secret, customer, payload) + payload;
     std::string token(sodium_base64_encoded_len(raw.size(), base64Variant), '\0');
     if (token.size() - 1 > Caps().maxSessionTokenBytes)
@@ -100,6 +106,14 @@
     return token;
 }
 
+bool SessionToken::hasRoomFor(SessionPositions positions, std::string_view group)
+{
+    constexpr uint64_t longest = std::numeric_limits<uint64_t>::max();
+    positions[std::string(group)] = { longest, longest };
+    const size_t rawBytes = macBytes + keyIdBytes + formatPositions(positions).size();
+    return sodium_base64_encoded_len(rawBytes, base64Variant) - 1 <= Caps().maxSessionTokenBytes;
+}
+
 std::optional<SessionPositions> SessionToken::decode(
     std::string_view customer, std::string_view token, gsl::span<const TokenKey> keys)
 {
--- a/src/session_token.h
+++ b/src/session_token.h
@@ -21,6 +21,9 @@
     static std::optional<SessionPositions> decode(
         std::string_view customer, std::string_view token, gsl::span<const TokenKey> keys);
 
+    /// Returns whether a token can hold the positions together with any position of the group.
+    static bool hasRoomFor(SessionPositions, std::string_view group);
+
     /// Sets the group's entry to position if that is higher.
     static void advance(SessionPositions&, std::string_view group, const LogPosition&);
 };
