Refuse session texts that are no token before they reach an answer

Seen (unit_caller_api, session_texts_that_are_no_token_are_refused, code before): 6 of 6 texts in Plantainwall-Session that are no base64url (the byte 0xff, a blank, `=`, `+`, a quote, a tab) are accepted from the request, and an answer copies them into its header and its JSON; with 0xff that JSON is none.

Cause: a refusal answers with the session of the request, also before or although the session filter could not decode it.

Change: a text with other characters than those of a token is session_invalid when the request is read.

--- a/src/caller_api.cpp
+++ b/src/caller_api.cpp
@@ -1,5 +1,6 @@
 #include "caller_api.h"
 #include "json_text.h"
+#include "session_token.h"
 #include <algorithm>
 #include <charconv>
 #include <cpprest/base_uri.h>
@@ -75,6 +76,8 @@
         context.sessionToken = headerOf(request, "plantainwall-session");
         if (context.sessionToken.size() > caps.maxSessionTokenBytes)
             throw RequestRefused(ResultCode::BadRequest, "session token is longer than 4096 bytes");
+        if (!SessionToken::isTokenText(context.sessionToken))
+            throw RequestRefused(ResultCode::SessionInvalid, {});
         context.traceParent = headerOf(request, "traceparent");
         const std::string deadline = headerOf(request, "plantainwall-deadline-ms");
         if (!deadline.empty())
--- a/src/caller_api.h
+++ b/src/caller_api.h
@@ -35,7 +35,7 @@
 };
 
 /// Parses a request to /v1/groups/... or /v1/transactions/... into a context whose finish function is not set.
-/// @throws RequestRefused with BadRequest, UnknownRoute, MethodNotAllowed or TransactionUnknown.
+/// @throws RequestRefused with BadRequest, UnknownRoute, MethodNotAllowed, SessionInvalid or TransactionUnknown.
 RequestContextPtr parseCallerRequest(const CallerHttpRequest&);
 
 /// Renders the HTTP answer to a caller. An empty requestId or sessionToken is left out.
--- a/src/session_token.cpp
+++ b/src/session_token.cpp
@@ -90,6 +90,12 @@
 
 } // namespace
 
+bool SessionToken::isTokenText(std::string_view text)
+{
+    return text.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_")
+        == std::string_view::npos;
+}
+
 std::string SessionToken::encode(
     std::string_view customer, const SessionPositions& positions, gsl::span<const TokenKey> keys)
 {
--- a/src/session_token.h
+++ b/src/session_token.h
@@ -12,6 +12,9 @@
 /// the authenticated text but not of the token, so a token of one customer is not valid for another.
 class SessionToken {
 public:
+    /// Returns whether the text consists of the characters of a token only. It may not be authentic.
+    static bool isTokenText(std::string_view);
+
     /// Returns the token, signed with the first key. Throws std::length_error if it would exceed
     /// Caps::maxSessionTokenBytes, and std::invalid_argument if there is no usable key.
     static std::string encode(std::string_view customer, const SessionPositions&, gsl::span<const TokenKey> keys);
--- a/tests/unit_caller_api.cpp
+++ b/tests/unit_caller_api.cpp
@@ -58,6 +58,19 @@
     BOOST_TEST((refusalOf(request) == ResultCode::BadRequest));
 }
 
+// Guards against a header that is copied to an answer although it is no token: the answer's JSON would be none.
+BOOST_AUTO_TEST_CASE(session_texts_that_are_no_token_are_refused)
+{
+    CallerHttpRequest request = post("/v1/groups/g1/query", "{\"statements\":[\"GET a\"]}");
+    for (const std::string text : { "\xff", "a b", "a=", "a+b", "\"", "a\tb" }) {
+        request.headers["plantainwall-session"] = text;
+        BOOST_TEST((refusalOf(request) == ResultCode::SessionInvalid), printable(text));
+    }
+    request.headers["plantainwall-session"] = "aZ09-_";
+    BOOST_TEST((refusalOf(request) == ResultCode::Ok));
+    BOOST_TEST(parseCallerRequest(request)->sessionToken == "aZ09-_");
+}
+
 BOOST_AUTO_TEST_CASE(transaction_path_names_group_and_owner)
 {
     const RequestContextPtr context = parseCallerRequest(post("/v1/transactions/g1.host-a.db-2.77/commit", ""));
