Write the values of operators' commands as TOML

Cause: the commands put texts between quotes without escaping them.

Change: the TOML library writes the tables. The host then refuses such a role or service as it stands.

--- a/src/cli_operator.cpp
+++ b/src/cli_operator.cpp
@@ -60,14 +60,19 @@
         return end == std::string::npos ? std::string() : text.substr(0, end + 1);
     }
 
-    std::string quoted(const std::string& text) { return "\"" + text + "\""; }
+    std::string tomlText(const toml::table& table)
+    {
+        std::ostringstream text;
+        text << table;
+        return text.str();
+    }
 
-    std::string tomlArray(const std::vector<std::string>& names)
+    toml::array tomlArray(const std::vector<std::string>& names)
     {
-        std::string text;
+        toml::array array;
         for (const std::string& name : names)
-            text += (text.empty() ? "" : ", ") + quoted(name);
-        return "[" + text + "]";
+            array.push_back(name);
+        return array;
     }
 
     /// Implements the operator commands. Each sends its requests to the server given in the arguments.
@@ -133,15 +138,11 @@
         {
             // Writes the services first: until the limits are written, the team has a rate of 0 and is not served.
             if (!m_arguments.services.empty())
-                set("teams/" + m_arguments.team + "/services", "services = " + tomlArray(m_arguments.services), 0);
+                set(servicesPath(), servicesText(), 0);
             set(limitsPath(), limitsText(*m_arguments.rate, *m_arguments.burst, m_arguments.weight.value_or(1)), 0);
         }
 
-        void teamServices()
-        {
-            set("teams/" + m_arguments.team + "/services", "services = " + tomlArray(m_arguments.services),
-                std::nullopt);
-        }
+        void teamServices() { set(servicesPath(), servicesText(), std::nullopt); }
 
         void teamList()
         {
@@ -179,9 +180,11 @@
         {
             const std::string id = m_arguments.keyId.empty() ? randomName(keyIdLength) : m_arguments.keyId;
             const std::string key = generateKey(keyPrefix, id);
-            const std::string text = "digest = " + quoted(keyDigest(key)) + "\ncreated = " + quoted(wallClockTime())
-                + "\nwithdrawn = false\n";
-            const value answer = client().change(keyPath(id), text, 0);
+            toml::table table;
+            table.insert("digest", keyDigest(key));
+            table.insert("created", wallClockTime());
+            table.insert("withdrawn", false);
+            const value answer = client().change(keyPath(id), tomlText(table), 0);
             if (m_arguments.json) {
                 value json = answer;
                 json["key_id"] = value::string(id);
@@ -215,9 +218,7 @@
             const value entry = getExisting(path);
             toml::table table = parseToml(entry);
             table.insert_or_assign("withdrawn", true);
-            std::ostringstream text;
-            text << table;
-            set(path, text.str(), entry.at("revision").as_number().to_uint64());
+            set(path, tomlText(table), entry.at("revision").as_number().to_uint64());
         }
 
         void approveAdd() { set(approvalPath(), "approved = true", std::nullopt); }
@@ -246,9 +247,10 @@
         void operatorCreate()
         {
             const std::string credential = generateKey(operatorPrefix, m_arguments.name);
-            const std::string text
-                = "digest = " + quoted(keyDigest(credential)) + "\nroles = " + tomlArray(m_arguments.roles) + "\n";
-            client().change("operators/" + m_arguments.name, text, 0);
+            toml::table table;
+            table.insert("digest", keyDigest(credential));
+            table.insert("roles", tomlArray(m_arguments.roles));
+            client().change("operators/" + m_arguments.name, tomlText(table), 0);
             *m_context.out << credential << std::endl;
         }
 
@@ -271,12 +273,20 @@
 
     private:
         std::string limitsPath() const { return "teams/" + m_arguments.team + "/limits"; }
+        std::string servicesPath() const { return "teams/" + m_arguments.team + "/services"; }
         std::string keyPath(const std::string& id) const { return "teams/" + m_arguments.team + "/keys/" + id; }
         std::string approvalPath() const
         {
             return "services/" + m_arguments.service + "/approvals/" + m_arguments.team;
         }
 
+        std::string servicesText() const
+        {
+            toml::table table;
+            table.insert("services", tomlArray(m_arguments.services));
+            return tomlText(table);
+        }
+
         static std::string limitsText(double rate, double burst, double weight)
         {
             std::ostringstream text;
--- a/tests/unit_operator_api.cpp
+++ b/tests/unit_operator_api.cpp
@@ -295,6 +295,11 @@
         return { exitCode, out.str(), error.str() };
     }
 
+    OperatorClient client()
+    {
+        return { caller, bootstrap, [](Duration) {} };
+    }
+
     std::string bootstrap = generateKey(operatorPrefix, "root");
     std::shared_ptr<Scheduler> scheduler = makeScheduler();
     std::shared_ptr<FakeStore> store = std::make_shared<FakeStore>();
@@ -390,6 +395,19 @@
     BOOST_TEST(request("GET", "list?prefix=", "", 200, bootstrap).serialize().find(secret) == std::string::npos);
 }
 
+// Guards against an argument that is read as more than one role or service.
+BOOST_FIXTURE_TEST_CASE(texts_of_commands_stay_one_value, Fixture)
+{
+    BOOST_TEST(
+        run({ "team", "create", "hats", "--rate", "50", "--burst", "100", "--service", "ledger" }).exitCode == 0);
+    for (const std::string text : { "ledger\", \"vault", "ledger\"]\n#", "ledger\\", "ledger\n", "" })
+        BOOST_TEST(run({ "team", "services", "hats", text }).exitCode == 1, text);
+    BOOST_TEST(run({ "operator", "create", "eve", "--role", "team:hats\", \"platform" }).exitCode == 1);
+    BOOST_TEST(client().get("operators/eve").at("value").is_null());
+    BOOST_TEST(client().get("teams/hats/services").at("value").as_string().find("vault") == std::string::npos);
+    BOOST_TEST(run({ "operator", "create", "ana", "--role", "team:hats", "--role", "service:ledger" }).exitCode == 0);
+}
+
 // Guards against withdrawals of keys and approvals that do not reach every host in time, and against commands that
 // overwrite fields they do not change.
 BOOST_FIXTURE_TEST_CASE(commands_reach_every_host, Fixture)
