Accept only names where operators' commands build paths from them

Seen (unit_operator_api, names_of_commands_stay_one_part_of_a_path, code before): `team delete hats/keys` deletes the keys of the team hats; 104 of 112 commands with a name that is none (`hats/keys`, `hats/`, `..`, `hats?`, an empty one and others) are sent to a host or answered as if the name were missing.

Cause: only `operator credential` checked its name. The others put it between the parts of a path.

Change: names of teams, services, keys and operators are checked when the command line is read; another text is an error of usage (exit code 2), and nothing is sent. `config` commands take paths as before; the hosts check these.

After: 112 of 112 end with 2 and the store sees no change; unit_operator_api passes. `key create --id ''` is refused now; it chose a random id.

--- a/src/cli_operator.cpp
+++ b/src/cli_operator.cpp
@@ -256,8 +256,6 @@
 
         void operatorCredential()
         {
-            if (!isConfigName(m_arguments.name))
-                throw OperatorCallFailed(OperatorExit::Usage, "'" + m_arguments.name + "' is not a valid name");
             const std::string credential = generateKey(operatorPrefix, m_arguments.name);
             *m_context.out << "credential " << credential << "\ndigest " << keyDigest(credential) << std::endl;
         }
@@ -394,6 +392,15 @@
 
     using CommandsPtr = std::shared_ptr<Commands>;
 
+    /// Adds an option whose value becomes one part of a configuration path.
+    CLI::Option* addNameOption(CLI::App* app, const std::string& option, std::string& target, const std::string& text)
+    {
+        const auto check = [](const std::string& name) {
+            return isConfigName(name) ? std::string() : "'" + name + "' is not a valid name";
+        };
+        return app->add_option(option, target, text)->check(check);
+    }
+
     void addServerOptions(CLI::App* app, Arguments& arguments)
     {
         app->add_option("--server", arguments.server, "Entry host, http://<ip>:<port>")->envname("PLANTAINWALL_SERVER");
@@ -452,7 +459,7 @@
         CLI::App* show = addCommand(group, commands, "show", "Show a team", &Commands::teamShow);
         CLI::App* erase = addCommand(group, commands, "delete", "Delete a team with its keys", &Commands::teamDelete);
         for (CLI::App* command : { create, services, show, erase })
-            command->add_option("team", arguments.team, "Name of the team")->required();
+            addNameOption(command, "team", arguments.team, "Name of the team")->required();
         create->add_option("--rate", arguments.rate, "Requests per second over all entry hosts")->required();
         create->add_option("--burst", arguments.burst, "Requests at once")->required();
         create->add_option("--weight", arguments.weight, "Weight in the queues of the databases");
@@ -469,9 +476,9 @@
         CLI::App* list = addCommand(group, commands, "list", "List a team's keys", &Commands::keyList);
         CLI::App* withdraw = addCommand(group, commands, "withdraw", "Withdraw a key", &Commands::keyWithdraw);
         for (CLI::App* command : { create, list, withdraw })
-            command->add_option("team", arguments.team, "Name of the team")->required();
-        create->add_option("--id", arguments.keyId, "Key id; random if absent");
-        withdraw->add_option("keyid", arguments.keyId, "Key id")->required();
+            addNameOption(command, "team", arguments.team, "Name of the team")->required();
+        addNameOption(create, "--id", arguments.keyId, "Key id; random if absent");
+        addNameOption(withdraw, "keyid", arguments.keyId, "Key id")->required();
     }
 
     void addApprove(CLI::App& app, const CommandsPtr& commands)
@@ -482,9 +489,9 @@
         CLI::App* erase = addCommand(group, commands, "remove", "Withdraw an approval", &Commands::approveRemove);
         CLI::App* list = addCommand(group, commands, "list", "List a service's approvals", &Commands::approveList);
         for (CLI::App* command : { add, erase, list })
-            command->add_option("service", arguments.service, "Name of the service")->required();
+            addNameOption(command, "service", arguments.service, "Name of the service")->required();
         for (CLI::App* command : { add, erase })
-            command->add_option("team", arguments.team, "Name of the team")->required();
+            addNameOption(command, "team", arguments.team, "Name of the team")->required();
     }
 
     void addLimits(CLI::App& app, const CommandsPtr& commands)
@@ -494,7 +501,7 @@
         CLI::App* set = addCommand(group, commands, "set", "Change a team's limits", &Commands::limitsSet);
         CLI::App* show = addCommand(group, commands, "show", "Show a team's limits", &Commands::limitsShow);
         for (CLI::App* command : { set, show })
-            command->add_option("team", arguments.team, "Name of the team")->required();
+            addNameOption(command, "team", arguments.team, "Name of the team")->required();
         set->add_option("--rate", arguments.rate, "Requests per second over all entry hosts");
         set->add_option("--burst", arguments.burst, "Requests at once");
         set->add_option("--weight", arguments.weight, "Weight in the queues of the databases");
@@ -509,7 +516,7 @@
         CLI::App* credential = addCommand(group, commands, "credential",
             "Print a new credential and its digest for the settings", &Commands::operatorCredential);
         for (CLI::App* command : { create, credential })
-            command->add_option("name", arguments.name, "Name of the operator")->required();
+            addNameOption(command, "name", arguments.name, "Name of the operator")->required();
         create->add_option("--role", arguments.roles, "platform, team:<team> or service:<service>; repeatable")
             ->required();
     }
--- a/tests/unit_operator_api.cpp
+++ b/tests/unit_operator_api.cpp
@@ -408,6 +408,28 @@
     BOOST_TEST(run({ "operator", "create", "ana", "--role", "team:hats", "--role", "service:ledger" }).exitCode == 0);
 }
 
+// Guards against a name that leads to another path.
+BOOST_FIXTURE_TEST_CASE(names_of_commands_stay_one_part_of_a_path, Fixture)
+{
+    BOOST_TEST(
+        run({ "team", "create", "hats", "--rate", "50", "--burst", "100", "--service", "ledger" }).exitCode == 0);
+    BOOST_TEST(run({ "key", "create", "hats", "--id", "k1" }).exitCode == 0);
+    BOOST_TEST(run({ "approve", "add", "ledger", "hats" }).exitCode == 0);
+    BOOST_REQUIRE(eventually([this] { return b->current()->customers.count("hats") != 0; }));
+    const int changes = store->applied;
+    for (const std::string name : { "hats/keys", "hats/", "/hats", "", "..", "Hats", "hats?", "ha ts" }) {
+        for (const std::vector<std::string>& command : { std::vector<std::string> { "team", "delete", name },
+                 { "team", "show", name }, { "team", "services", name, "ledger" }, { "key", "create", name },
+                 { "key", "create", "hats", "--id", name }, { "key", "withdraw", "hats", name },
+                 { "key", "list", name }, { "approve", "add", "ledger", name }, { "approve", "remove", name, "hats" },
+                 { "approve", "list", name }, { "limits", "set", name, "--rate", "1" }, { "limits", "show", name },
+                 { "operator", "create", name, "--role", "platform" }, { "operator", "credential", name } })
+            BOOST_TEST(run(command).exitCode == 2, command[0] << " " << command[1] << " " << name);
+    }
+    BOOST_TEST(store->applied == changes);
+    BOOST_TEST(!client().get("teams/hats/keys/k1").at("value").is_null());
+}
+
 // Guards against withdrawals of keys and approvals that do not reach every host in time, and against commands that
 // overwrite fields they do not change.
 BOOST_FIXTURE_TEST_CASE(commands_reach_every_host, Fixture)
