--- a/src/cli_operator.cpp
+++ b/src/cli_operator.cpp
@@ -60,14 +60,19 @@
         return end == std::string::npos ? std::string() : text.substr(0, end + 1);
     }
 
-    std::string quoted(const std::string& text) { return "\"" + text + "\""; }
+    std::string tomlText(const toml::table& table)
+    {
+        std::ostringstream text;
+        text << table;
+        return text.str();
+    }
 
-    std::string tomlArray(const std::vector<std::string>& names)
+    toml::array tomlArray(const std::vector<std::string>& names)
     {
-        std::string text;
+        toml::array array;
         for (const std::string& name : names)
-            text += (text.empty() ? "" : ", ") + quoted(name);
-        return "[" + text + "]";
+            array.push_back(name);
+        return array;
     }
 
     /// Implements the operator commands. Each sends its requests to the server given in the arguments.
@@ -133,15 +138,11 @@
         {
             // Writes the services first: until the limits are written, the team has a rate of 0 and is not served.
             if (!m_arguments.services.empty())
-                set("teams/" + m_arguments.team + "/services", "services = " + tomlArray(m_arguments.services), 0);
+                set(servicesPath(), servicesText(), 0);
             set(limitsPath(), limitsText(*m_arguments.rate, *m_arguments.burst, m_arguments.weight.value_or(1)), 0);
         }
 
-        void teamServices()
-        {
-            set("teams/" + m_arguments.team + "/services", "services = " + tomlArray(m_arguments.services),
-                std::nullopt);
-        }
+        void teamServices() { set(servicesPath(), servicesText(), std::nullopt); }
 
         void teamList()
         {
@@ -179,9 +180,11 @@
         {
             const std::string id = m_arguments.keyId.empty() ? randomName(keyIdLength) : m_arguments.keyId;
             const std::string key = generateKey(keyPrefix, id);
-            const std::string text = "digest = " + quoted(keyDigest(key)) + "\ncreated = " + quoted(wallClockTime())
-                + "\nwithdrawn = false\n";
-            const value answer = client().change(keyPath(id), text, 0);
+            toml::table table;
+            table.insert("digest", keyDigest(key));
+            table.insert("created", wallClockTime());
+            table.insert("withdrawn", false);
+            const value answer = client().change(keyPath(id), tomlText(table), 0);
             if (m_arguments.json) {
                 value json = answer;
                 json["key_id"] = value::string(id);
@@ -215,9 +218,7 @@
             const value entry = getExisting(path);
             toml::table table = parseToml(entry);
             table.insert_or_assign("withdrawn", true);
-            std::ostringstream text;
-            text << table;
-            set(path, text.str(), entry.at("revision").as_number().to_uint64());
+            set(path, tomlText(table), entry.at("revision").as_number().to_uint64());
         }
 
         void approveAdd() { set(approvalPath(), "approved = true", std::nullopt); }
@@ -246,16 +247,15 @@
         void operatorCreate()
         {
             const std::string credential = generateKey(operatorPrefix, m_arguments.name);
-            const std::string text
-                = "digest = " + quoted(keyDigest(credential)) + "\nroles = " + tomlArray(m_arguments.roles) + "\n";
-            client().change("operators/" + m_arguments.name, text, 0);
+            toml::table table;
+            table.insert("digest", keyDigest(credential));
+            table.insert("roles", tomlArray(m_arguments.roles));
+            client().change("operators/" + m_arguments.name, tomlText(table), 0);
             *m_context.out << credential << std::endl;
         }
 
         void operatorCredential()
         {
-            if (!isConfigName(m_arguments.name))
-                throw OperatorCallFailed(OperatorExit::Usage, "'" + m_arguments.name + "' is not a valid name");
             const std::string credential = generateKey(operatorPrefix, m_arguments.name);
             *m_context.out << "credential " << credential << "\ndigest " << keyDigest(credential) << std::endl;
         }
@@ -271,12 +271,20 @@
 
     private:
         std::string limitsPath() const { return "teams/" + m_arguments.team + "/limits"; }
+        std::string servicesPath() const { return "teams/" + m_arguments.team + "/services"; }
         std::string keyPath(const std::string& id) const { return "teams/" + m_arguments.team + "/keys/" + id; }
         std::string approvalPath() const
         {
             return "services/" + m_arguments.service + "/approvals/" + m_arguments.team;
         }
 
+        std::string servicesText() const
+        {
+            toml::table table;
+            table.insert("services", tomlArray(m_arguments.services));
+            return tomlText(table);
+        }
+
         static std::string limitsText(double rate, double burst, double weight)
         {
             std::ostringstream text;
@@ -384,6 +392,15 @@
 
     using CommandsPtr = std::shared_ptr<Commands>;
 
+    /// Adds an option whose value becomes one part of a configuration path.
+    CLI::Option* addNameOption(CLI::App* app, const std::string& option, std::string& target, const std::string& text)
+    {
+        const auto check = [](const std::string& name) {
+            return isConfigName(name) ? std::string() : "'" + name + "' is not a valid name";
+        };
+        return app->add_option(option, target, text)->check(check);
+    }
+
     void addServerOptions(CLI::App* app, Arguments& arguments)
     {
         app->add_option("--server", arguments.server, "Entry host, http://<ip>:<port>")->envname("PLANTAINWALL_SERVER");
@@ -442,7 +459,7 @@
         CLI::App* show = addCommand(group, commands, "show", "Show a team", &Commands::teamShow);
         CLI::App* erase = addCommand(group, commands, "delete", "Delete a team with its keys", &Commands::teamDelete);
         for (CLI::App* command : { create, services, show, erase })
-            command->add_option("team", arguments.team, "Name of the team")->required();
+            addNameOption(command, "team", arguments.team, "Name of the team")->required();
         create->add_option("--rate", arguments.rate, "Requests per second over all entry hosts")->required();
         create->add_option("--burst", arguments.burst, "Requests at once")->required();
         create->add_option("--weight", arguments.weight, "Weight in the queues of the databases");
@@ -459,9 +476,9 @@
         CLI::App* list = addCommand(group, commands, "list", "List a team's keys", &Commands::keyList);
         CLI::App* withdraw = addCommand(group, commands, "withdraw", "Withdraw a key", &Commands::keyWithdraw);
         for (CLI::App* command : { create, list, withdraw })
-            command->add_option("team", arguments.team, "Name of the team")->required();
-        create->add_option("--id", arguments.keyId, "Key id; random if absent");
-        withdraw->add_option("keyid", arguments.keyId, "Key id")->required();
+            addNameOption(command, "team", arguments.team, "Name of the team")->required();
+        addNameOption(create, "--id", arguments.keyId, "Key id; random if absent");
+        addNameOption(withdraw, "keyid", arguments.keyId, "Key id")->required();
     }
 
     void addApprove(CLI::App& app, const CommandsPtr& commands)
@@ -472,9 +489,9 @@
         CLI::App* erase = addCommand(group, commands, "remove", "Withdraw an approval", &Commands::approveRemove);
         CLI::App* list = addCommand(group, commands, "list", "List a service's approvals", &Commands::approveList);
         for (CLI::App* command : { add, erase, list })
-            command->add_option("service", arguments.service, "Name of the service")->required();
+            addNameOption(command, "service", arguments.service, "Name of the service")->required();
         for (CLI::App* command : { add, erase })
-            command->add_option("team", arguments.team, "Name of the team")->required();
+            addNameOption(command, "team", arguments.team, "Name of the team")->required();
     }
 
     void addLimits(CLI::App& app, const CommandsPtr& commands)
@@ -484,7 +501,7 @@
         CLI::App* set = addCommand(group, commands, "set", "Change a team's limits", &Commands::limitsSet);
         CLI::App* show = addCommand(group, commands, "show", "Show a team's limits", &Commands::limitsShow);
         for (CLI::App* command : { set, show })
-            command->add_option("team", arguments.team, "Name of the team")->required();
+            addNameOption(command, "team", arguments.team, "Name of the team")->required();
         set->add_option("--rate", arguments.rate, "Requests per second over all entry hosts");
         set->add_option("--burst", arguments.burst, "Requests at once");
         set->add_option("--weight", arguments.weight, "Weight in the queues of the databases");
@@ -499,7 +516,7 @@
         CLI::App* credential = addCommand(group, commands, "credential",
             "Print a new credential and its digest for the settings", &Commands::operatorCredential);
         for (CLI::App* command : { create, credential })
-            command->add_option("name", arguments.name, "Name of the operator")->required();
+            addNameOption(command, "name", arguments.name, "Name of the operator")->required();
         create->add_option("--role", arguments.roles, "platform, team:<team> or service:<service>; repeatable")
             ->required();
     }
