--- a/src/caller_api.cpp
+++ b/src/caller_api.cpp
@@ -1,6 +1,7 @@
 #include "caller_api.h"
 #include "json_text.h"
 #include "session_token.h"
+#include "text_escape.h"
 #include <algorithm>
 #include <charconv>
 #include <cpprest/base_uri.h>
--- a/src/json_text.cpp
+++ b/src/json_text.cpp
@@ -1,6 +1,6 @@
 #include "json_text.h"
+#include "text_escape.h"
 #include <algorithm>
-#include <boost/locale/utf.hpp>
 
 namespace plantainwall {
 
@@ -25,17 +25,6 @@
 
 } // namespace
 
-bool isUtf8(std::string_view text)
-{
-    using Traits = boost::locale::utf::utf_traits<char>;
-    for (const char* it = text.begin(); it != text.end();) {
-        const boost::locale::utf::code_point point = Traits::decode(it, text.end());
-        if (point == boost::locale::utf::illegal || point == boost::locale::utf::incomplete)
-            return false;
-    }
-    return true;
-}
-
 value parseJson(const std::string& text)
 {
     value json;
--- a/src/json_text.h
+++ b/src/json_text.h
@@ -2,13 +2,9 @@
 
 #include <cpprest/json.h>
 #include <string>
-#include <string_view>
 
 namespace plantainwall {
 
-/// Returns whether the text is well-formed UTF-8.
-bool isUtf8(std::string_view);
-
 /// Parses JSON from a caller, database or host. The parser of the JSON library passes on texts that are no UTF-8, and
 /// throws something else than json_exception for some escapes.
 /// @throws web::json::json_exception if the text is not JSON, or if one of its strings is not Unicode.
--- a/src/operator_api.cpp
+++ b/src/operator_api.cpp
@@ -2,6 +2,7 @@
 #include "json_text.h"
 #include "key_digest.h"
 #include "log_event.h"
+#include "text_escape.h"
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
 #include <cpprest/base_uri.h>
--- a/src/text_escape.cpp
+++ b/src/text_escape.cpp
@@ -1,5 +1,6 @@
 #include "text_escape.h"
 #include <algorithm>
+#include <boost/locale/utf.hpp>
 #include <cstdio>
 #include <optional>
 
@@ -7,20 +8,6 @@
 
 namespace {
 
-    /// Characters of UTF-8 with the same number of bytes and the same range of second bytes. Further bytes are from
-    /// 0x80 to 0xbf.
-    struct Utf8Range {
-        unsigned char firstFrom;
-        unsigned char firstTo;
-        unsigned char secondFrom;
-        unsigned char secondTo;
-        size_t size; ///< In bytes.
-    };
-
-    constexpr Utf8Range utf8Ranges[] = { { 0xc2, 0xdf, 0x80, 0xbf, 2 }, { 0xe0, 0xe0, 0xa0, 0xbf, 3 },
-        { 0xe1, 0xec, 0x80, 0xbf, 3 }, { 0xed, 0xed, 0x80, 0x9f, 3 }, { 0xee, 0xef, 0x80, 0xbf, 3 },
-        { 0xf0, 0xf0, 0x90, 0xbf, 4 }, { 0xf1, 0xf3, 0x80, 0xbf, 4 }, { 0xf4, 0xf4, 0x80, 0x8f, 4 } };
-
     bool isBetween(char c, unsigned char from, unsigned char to)
     {
         const unsigned char byte = static_cast<unsigned char>(c);
@@ -34,15 +21,11 @@
     {
         if (isAscii(text[0]))
             return 1;
-        for (const Utf8Range& it : utf8Ranges) {
-            if (!isBetween(text[0], it.firstFrom, it.firstTo))
-                continue;
-            const bool whole = text.size() >= it.size && isBetween(text[1], it.secondFrom, it.secondTo)
-                && std::all_of(text.begin() + 2, text.begin() + static_cast<std::ptrdiff_t>(it.size),
-                    [](char c) { return isBetween(c, 0x80, 0xbf); });
-            return whole ? it.size : 0;
-        }
-        return 0;
+        using Traits = boost::locale::utf::utf_traits<char>;
+        const char* end = text.data();
+        const boost::locale::utf::code_point point = Traits::decode(end, text.data() + text.size());
+        const bool none = point == boost::locale::utf::illegal || point == boost::locale::utf::incomplete;
+        return none ? 0 : static_cast<size_t>(end - text.data());
     }
 
     bool isHexadecimal(char c) { return isBetween(c, '0', '9') || isBetween(c, 'a', 'f'); }
--- a/tests/promise_texts_kept.cpp
+++ b/tests/promise_texts_kept.cpp
@@ -1,6 +1,6 @@
-#include "json_text.h"
 #include "support_entry_host.h"
 #include "support_odd_texts.h"
+#include "text_escape.h"
 #include <boost/test/unit_test.hpp>
 #include <cpprest/base_uri.h>
 
--- a/tests/unit_caller_api.cpp
+++ b/tests/unit_caller_api.cpp
@@ -5,6 +5,7 @@
 #include "json_text.h"
 #include "member_codec.h"
 #include "support_odd_texts.h"
+#include "text_escape.h"
 
 using namespace plantainwall;
 using test::printable;
