Pass texts with the byte 0xff between hosts that lend connections

A statement, name, id or row with the byte 0xff ended the stream between two hosts, and with it all connections of all callers that it carried: the JSON library takes the byte for the end of the input on x86-64, so the other host could not read the line.

A text that a JSON string does not hold, or that it would more than double, is sent as an array with one string, in which control characters, quotes, backslashes and 0xff are escape sequences of two characters. All other texts are sent as before. Lines are written directly, without a tree of copies.

Rolling restart: hosts of the version before read strings only, so they get strings only. A host tells that it reads more in what they ignore: a third field of the answer to an opening, and a first line on a stream that closes connection 0, which never exists. There is no further round trip. What a host of that version cannot read ends its own connection with protocol_error, before anything is sent to a server (commands) or in place of the reply; before, it ended the stream.

--- a/src/link_borrower.cpp
+++ b/src/link_borrower.cpp
@@ -11,6 +11,16 @@
     std::unique_ptr<PeerStream> stream;
     std::map<uint64_t, Link*> links;
     Instant usedAt;
+    LinkFormat format = LinkFormat::Strings; ///< What the lender reads.
+
+    /// Returns false if the lender could not read the message; it has not been sent then.
+    bool send(const LinkMessage& message) const
+    {
+        const std::optional<std::string> line = encodeLinkMessage(message, format);
+        if (line)
+            stream->send(*line);
+        return line.has_value();
+    }
 };
 
 struct LinkBorrower::Link final : BackendLink {
@@ -29,13 +39,29 @@
     ~Link() override
     {
         borrower.m_lostLinks.erase(number);
+        borrower.m_rejectedLinks.erase(number);
+        giveBack();
+    }
+
+    void giveBack()
+    {
         if (borrowedFrom == nullptr)
             return;
         LinkMessage message;
         message.kind = LinkMessageKind::Close;
         message.link = number;
-        borrowedFrom->stream->send(encodeLinkMessage(message));
+        borrowedFrom->send(message);
         borrowedFrom->links.erase(number);
+        borrowedFrom = nullptr;
+    }
+
+    /// Ends the connection, as the lender could not read a message that was to be sent.
+    void reject()
+    {
+        logEvent(LogEvent::InternalFailure,
+            { { "error", "a message does not pass to the lender" }, { "server", server }, { "lender", lenderHost } });
+        giveBack();
+        borrower.m_rejectedLinks.emplace(number, this);
     }
 
     void send(const BackendCommand& command) override
@@ -46,7 +72,8 @@
         message.kind = LinkMessageKind::Command;
         message.link = number;
         message.command = command;
-        borrowedFrom->stream->send(encodeLinkMessage(message));
+        if (!borrowedFrom->send(message))
+            reject();
     }
 
     std::string_view lender() const override { return lenderHost; }
@@ -106,6 +133,10 @@
         lender->stream = m_streams.connect(best->address,
             { [this, raw](std::string_view line) { handleLine(*raw, line); },
                 [this, raw] { lenderLost(*raw, "the stream was closed"); } });
+        LinkMessage first;
+        first.kind = LinkMessageKind::Close;
+        first.format = LinkFormat::AnyTexts;
+        lender->send(first);
     }
     return lender.get();
 }
@@ -150,7 +181,8 @@
     message.server = entry.id;
     message.customer = customer;
     message.priority = priority;
-    lender->stream->send(encodeLinkMessage(message));
+    if (!lender->send(message))
+        link->reject();
     return link;
 }
 
@@ -163,6 +195,8 @@
         lenderLost(lender, error.what());
         return;
     }
+    if (message.kind == LinkMessageKind::Accepted)
+        lender.format = std::max(lender.format, message.format);
     const auto it = lender.links.find(message.link);
     if (it == lender.links.end())
         return; // This host has closed the link in the meantime.
@@ -241,6 +275,12 @@
 void LinkBorrower::tick()
 {
     m_lostLenders.clear();
+    // An observer may destroy other links.
+    while (!m_rejectedLinks.empty()) {
+        BackendObserver& observer = m_rejectedLinks.begin()->second->observer;
+        m_rejectedLinks.erase(m_rejectedLinks.begin());
+        observer.backendClosed(BackendCloseReason::ProtocolError);
+    }
     const Instant now = m_clock();
     for (auto it = m_lendersWithoutServer.begin(); it != m_lendersWithoutServer.end();) {
         for (auto host = it->second.begin(); host != it->second.end();)
--- a/src/link_borrower.h
+++ b/src/link_borrower.h
@@ -99,6 +99,8 @@
     std::map<std::string, std::map<std::string, Instant>> m_lendersWithoutServer;
     /// Links whose observers have not yet been notified that the lender is lost.
     std::map<uint64_t, Link*> m_lostLinks;
+    /// Links whose observers have not yet been notified that their lender could not read a message.
+    std::map<uint64_t, Link*> m_rejectedLinks;
     std::vector<std::unique_ptr<Lender>> m_lostLenders; ///< Destroyed by the next tick.
 };
 
--- a/src/link_lender.cpp
+++ b/src/link_lender.cpp
@@ -1,4 +1,6 @@
 #include "link_lender.h"
+#include "log_event.h"
+#include <algorithm>
 #include <stdexcept>
 
 namespace plantainwall {
@@ -28,7 +30,12 @@
         message.kind = LinkMessageKind::Reply;
         message.link = number;
         message.reply = std::move(reply);
-        lender.send(message);
+        if (lender.send(message))
+            return;
+        logEvent(LogEvent::InternalFailure,
+            { { "error", "a reply does not pass to the borrower" }, { "server", server },
+                { "rows", message.reply.rows.size() } });
+        backendClosed(BackendCloseReason::ProtocolError);
     }
 
     void backendClosed(BackendCloseReason reason) override
@@ -61,7 +68,13 @@
 
 void LinkLender::tick() { m_ended.clear(); }
 
-void LinkLender::send(const LinkMessage& message) { m_send(encodeLinkMessage(message)); }
+bool LinkLender::send(const LinkMessage& message)
+{
+    const std::optional<std::string> line = encodeLinkMessage(message, m_format);
+    if (line)
+        m_send(*line);
+    return line.has_value();
+}
 
 void LinkLender::refuse(uint64_t link, BackendCloseReason reason)
 {
@@ -90,6 +103,7 @@
     LinkMessage accepted;
     accepted.kind = LinkMessageKind::Accepted;
     accepted.link = message.link;
+    accepted.format = LinkFormat::AnyTexts;
     send(accepted);
     lent->link = message.priority ? m_pool.openWithPriority(*entry, message.customer, *message.priority, *lent)
                                   : m_pool.open(*entry, message.customer, *lent);
@@ -102,6 +116,8 @@
         open(message);
         return;
     }
+    if (message.kind == LinkMessageKind::Close)
+        m_format = std::max(m_format, message.format);
     const auto it = m_links.find(message.link);
     if (it == m_links.end())
         return; // The link has ended; the borrower has been or will be notified.
--- a/src/link_lender.h
+++ b/src/link_lender.h
@@ -38,7 +38,8 @@
     void open(const LinkMessage&);
     void refuse(uint64_t link, BackendCloseReason);
     bool isClosed(const std::string& server) const { return m_isClosed && m_isClosed(server); }
-    void send(const LinkMessage&);
+    /// Returns false if the borrower could not read the message; it has not been sent then.
+    bool send(const LinkMessage&);
     void end(uint64_t link);
 
     BackendConnector& m_pool;
@@ -47,6 +48,7 @@
     std::function<bool(const std::string& server)> m_isClosed;
     Send m_send;
     LoadOf m_loadOf;
+    LinkFormat m_format = LinkFormat::Strings; ///< What the borrower reads.
     std::map<uint64_t, std::unique_ptr<LentLink>> m_links;
     std::vector<std::unique_ptr<LentLink>> m_ended; ///< Callers on the stack may still hold a reference.
 };
--- a/src/link_message.cpp
+++ b/src/link_message.cpp
@@ -1,5 +1,7 @@
 #include "link_message.h"
 #include "json_number.h"
+#include <algorithm>
+#include <iterator>
 
 namespace plantainwall {
 
@@ -15,9 +17,144 @@
     /// not know the mark ignore it.
     const std::string copyMark = "lookalikes ";
 
-    value text(const std::string& text) { return value::string(text); }
+    /// Longest line that a host reads, in bytes; indexed by LinkFormat.
+    constexpr size_t maxLines[] = { 4 * 1024 * 1024, maxLinkLineBytes };
+    static_assert(std::size(maxLines) == static_cast<size_t>(LinkFormat::Count), "one entry for each LinkFormat");
 
-    template <typename Enum> value number(Enum value) { return value::number(static_cast<uint32_t>(value)); }
+    constexpr char unreadable = '\xff'; ///< The JSON library takes it for the end of the input.
+
+    /// Begins an escape sequence of two characters in a text that is not sent as a JSON string.
+    constexpr char escapeMark = '~';
+
+    /// Added to a control character for its place in an escape sequence.
+    constexpr char controlShift = '0';
+
+    struct Escape {
+        char c;
+        char code;
+    };
+
+    /// The other characters that are escaped; their codes are none of a control character.
+    constexpr Escape escapes[] = { { '"', 'q' }, { '\\', 'b' }, { escapeMark, 't' }, { unreadable, 'f' } };
+
+    bool isControl(char c) { return static_cast<unsigned char>(c) < 0x20; }
+
+    /// Returns the second character of the escape sequence of a character; 0: it is not escaped.
+    char escapeCode(char c)
+    {
+        if (isControl(c))
+            return static_cast<char>(c + controlShift);
+        const auto it
+            = std::find_if(std::begin(escapes), std::end(escapes), [c](const Escape& it) { return it.c == c; });
+        return it == std::end(escapes) ? '\0' : it->code;
+    }
+
+    /// Returns by how many bytes a JSON string is longer than its text.
+    size_t growthOf(std::string_view text)
+    {
+        size_t n = 0;
+        for (const char c : text)
+            n += isControl(c) ? 5 : (c == '"' || c == '\\' ? 1 : 0);
+        return n;
+    }
+
+    char unescaped(char code)
+    {
+        const auto it = std::find_if(
+            std::begin(escapes), std::end(escapes), [code](const Escape& it) { return it.code == code; });
+        if (it != std::end(escapes))
+            return it->c;
+        const char c = static_cast<char>(code - controlShift);
+        if (!isControl(c))
+            throw std::runtime_error("link message with an unknown escape sequence");
+        return c;
+    }
+
+    /// Writes a JSON array. Texts are written directly, as a reply may be large.
+    class FieldWriter {
+    public:
+        explicit FieldWriter(LinkFormat format)
+            : m_format(format)
+        {
+        }
+
+        void number(uint64_t n) { begin().append(std::to_string(n)); }
+        template <typename Enum> void enumerator(Enum value) { number(static_cast<uint64_t>(value)); }
+        void flag(bool value) { begin().append(value ? "true" : "false"); }
+
+        /// Writes a JSON string, or, where it would be more than twice as long as the text or could not be read, an
+        /// array that holds the text with escape sequences.
+        void text(std::string_view text)
+        {
+            const bool readable = text.find(unreadable) == std::string_view::npos;
+            m_readable = m_readable && (readable || m_format != LinkFormat::Strings);
+            if (m_format == LinkFormat::Strings || (readable && growthOf(text) <= text.size()))
+                writeString(text);
+            else
+                writeEscaped(text);
+        }
+
+        std::optional<std::string> take()
+        {
+            m_out += ']';
+            if (!m_readable || m_out.size() > maxLines[static_cast<size_t>(m_format)])
+                return std::nullopt;
+            return std::move(m_out);
+        }
+
+    private:
+        std::string& begin()
+        {
+            m_out += m_out.empty() ? '[' : ',';
+            return m_out;
+        }
+
+        void writeString(std::string_view text)
+        {
+            constexpr std::string_view digits = "0123456789abcdef";
+            begin() += '"';
+            for (const char c : text) {
+                if (isControl(c)) {
+                    m_out.append("\\u00").append(1, c < 0x10 ? '0' : '1').append(1, digits[c & 15U]);
+                    continue;
+                }
+                if (c == '"' || c == '\\')
+                    m_out += '\\';
+                m_out += c;
+            }
+            m_out += '"';
+        }
+
+        void writeEscaped(std::string_view text)
+        {
+            begin().append("[\"");
+            for (const char c : text) {
+                const char code = escapeCode(c);
+                if (code != '\0')
+                    m_out += escapeMark;
+                m_out += code != '\0' ? code : c;
+            }
+            m_out.append("\"]");
+        }
+
+        LinkFormat m_format;
+        std::string m_out;
+        bool m_readable = true;
+    };
+
+    std::string textOf(const value& field)
+    {
+        if (!field.is_array())
+            return field.as_string();
+        if (field.size() != 1)
+            throw std::runtime_error("link message text of several parts");
+        const std::string& escaped = field.at(0).as_string();
+        std::string text;
+        text.reserve(escaped.size());
+        for (size_t i = 0; i < escaped.size(); ++i)
+            text += escaped[i] == escapeMark ? unescaped(escaped.at(++i)) : escaped[i];
+        return text;
+    }
 
     uint64_t numberAt(const value& fields, size_t index) { return unsignedFrom(fields.at(index)); }
 
@@ -41,29 +178,29 @@
         }
     }
 
-    void encodeCommand(const BackendCommand& command, std::vector<value>& fields)
+    void encodeCommand(const BackendCommand& command, FieldWriter& fields)
     {
-        fields.push_back(number(command.kind));
-        fields.push_back(text(command.id));
-        fields.push_back(text(command.text));
-        fields.push_back(text(command.name));
-        fields.push_back(text(command.argument));
-        fields.push_back(value::boolean(command.writes));
-        fields.push_back(value::number(command.term));
+        fields.enumerator(command.kind);
+        fields.text(command.id);
+        fields.text(command.text);
+        fields.text(command.name);
+        fields.text(command.argument);
+        fields.flag(command.writes);
+        fields.number(command.term);
         if (!command.after)
             return;
-        fields.push_back(value::number(command.after->term));
-        fields.push_back(value::number(command.after->position));
+        fields.number(command.after->term);
+        fields.number(command.after->position);
     }
 
     BackendCommand decodeCommand(const value& fields)
     {
         BackendCommand command;
         command.kind = enumAt<BackendCommandKind>(fields, 2);
-        command.id = fields.at(3).as_string();
-        command.text = fields.at(4).as_string();
-        command.name = fields.at(5).as_string();
-        command.argument = fields.at(6).as_string();
+        command.id = textOf(fields.at(3));
+        command.text = textOf(fields.at(4));
+        command.name = textOf(fields.at(5));
+        command.argument = textOf(fields.at(6));
         command.writes = fields.at(7).as_bool();
         command.term = numberAt(fields, 8);
         if (fields.size() > 10)
@@ -71,46 +208,47 @@
         return command;
     }
 
-    void encodeReply(const BackendReply& reply, std::vector<value>& fields)
+    void encodeReply(const BackendReply& reply, FieldWriter& fields)
     {
-        fields.push_back(number(reply.error));
-        fields.push_back(text(reply.signature));
+        fields.enumerator(reply.error);
+        fields.text(reply.signature);
         const bool marked = reply.lookalikes > 0 && reply.error == BackendError::None;
-        fields.push_back(text(marked ? copyMark + std::to_string(reply.lookalikes) : reply.detail));
-        fields.push_back(number(reply.state));
-        fields.push_back(value::number(reply.position.term));
-        fields.push_back(value::number(reply.position.position));
+        fields.text(marked ? copyMark + std::to_string(reply.lookalikes) : reply.detail);
+        fields.enumerator(reply.state);
+        fields.number(reply.position.term);
+        fields.number(reply.position.position);
         for (const std::string& row : reply.rows)
-            fields.push_back(text(row));
+            fields.text(row);
     }
 
     BackendReply decodeReply(const value& fields)
     {
         BackendReply reply;
         reply.error = enumAt<BackendError>(fields, 2);
-        reply.signature = fields.at(3).as_string();
-        reply.detail = fields.at(4).as_string();
+        reply.signature = textOf(fields.at(3));
+        reply.detail = textOf(fields.at(4));
         if (reply.error == BackendError::None && reply.detail.rfind(copyMark, 0) == 0)
             reply.lookalikes = static_cast<unsigned>(std::stoul(reply.detail.substr(copyMark.size())));
         reply.state = enumAt<TransactionState>(fields, 5);
         reply.position = { numberAt(fields, 6), numberAt(fields, 7) };
         for (size_t i = 8; i < fields.size(); ++i)
-            reply.rows.push_back(fields.at(i).as_string());
+            reply.rows.push_back(textOf(fields.at(i)));
         return reply;
     }
 
 } // namespace
 
-std::string encodeLinkMessage(const LinkMessage& message)
+std::optional<std::string> encodeLinkMessage(const LinkMessage& message, LinkFormat format)
 {
-    std::vector<value> fields { text(std::string(1, kindLetters[static_cast<size_t>(message.kind)])),
-        value::number(message.link) };
+    FieldWriter fields(format);
+    fields.text(kindLetters.substr(static_cast<size_t>(message.kind), 1));
+    fields.number(message.link);
     switch (message.kind) {
     case LinkMessageKind::Open:
-        fields.push_back(text(message.server));
-        fields.push_back(text(message.customer));
+        fields.text(message.server);
+        fields.text(message.customer);
         if (message.priority)
-            fields.push_back(value::number(*message.priority));
+            fields.number(*message.priority);
         break;
     case LinkMessageKind::Command:
         encodeCommand(message.command, fields);
@@ -119,18 +257,21 @@
         encodeReply(message.reply, fields);
         break;
     case LinkMessageKind::Closed:
-        fields.push_back(number(message.reason));
+        fields.enumerator(message.reason);
         break;
     case LinkMessageKind::Opened:
         if (message.load)
-            fields.push_back(text(encodeServerLoad(*message.load)));
+            fields.text(encodeServerLoad(*message.load));
         break;
     case LinkMessageKind::Accepted:
     case LinkMessageKind::Close:
+        if (message.format != LinkFormat::Strings)
+            fields.enumerator(message.format);
+        break;
     case LinkMessageKind::Count:
         break;
     }
-    return value::array(std::move(fields)).serialize();
+    return fields.take();
 }
 
 LinkMessage decodeLinkMessage(std::string_view line)
@@ -143,8 +284,8 @@
     message.kind = static_cast<LinkMessageKind>(kind);
     message.link = numberAt(fields, 1);
     if (message.kind == LinkMessageKind::Open) {
-        message.server = fields.at(2).as_string();
-        message.customer = fields.at(3).as_string();
+        message.server = textOf(fields.at(2));
+        message.customer = textOf(fields.at(3));
         if (fields.size() > 4)
             message.priority = static_cast<unsigned>(std::min<uint64_t>(numberAt(fields, 4), UINT32_MAX));
     } else if (message.kind == LinkMessageKind::Command)
@@ -155,6 +296,9 @@
         message.reason = enumAt<BackendCloseReason>(fields, 2);
     else if (message.kind == LinkMessageKind::Opened && fields.size() > 2)
         message.load = loadFrom(fields.at(2));
+    else if ((message.kind == LinkMessageKind::Accepted || message.kind == LinkMessageKind::Close) && fields.size() > 2)
+        message.format = static_cast<LinkFormat>(
+            std::min(numberAt(fields, 2), static_cast<uint64_t>(LinkFormat::Count) - 1)); // Later ones include earlier.
     return message;
 }
 
--- a/src/link_message.h
+++ b/src/link_message.h
@@ -16,6 +16,16 @@
     Count
 };
 
+/// What a host reads of the messages about lent connections.
+enum class LinkFormat : uint8_t {
+    Strings, ///< Texts without the byte 0xff, in lines of up to 4 MiB.
+    AnyTexts, ///< Any texts, in lines of up to maxLinkLineBytes.
+    Count
+};
+
+/// Longest line of a message, in bytes. A text takes at most twice its length, and the rows of a reply are limited.
+constexpr size_t maxLinkLineBytes = 4 * 1024 * 1024;
+
 /// Message about a connection to a backend server that another entry host lends. Open, Command and Close are sent to
 /// the lender, the others to the borrower.
 struct LinkMessage {
@@ -29,10 +39,15 @@
     BackendReply reply;
     BackendCloseReason reason = BackendCloseReason::Lost; ///< For Closed.
     std::optional<ServerLoadSample> load; ///< For Opened: load of the server at the lender. Hosts may omit it.
+    /// For Accepted, and for a Close without a connection (link 0), which begins a stream: what the sender reads. Hosts
+    /// that read strings only do not send it, and ignore it.
+    LinkFormat format = LinkFormat::Strings;
 };
 
 /// Encodes a message as one line without a line break.
-std::string encodeLinkMessage(const LinkMessage&);
+/// @param format What the receiver reads.
+/// @return Nothing if the receiver could not read the line.
+std::optional<std::string> encodeLinkMessage(const LinkMessage&, LinkFormat format);
 
 /// Decodes a message from a line. Throws std::exception if it is malformed.
 LinkMessage decodeLinkMessage(std::string_view line);
--- a/src/peer_stream.cpp
+++ b/src/peer_stream.cpp
@@ -12,9 +12,6 @@
 
     using boost::asio::ip::tcp;
 
-    /// Enough for an encoded statement or reply of a megabyte.
-    constexpr size_t maxLineBytes = 4 * 1024 * 1024;
-
     /// Streams of other hosts beyond which those that borrow nothing end, the oldest first.
     constexpr size_t maxWithUnused = 300;
 
@@ -28,7 +25,7 @@
     class TcpPeerStream final : public PeerStream {
     public:
         TcpPeerStream(boost::asio::io_context& loop, const std::string& address, const PeerStreams::Handlers& handlers)
-            : m_socket(std::make_shared<LineSocket>(tcp::socket(loop), LineEnd::Lf, maxLineBytes))
+            : m_socket(std::make_shared<LineSocket>(tcp::socket(loop), LineEnd::Lf, maxLinkLineBytes))
         {
             const tcp::endpoint endpoint = endpointOf<tcp::endpoint>(address);
             if (endpoint.port() == 0) {
@@ -131,7 +128,7 @@
 {
     m_borrowers.push_back(std::make_unique<Borrower>());
     Borrower& borrower = *m_borrowers.back();
-    borrower.socket = std::make_shared<LineSocket>(std::move(socket), LineEnd::Lf, maxLineBytes);
+    borrower.socket = std::make_shared<LineSocket>(std::move(socket), LineEnd::Lf, maxLinkLineBytes);
     borrower.socket->setMemory(std::make_unique<MemoryAccount>(m_budget, ownerPeers, [&borrower] {
         borrower.ended = true;
         borrower.socket->close();
--- a/tests/integration_unruly_callers.cpp
+++ b/tests/integration_unruly_callers.cpp
@@ -471,7 +471,7 @@
         message.customer = "customer0";
         message.command.id = "rows";
         message.command.text = "READ item";
-        return encodeLinkMessage(message) + "\n";
+        return encodeLinkMessage(message, LinkFormat::Strings).value() + "\n";
     });
 }
 
--- a/tests/unit_link_borrower.cpp
+++ b/tests/unit_link_borrower.cpp
@@ -40,6 +40,7 @@
         Handlers borrower;
         bool shuttingDown = false;
         bool unresponsive = false;
+        bool readsStrings = false; ///< Of the version before: announces no format, and knows none.
         unsigned streams = 0;
     };
 
@@ -58,7 +59,13 @@
         host.borrower = std::move(handlers);
         host.lender = std::make_unique<LinkLender>(
             host.connector, [this](const std::string& id) { return id == entry.id ? &entry : nullptr; },
-            [&host] { return host.shuttingDown; }, [&host](const std::string& line) { host.borrower.line(line); });
+            [&host] { return host.shuttingDown; },
+            [&host](const std::string& line) {
+                LinkMessage message = decodeLinkMessage(line);
+                if (host.readsStrings && message.kind == LinkMessageKind::Accepted)
+                    message.format = LinkFormat::Strings;
+                host.borrower.line(encodeLinkMessage(message, LinkFormat::AnyTexts).value());
+            });
         return std::make_unique<Stream>(*this, address);
     }
 
@@ -393,3 +400,81 @@
     BOOST_TEST(open(observer)->lender() == "a");
     links.clear();
 }
+
+// Rolling restart: a text that the other host could not read ends its own connection, before anything is sent.
+BOOST_FIXTURE_TEST_CASE(a_lender_that_reads_strings_gets_no_other_text, Fixture)
+{
+    choice = { { "a", "a" } };
+    hosts["a"].readsStrings = true;
+    RecordingObserver first;
+    RecordingObserver second;
+    const std::unique_ptr<BackendLink> link = open(first);
+    const std::unique_ptr<BackendLink> other = open(second);
+    FakeConnector& connector = hosts["a"].connector;
+    BackendCommand command = statement("1");
+    command.text = "WRITE a \xff";
+    link->send(command);
+    link->send(statement("2")); // May depend on the one before.
+    BOOST_TEST(!first.closed.has_value()); // Not called from within send().
+    settle();
+    BOOST_TEST(connector.links[0].commands.empty());
+    BOOST_TEST(connector.links[0].closed);
+    borrower.tick();
+    BOOST_TEST((first.closed == BackendCloseReason::ProtocolError));
+    command.text = "WRITE a \xfe";
+    other->send(command);
+    settle();
+    BOOST_REQUIRE(connector.links[1].commands.size() == 1U);
+    BOOST_TEST(connector.links[1].commands[0].text == command.text);
+    BOOST_TEST(!second.closed.has_value());
+    RecordingObserver unnamed;
+    const std::unique_ptr<BackendLink> refused = open(unnamed, "\xff");
+    borrower.tick();
+    BOOST_TEST((unnamed.closed == BackendCloseReason::ProtocolError));
+    BOOST_TEST(hosts["a"].streams == 1U);
+}
+
+// Likewise.
+BOOST_FIXTURE_TEST_CASE(a_borrower_that_reads_strings_gets_no_other_text, Fixture)
+{
+    FakeConnector connector;
+    std::vector<std::string> sent;
+    LinkLender lender(
+        connector, [this](const std::string&) { return &entry; }, [] { return false; },
+        [&sent](const std::string& line) { sent.push_back(line); });
+    for (const char* line : { R"(["o",1,"p","hatter"])", R"(["o",2,"p","hatter"])" })
+        lender.line(line);
+    connector.acceptAll();
+    for (const char* line :
+        { R"(["c",1,6,"5c0e","READ a","","",false,0])", R"(["c",2,6,"5c0e","READ a","","",false,0])" })
+        lender.line(line);
+    sent.clear();
+    connector.reply(0, okReply("\xff", { 3, 9 }));
+    connector.reply(1, okReply("\xfe", { 3, 9 }));
+    BOOST_REQUIRE(sent.size() == 2U);
+    BOOST_TEST((decodeLinkMessage(sent[0]).reason == BackendCloseReason::ProtocolError));
+    BOOST_TEST(decodeLinkMessage(sent[1]).reply.rows.at(0) == "\xfe");
+    BOOST_TEST(connector.links[0].closed);
+    BOOST_TEST(!connector.links[1].closed);
+}
+
+BOOST_FIXTURE_TEST_CASE(any_byte_passes_both_ways, Fixture)
+{
+    RecordingObserver observer;
+    const std::unique_ptr<BackendLink> link = open(observer);
+    FakeConnector& connector = hosts[lenderOf("hatter")].connector;
+    std::string bytes;
+    for (int c = 0; c < 256; ++c)
+        bytes += static_cast<char>(c);
+    BackendCommand command = statement(bytes);
+    command.text = "WRITE a " + bytes;
+    link->send(command);
+    settle();
+    BOOST_REQUIRE(connector.links[0].commands.size() == 1U);
+    BOOST_TEST((connector.links[0].commands[0].id == bytes));
+    BOOST_TEST((connector.links[0].commands[0].text == command.text));
+    const BackendReply reply = okReply(bytes, { 3, 9 });
+    connector.reply(0, reply);
+    BOOST_REQUIRE(observer.replies.size() == 1U);
+    BOOST_TEST((observer.replies[0].rows == reply.rows));
+}
--- a/tests/unit_odd_input.cpp
+++ b/tests/unit_odd_input.cpp
@@ -146,7 +146,9 @@
     LinkMessage reply;
     reply.kind = LinkMessageKind::Reply;
     reply.reply.rows = { "x" };
-    fuzz({ encodeLinkMessage(open), encodeLinkMessage(command), encodeLinkMessage(reply) },
+    fuzz(
+        { encodeLinkMessage(open, LinkFormat::Strings).value(), encodeLinkMessage(command, LinkFormat::Strings).value(),
+            encodeLinkMessage(reply, LinkFormat::Strings).value() },
         [](const std::string& text) { decodeLinkMessage(text); });
     GatewayFixture fixture;
     FakePeerNetwork network;
--- a/tests/unit_reply_matcher.cpp
+++ b/tests/unit_reply_matcher.cpp
@@ -318,7 +318,7 @@
     LinkMessage message;
     message.kind = LinkMessageKind::Reply;
     message.reply = ownReply(TransactionState::Open, earlier);
-    BOOST_TEST(decodeLinkMessage(encodeLinkMessage(message)).reply.lookalikes == 0U);
+    BOOST_TEST(decodeLinkMessage(encodeLinkMessage(message, LinkFormat::Strings).value()).reply.lookalikes == 0U);
     message.reply.lookalikes = 2;
-    BOOST_TEST(decodeLinkMessage(encodeLinkMessage(message)).reply.lookalikes == 2U);
+    BOOST_TEST(decodeLinkMessage(encodeLinkMessage(message, LinkFormat::Strings).value()).reply.lookalikes == 2U);
 }
--- a/tests/unit_server_load.cpp
+++ b/tests/unit_server_load.cpp
@@ -214,10 +214,10 @@
     LinkMessage message;
     message.kind = LinkMessageKind::Opened;
     message.link = 7;
-    BOOST_TEST(encodeLinkMessage(message) == "[\"O\",7]");
+    BOOST_TEST(encodeLinkMessage(message, LinkFormat::Strings).value() == "[\"O\",7]");
     BOOST_TEST(!decodeLinkMessage("[\"O\",7]").load.has_value());
     message.load = sampleOf(5);
-    const LinkMessage decoded = decodeLinkMessage(encodeLinkMessage(message));
+    const LinkMessage decoded = decodeLinkMessage(encodeLinkMessage(message, LinkFormat::Strings).value());
     BOOST_REQUIRE(decoded.load.has_value());
     BOOST_TEST(std::abs(decoded.load->running - 5) < 0.5);
     // The link opens whatever the field holds; ServerLoads rejects the sample.
--- a/tests/unit_urgency_lending.cpp
+++ b/tests/unit_urgency_lending.cpp
@@ -170,10 +170,10 @@
     message.link = 7;
     message.server = "p";
     message.customer = "hatter";
-    BOOST_TEST(encodeLinkMessage(message) == R"(["o",7,"p","hatter"])");
-    BOOST_TEST(!decodeLinkMessage(encodeLinkMessage(message)).priority.has_value());
+    BOOST_TEST(encodeLinkMessage(message, LinkFormat::Strings).value() == R"(["o",7,"p","hatter"])");
+    BOOST_TEST(!decodeLinkMessage(encodeLinkMessage(message, LinkFormat::Strings).value()).priority.has_value());
     message.priority = 2;
-    const LinkMessage decoded = decodeLinkMessage(encodeLinkMessage(message));
+    const LinkMessage decoded = decodeLinkMessage(encodeLinkMessage(message, LinkFormat::Strings).value());
     BOOST_TEST((decoded.priority == std::optional<unsigned>(2)));
     BOOST_TEST(decoded.customer == "hatter");
     BOOST_CHECK_THROW(decodeLinkMessage(R"(["o",7,"p","hatter",-1])"), std::exception);
