Let statements and replies of every size that servers accept pass lent connections

A reply with rows of more than 4 MiB, or a statement near 1 MiB whose bytes are control characters (JSON makes six of each), was longer than the longest line between hosts. The reading host ended the stream, and with it all connections of all callers that it carried.

A borrower now reads lines of 20 MiB, which holds rows of 8 MiB and a signature of 1 MiB; a lender still reads 4 MiB, which holds any statement, as decoding takes many times the memory of a line.

--- a/src/link_message.cpp
+++ b/src/link_message.cpp
@@ -17,9 +17,17 @@
     /// not know the mark ignore it.
     const std::string copyMark = "lookalikes ";
 
-    /// Longest line that a host reads, in bytes; indexed by LinkFormat.
-    constexpr size_t maxLines[] = { 4 * 1024 * 1024, maxLinkLineBytes };
-    static_assert(std::size(maxLines) == static_cast<size_t>(LinkFormat::Count), "one entry for each LinkFormat");
+    /// Longest line that a host reads, in bytes, if it reads strings only.
+    constexpr size_t maxLineOfStrings = 4 * 1024 * 1024;
+
+    size_t maxLine(LinkMessageKind kind, LinkFormat format)
+    {
+        const bool toLender
+            = kind == LinkMessageKind::Open || kind == LinkMessageKind::Command || kind == LinkMessageKind::Close;
+        if (format == LinkFormat::Strings)
+            return maxLineOfStrings;
+        return toLender ? maxLineToLender : maxLineToBorrower;
+    }
 
     constexpr char unreadable = '\xff'; ///< The JSON library takes it for the end of the input.
 
@@ -94,10 +102,11 @@
                 writeEscaped(text);
         }
 
-        std::optional<std::string> take()
+        /// Returns the line; nothing if a text cannot be read, or the line is longer than the maximum, in bytes.
+        std::optional<std::string> take(size_t maxBytes)
         {
             m_out += ']';
-            if (!m_readable || m_out.size() > maxLines[static_cast<size_t>(m_format)])
+            if (!m_readable || m_out.size() > maxBytes)
                 return std::nullopt;
             return std::move(m_out);
         }
@@ -271,7 +280,7 @@
     case LinkMessageKind::Count:
         break;
     }
-    return fields.take();
+    return fields.take(maxLine(message.kind, format));
 }
 
 LinkMessage decodeLinkMessage(std::string_view line)
--- a/src/link_message.h
+++ b/src/link_message.h
@@ -19,12 +19,16 @@
 /// What a host reads of the messages about lent connections.
 enum class LinkFormat : uint8_t {
     Strings, ///< Texts without the byte 0xff, in lines of up to 4 MiB.
-    AnyTexts, ///< Any texts, in lines of up to maxLinkLineBytes.
+    AnyTexts, ///< Any texts, in lines of up to maxLineToLender or maxLineToBorrower.
     Count
 };
 
-/// Longest line of a message, in bytes. A text takes at most twice its length, and the rows of a reply are limited.
-constexpr size_t maxLinkLineBytes = 4 * 1024 * 1024;
+/// Longest line that a lender reads, in bytes. A text of a command takes at most twice its length, so that one of 1 MiB
+/// passes. Not longer, as decoding takes many times the memory of the line.
+constexpr size_t maxLineToLender = 4 * 1024 * 1024;
+
+/// Longest line that a borrower reads, in bytes: twice that of rows of 8 MiB and a signature of 1 MiB, and some more.
+constexpr size_t maxLineToBorrower = 20 * 1024 * 1024;
 
 /// Message about a connection to a backend server that another entry host lends. Open, Command and Close are sent to
 /// the lender, the others to the borrower.
--- a/src/peer_stream.cpp
+++ b/src/peer_stream.cpp
@@ -25,7 +25,7 @@
     class TcpPeerStream final : public PeerStream {
     public:
         TcpPeerStream(boost::asio::io_context& loop, const std::string& address, const PeerStreams::Handlers& handlers)
-            : m_socket(std::make_shared<LineSocket>(tcp::socket(loop), LineEnd::Lf, maxLinkLineBytes))
+            : m_socket(std::make_shared<LineSocket>(tcp::socket(loop), LineEnd::Lf, maxLineToBorrower))
         {
             const tcp::endpoint endpoint = endpointOf<tcp::endpoint>(address);
             if (endpoint.port() == 0) {
@@ -128,7 +128,7 @@
 {
     m_borrowers.push_back(std::make_unique<Borrower>());
     Borrower& borrower = *m_borrowers.back();
-    borrower.socket = std::make_shared<LineSocket>(std::move(socket), LineEnd::Lf, maxLinkLineBytes);
+    borrower.socket = std::make_shared<LineSocket>(std::move(socket), LineEnd::Lf, maxLineToLender);
     borrower.socket->setMemory(std::make_unique<MemoryAccount>(m_budget, ownerPeers, [&borrower] {
         borrower.ended = true;
         borrower.socket->close();
