Read the mark for lookalikes between hosts as what it says

The mark is removed when it is read, and one that is not written like that is malformed. Successes of servers have no detail, so no text of a server reads as the mark. The format is unchanged.

--- a/src/link_message.cpp
+++ b/src/link_message.cpp
@@ -1,6 +1,7 @@
 #include "link_message.h"
 #include "json_number.h"
 #include <algorithm>
+#include <charconv>
 #include <iterator>
 
 namespace plantainwall {
@@ -230,14 +231,25 @@
             fields.text(row);
     }
 
+    unsigned lookalikesOf(std::string_view text)
+    {
+        unsigned n = 0;
+        const std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), n);
+        if (result.ec != std::errc() || result.ptr != text.data() + text.size() || n == 0)
+            throw std::runtime_error("link message with a malformed number of lookalikes");
+        return n;
+    }
+
     BackendReply decodeReply(const value& fields)
     {
         BackendReply reply;
         reply.error = enumAt<BackendError>(fields, 2);
         reply.signature = textOf(fields.at(3));
         reply.detail = textOf(fields.at(4));
-        if (reply.error == BackendError::None && reply.detail.rfind(copyMark, 0) == 0)
-            reply.lookalikes = static_cast<unsigned>(std::stoul(reply.detail.substr(copyMark.size())));
+        if (reply.error == BackendError::None && reply.detail.rfind(copyMark, 0) == 0) {
+            reply.lookalikes = lookalikesOf(std::string_view(reply.detail).substr(copyMark.size()));
+            reply.detail.clear();
+        }
         reply.state = enumAt<TransactionState>(fields, 5);
         reply.position = { numberAt(fields, 6), numberAt(fields, 7) };
         for (size_t i = 8; i < fields.size(); ++i)
--- a/tests/unit_link_message.cpp
+++ b/tests/unit_link_message.cpp
@@ -158,6 +158,8 @@
             reply.signature = texts.any();
             if (reply.error != BackendError::None)
                 reply.detail = texts.any();
+            else
+                reply.lookalikes = static_cast<unsigned>(texts.number(3));
             reply.position = { texts.number(9), texts.number(9999) };
             for (size_t n = texts.number(4); n > 0; --n)
                 reply.rows.push_back(texts.any());
@@ -218,6 +220,15 @@
     checkSame(decodeLinkMessage(R"(["o",7,"p",["~f~t~q~b~0a"]])").customer, std::string("\xff~\"\\\0a", 6));
 }
 
+BOOST_AUTO_TEST_CASE(malformed_marks_are_rejected)
+{
+    for (const char* mark : { "lookalikes ", "lookalikes 0", "lookalikes x", "lookalikes -1", "lookalikes 1 ",
+             "lookalikes  1", "lookalikes +1", "lookalikes 4294967296" }) {
+        const std::string line = std::string(R"(["r",7,0,"",")") + mark + R"(",1,3,9])";
+        BOOST_CHECK_THROW(decodeLinkMessage(line), std::exception);
+    }
+}
+
 // The announcement is a Close of no connection, and a field that was not sent before.
 BOOST_AUTO_TEST_CASE(the_format_is_announced_in_fields_that_were_not_read)
 {
