Count what a borrower receives from lenders in its memory budget

A stream to a lender has an account like a connection to a server: it is never closed, reads until the budget is full, and the largest one may always complete its line.

Not covered: the copies while one line is decoded, which are held for one line at a time.

--- a/src/peer_stream.cpp
+++ b/src/peer_stream.cpp
@@ -24,7 +24,8 @@
 
     class TcpPeerStream final : public PeerStream {
     public:
-        TcpPeerStream(boost::asio::io_context& loop, const std::string& address, const PeerStreams::Handlers& handlers)
+        TcpPeerStream(boost::asio::io_context& loop, const std::string& address, const PeerStreams::Handlers& handlers,
+            MemoryBudget& budget)
             : m_socket(std::make_shared<LineSocket>(tcp::socket(loop), LineEnd::Lf, maxLineToBorrower))
         {
             const tcp::endpoint endpoint = endpointOf<tcp::endpoint>(address);
@@ -41,6 +42,7 @@
                 return true;
             };
             lines.closed = [closed = handlers.closed](bool) { closed(); };
+            m_socket->setMemory(std::make_unique<MemoryAccount>(budget, ownerServers, nullptr));
             m_socket->connect(endpoint, std::move(lines));
         }
 
@@ -54,14 +56,15 @@
 
 } // namespace
 
-TcpPeerStreams::TcpPeerStreams(boost::asio::io_context& loop)
+TcpPeerStreams::TcpPeerStreams(boost::asio::io_context& loop, MemoryBudget& budget)
     : m_loop(loop)
+    , m_budget(budget)
 {
 }
 
 std::unique_ptr<PeerStream> TcpPeerStreams::connect(const std::string& address, Handlers handlers)
 {
-    return std::make_unique<TcpPeerStream>(m_loop, address, handlers);
+    return std::make_unique<TcpPeerStream>(m_loop, address, handlers, m_budget);
 }
 
 struct LenderPort::Borrower {
--- a/src/peer_stream.h
+++ b/src/peer_stream.h
@@ -9,14 +9,17 @@
 
 namespace plantainwall {
 
-/// Streams of lines to other entry hosts over TCP.
+/// Streams of lines to other entry hosts over TCP. They carry the replies of backend servers, and are counted like
+/// connections to those.
 class TcpPeerStreams final : public PeerStreams {
 public:
-    explicit TcpPeerStreams(boost::asio::io_context&);
+    /// @param budget Counts what is being received. Must outlive the loop.
+    TcpPeerStreams(boost::asio::io_context&, MemoryBudget& budget);
     std::unique_ptr<PeerStream> connect(const std::string& address, Handlers) override;
 
 private:
     boost::asio::io_context& m_loop;
+    MemoryBudget& m_budget;
 };
 
 /// Accepts streams from other entry hosts and lends connections to backend servers over them.
--- a/tests/unit_lent_texts.cpp
+++ b/tests/unit_lent_texts.cpp
@@ -27,7 +27,7 @@
                   return std::make_unique<LinkLender>(
                       connector, [this](const std::string&) { return &entry; }, [] { return false; }, std::move(send));
               })
-        , streams(loop)
+        , streams(loop, budget)
         , borrower("self", own, own, streams, [] { return Instant(seconds(1000)); })
     {
         entry.id = "p";
