--- a/src/link_message.cpp
+++ b/src/link_message.cpp
@@ -152,6 +152,28 @@
         bool m_readable = true;
     };
 
+    /// More than the commas and brackets of the largest reply: one or two for each row, and rows take 32 bytes beside
+    /// their text of the 8 MiB that a reply may have.
+    constexpr size_t maxSeparators = 600'000;
+
+    /// Returns the commas and opening brackets of a line that are in no string. The JSON library takes about 60 bytes
+    /// for each value.
+    size_t separatorsIn(std::string_view line)
+    {
+        size_t n = 0;
+        bool inString = false;
+        for (size_t i = 0; i < line.size(); ++i) {
+            const char c = line[i];
+            if (c == '"')
+                inString = !inString;
+            else if (inString)
+                i += c == '\\' ? 1 : 0;
+            else
+                n += c == ',' || c == '[' || c == '{' ? 1 : 0;
+        }
+        return n;
+    }
+
     std::string textOf(const value& field)
     {
         if (!field.is_array())
@@ -297,6 +319,8 @@
 
 LinkMessage decodeLinkMessage(std::string_view line)
 {
+    if (separatorsIn(line) > maxSeparators)
+        throw std::runtime_error("link message of too many values");
     const value fields = value::parse(std::string(line));
     const size_t kind = kindLetters.find(fields.at(0).as_string());
     if (kind >= kindLetters.size() || fields.at(0).as_string().size() != 1)
--- a/tests/unit_link_message.cpp
+++ b/tests/unit_link_message.cpp
@@ -2,6 +2,7 @@
 #include "support_odd_texts.h"
 #include <boost/test/unit_test.hpp>
 #include <cpprest/json.h>
+#include <sys/resource.h>
 
 using namespace plantainwall;
 using plantainwall::test::OddTexts;
@@ -220,6 +221,25 @@
     checkSame(decodeLinkMessage(R"(["o",7,"p",["~f~t~q~b~0a"]])").customer, std::string("\xff~\"\\\0a", 6));
 }
 
+// Load pattern: lines of a malicious host that hold a value in every few bytes.
+BOOST_AUTO_TEST_CASE(lines_of_many_values_are_rejected_before_they_take_memory)
+{
+    constexpr size_t limitKilobytes = 64 * 1024;
+    for (const std::string value : { ",[]", ",0", ",{}", "[", "{\"\":" }) {
+        std::string line = R"(["r",7)";
+        line.reserve(maxLineToBorrower);
+        while (line.size() + value.size() < maxLineToBorrower)
+            line += value;
+        line += ']';
+        rusage before {};
+        rusage after {};
+        BOOST_REQUIRE(getrusage(RUSAGE_SELF, &before) == 0);
+        BOOST_CHECK_THROW(decodeLinkMessage(line), std::exception);
+        BOOST_REQUIRE(getrusage(RUSAGE_SELF, &after) == 0);
+        BOOST_TEST(after.ru_maxrss - before.ru_maxrss < static_cast<long>(limitKilobytes));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(malformed_marks_are_rejected)
 {
     for (const char* mark : { "lookalikes ", "lookalikes 0", "lookalikes x", "lookalikes -1", "lookalikes 1 ",
