--- a/src/peer_stream.cpp
+++ b/src/peer_stream.cpp
@@ -12,9 +12,6 @@
 
     using boost::asio::ip::tcp;
 
-    /// Enough for an encoded statement or reply of a megabyte.
-    constexpr size_t maxLineBytes = 4 * 1024 * 1024;
-
     /// Streams of other hosts beyond which those that borrow nothing end, the oldest first.
     constexpr size_t maxWithUnused = 300;
 
@@ -27,8 +24,9 @@
 
     class TcpPeerStream final : public PeerStream {
     public:
-        TcpPeerStream(boost::asio::io_context& loop, const std::string& address, const PeerStreams::Handlers& handlers)
-            : m_socket(std::make_shared<LineSocket>(tcp::socket(loop), LineEnd::Lf, maxLineBytes))
+        TcpPeerStream(boost::asio::io_context& loop, const std::string& address, const PeerStreams::Handlers& handlers,
+            MemoryBudget& budget)
+            : m_socket(std::make_shared<LineSocket>(tcp::socket(loop), LineEnd::Lf, maxLineToBorrower))
         {
             const tcp::endpoint endpoint = endpointOf<tcp::endpoint>(address);
             if (endpoint.port() == 0) {
@@ -44,6 +42,7 @@
                 return true;
             };
             lines.closed = [closed = handlers.closed](bool) { closed(); };
+            m_socket->setMemory(std::make_unique<MemoryAccount>(budget, ownerServers, nullptr));
             m_socket->connect(endpoint, std::move(lines));
         }
 
@@ -57,14 +56,15 @@
 
 } // namespace
 
-TcpPeerStreams::TcpPeerStreams(boost::asio::io_context& loop)
+TcpPeerStreams::TcpPeerStreams(boost::asio::io_context& loop, MemoryBudget& budget)
     : m_loop(loop)
+    , m_budget(budget)
 {
 }
 
 std::unique_ptr<PeerStream> TcpPeerStreams::connect(const std::string& address, Handlers handlers)
 {
-    return std::make_unique<TcpPeerStream>(m_loop, address, handlers);
+    return std::make_unique<TcpPeerStream>(m_loop, address, handlers, m_budget);
 }
 
 struct LenderPort::Borrower {
@@ -131,7 +131,7 @@
 {
     m_borrowers.push_back(std::make_unique<Borrower>());
     Borrower& borrower = *m_borrowers.back();
-    borrower.socket = std::make_shared<LineSocket>(std::move(socket), LineEnd::Lf, maxLineBytes);
+    borrower.socket = std::make_shared<LineSocket>(std::move(socket), LineEnd::Lf, maxLineToLender);
     borrower.socket->setMemory(std::make_unique<MemoryAccount>(m_budget, ownerPeers, [&borrower] {
         borrower.ended = true;
         borrower.socket->close();
