Limit the memory that the front door holds for requests

Cause: every connection read a body of up to http.max_body, and all copies of it until the answer, whatever the others held; the allocator kept freed bodies as well.

A request now gets its memory (RequestMemory, ten times the stated length) at its head or is refused then, before anything runs: queue_full, 503 with Retry-After, or no 100 Continue. The last eighth is for small requests. If a request does not fit, those that have waited for their callers for 5 s are ended, the largest first; running ones never. The new setting http.memory has the machine's memory as default and must have room for the largest body. Large freed blocks go back to the system, as in the gateway.

The crowds and bounds of the tests are unchanged; the test's settings file names the memory of its machine (64 MiB), as that of the gateway's tests does.

A head that completes as its time limit ends is refused as too slow, as a body is; one that completes as the connection is closed is ignored. Nothing between hosts changes its format: a host before reads a 503 of a peer's listener as a refusal before the request reached a member, as for too_many_connections.

--- a/include/plantainwall/plantainwall.h
+++ b/include/plantainwall/plantainwall.h
@@ -122,6 +122,7 @@
     Duration idleTimeout = std::chrono::seconds(60);
     size_t maxConnections = 10000;
     size_t maxConnectionsPerAddress = 10000;
+    size_t memoryBytes = 0; ///< Memory of the machine; 0: as the system reports it.
 };
 
 /// Deadlines and retries of requests.
--- a/src/cli_serve.cpp
+++ b/src/cli_serve.cpp
@@ -5,6 +5,7 @@
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <iostream>
+#include <malloc.h>
 #include <memory>
 #include <pthread.h>
 #include <sodium.h>
@@ -15,6 +16,9 @@
 
     constexpr int exitRefused = 1;
 
+    /// Memory blocks from this size on are returned to the system when they are freed.
+    constexpr int largeBlockBytes = 128 * 1024;
+
     struct ServeArguments {
         std::string config;
         bool json = false;
@@ -46,6 +50,8 @@
 
     void serve(const ServeArguments& arguments)
     {
+        // Fixed, as the allocator otherwise keeps ever larger freed buffers for reuse.
+        mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
         const Settings settings = loadOrFail(arguments.config);
         const sigset_t signals = blockSignals();
         if (sodium_init() < 0)
--- a/src/entry_host.cpp
+++ b/src/entry_host.cpp
@@ -165,7 +165,12 @@
         metrics.set(MetricGauge::RunningRequests, static_cast<double>(running));
         metrics.set(MetricGauge::BackendConnections, static_cast<double>(connections));
         metrics.set(MetricGauge::MembersOwned, static_cast<double>(owned));
-        metrics.set(MetricGauge::CallerConnections, static_cast<double>(m_server->stats().open));
+        const HttpServerStats stats = m_server->stats();
+        metrics.set(MetricGauge::CallerConnections, static_cast<double>(stats.open));
+        metrics.set(MetricGauge::CallerMemory, static_cast<double>(stats.requestBytes));
+        metrics.raiseTo(MetricCounter::ClosedLargeTooLong, stats.endedForMemory);
+        metrics.raiseTo(
+            MetricCounter::StatementsOverBudget, stats.refusedByCode[static_cast<size_t>(ResultCode::QueueFull)]);
         metrics.set(MetricGauge::SeatsHeld, report.rateSliceFraction * m_settings.limit.rateSlices);
         metrics.set(MetricGauge::ConfigurationRevision, static_cast<double>(report.configRevision));
         if (report.configAge)
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,4 +1,5 @@
 #include "http_server.h"
+#include "caller_memory.h"
 #include "http_server_connection.h"
 #include <array>
 #include <atomic>
@@ -31,6 +32,14 @@
     /// Number of connections accepted beyond the limit, so that they receive a refusal.
     constexpr size_t maxRefusedOpen = 256;
 
+    /// Returns the memory of the machine according to the settings, in bytes.
+    size_t memoryOf(const HttpSettings& settings)
+    {
+        return settings.memoryBytes != 0
+            ? settings.memoryBytes
+            : std::max(machineMemory(), RequestMemory::machineBodies * settings.maxBodyBytes);
+    }
+
     struct Registration {
         Listener* listener = nullptr;
         std::shared_mutex inUse; ///< Locked shared to call a handler, exclusively to unregister.
@@ -67,6 +76,7 @@
     public:
         HttpServerCore(const HttpSettings& settings, unsigned threads)
             : m_settings(settings)
+            , m_memory(memoryOf(settings) / 2)
             , m_threadCount(std::max(1U, threads))
         {
         }
@@ -148,6 +158,8 @@
             stats.requests = m_requests;
             stats.inProgress = m_inProgress;
             stats.callerDisconnects = m_callerDisconnects;
+            stats.requestBytes = m_memory.held();
+            stats.endedForMemory = m_memory.ended();
             for (size_t i = 0; i < m_refused.size(); ++i)
                 stats.refusedByCode[i] = m_refused[i];
             std::lock_guard<std::mutex> lock(m_connectionsMutex);
@@ -172,6 +184,7 @@
         // HttpConnectionOwner
 
         const HttpSettings& settings() const override { return m_settings; }
+        RequestMemory& memory() override { return m_memory; }
         bool draining() const override { return m_draining; }
         void countRefusal(ResultCode code) override { ++m_refused[static_cast<size_t>(code)]; }
         void countCallerDisconnect() override { ++m_callerDisconnects; }
@@ -348,6 +361,7 @@
         }
 
         const HttpSettings m_settings;
+        RequestMemory m_memory;
         const unsigned m_threadCount;
         boost::asio::io_context m_context;
         std::optional<boost::asio::executor_work_guard<boost::asio::io_context::executor_type>> m_work;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -11,6 +11,8 @@
     uint64_t open = 0; ///< Connections currently open.
     uint64_t requests = 0; ///< Requests passed to a listener.
     uint64_t inProgress = 0; ///< Requests passed to a listener and not yet answered.
+    uint64_t requestBytes = 0; ///< Memory held for requests.
+    uint64_t endedForMemory = 0; ///< Slow requests ended to make room for others.
     uint64_t callerDisconnects = 0; ///< Answers not written because the caller had closed the connection.
     uint64_t refusedByCode[static_cast<size_t>(ResultCode::Count)] = {}; ///< Refusals by the server itself.
 };
--- a/src/http_server_connection.cpp
+++ b/src/http_server_connection.cpp
@@ -1,4 +1,5 @@
 #include "http_server_connection.h"
+#include "clock.h"
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -30,6 +31,9 @@
         return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()) + " ms";
     }
 
+    /// Returns the limit of a head in bytes.
+    size_t headLimit(const HttpSettings& settings) { return std::min(settings.maxHeadBytes, maxHeadLimit); }
+
     bool isDigits(boost::string_view text)
     {
         return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
@@ -70,7 +74,7 @@
 
 } // namespace
 
-HttpAnswer refusalAnswer(ResultCode code, const std::string& message)
+HttpAnswer refusalAnswer(ResultCode code, const std::string& message, std::optional<Duration> retryAfter)
 {
     const ResultCodeInfo& info = resultCodeInfo(code);
     web::json::value body = web::json::value::object();
@@ -81,6 +85,11 @@
     HttpAnswer answer;
     answer.result(info.httpStatus);
     answer.set(http::field::content_type, "application/json");
+    if (retryAfter) {
+        const int64_t n = std::chrono::duration_cast<std::chrono::milliseconds>(*retryAfter).count();
+        body["retry_after_ms"] = web::json::value::number(n);
+        answer.set(http::field::retry_after, std::to_string((n + 999) / 1000));
+    }
     answer.body() = body.serialize();
     return answer;
 }
@@ -145,7 +154,16 @@
         return;
     m_phase = Phase::Head;
     m_exchange = std::make_unique<Exchange>();
-    m_exchange->parser.header_limit(static_cast<uint32_t>(std::min(m_owner->settings().maxHeadBytes, maxHeadLimit)));
+    m_exchange->account
+        = std::make_unique<RequestAccount>(m_owner->memory(), [weak = weak_from_this(), exchange = ++m_exchanges] {
+              if (const HttpConnectionPtr self = weak.lock())
+                  boost::asio::post(self->m_socket.get_executor(), [self, exchange] { self->endForMemory(exchange); });
+          });
+    if (!m_exchange->account->reserve(headLimit(m_owner->settings()), now())) {
+        refuseForMemory();
+        return;
+    }
+    m_exchange->parser.header_limit(static_cast<uint32_t>(headLimit(m_owner->settings())));
     m_exchange->parser.body_limit(m_owner->settings().maxBodyBytes);
     armTimer(m_owner->settings().headTimeout);
     http::async_read_header(m_socket, m_buffer, m_exchange->parser,
@@ -154,7 +172,9 @@
 
 void HttpConnection::headRead(const error_code& ec)
 {
-    if (ec) {
+    if (m_phase == Phase::Closed)
+        return;
+    if (ec || m_expired) {
         handleReadError(ec);
         return;
     }
@@ -163,7 +183,12 @@
         refuse(ResultCode::BadRequest, fault);
         return;
     }
+    if (!reserveBody()) {
+        refuseForMemory();
+        return;
+    }
     m_phase = Phase::Body;
+    m_exchange->parser.eager(true);
     armTimer(m_owner->settings().bodyTimeout);
     if (!boost::beast::iequals(m_exchange->parser.get()[http::field::expect], "100-continue")) {
         readBody();
@@ -172,7 +197,7 @@
     static const std::string proceed = "HTTP/1.1 100 Continue\r\n\r\n";
     boost::asio::async_write(
         m_socket, boost::asio::buffer(proceed), [self = shared_from_this()](const error_code& writeError, size_t) {
-            if (writeError)
+            if (writeError || self->m_expired)
                 self->handleReadError(writeError);
             else
                 self->readBody();
@@ -181,16 +206,33 @@
 
 void HttpConnection::readBody()
 {
-    http::async_read(m_socket, m_buffer, m_exchange->parser,
+    if (m_exchange->parser.is_done()) {
+        run();
+        return;
+    }
+    http::async_read_some(m_socket, m_buffer, m_exchange->parser,
         [self = shared_from_this()](const error_code& ec, size_t) { self->bodyRead(ec); });
 }
 
 void HttpConnection::bodyRead(const error_code& ec)
 {
-    if (ec)
+    if (m_phase == Phase::Closed)
+        return;
+    if (ec || (m_expired && !m_exchange->parser.is_done()))
         handleReadError(ec);
+    else if (!reserveBody())
+        refuseForMemory();
     else
-        run();
+        readBody();
+}
+
+bool HttpConnection::reserveBody()
+{
+    // A body without a stated length gets its memory as it arrives.
+    Parser& parser = m_exchange->parser;
+    const uint64_t length = parser.content_length().value_or(parser.get().body().size());
+    return m_exchange->account->reserve(
+        headLimit(m_owner->settings()) + RequestMemory::copies * static_cast<size_t>(length), now());
 }
 
 void HttpConnection::run()
@@ -199,6 +241,7 @@
         return;
     disarmTimer();
     m_phase = Phase::Running;
+    m_exchange->account->setRunning();
     m_exchange->keepAlive = m_exchange->parser.get().keep_alive();
     m_exchange->counted = true;
     m_owner->requestStarted();
@@ -219,11 +262,11 @@
     const bool inHead = m_phase == Phase::Head;
     if (m_expired) {
         refuse(ResultCode::RequestTooSlow,
-            inHead ? "the head did not arrive within " + milliseconds(settings.headTimeout)
-                   : "the body did not arrive within " + milliseconds(settings.bodyTimeout));
+            inHead ? "the head did not arrive within " + timeLimit(settings.headTimeout)
+                   : "the body did not arrive within " + timeLimit(settings.bodyTimeout));
     } else if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
-        refuse(ResultCode::RequestTooLarge,
-            "the head is larger than " + std::to_string(std::min(settings.maxHeadBytes, maxHeadLimit)) + " bytes");
+        refuse(
+            ResultCode::RequestTooLarge, "the head is larger than " + std::to_string(headLimit(settings)) + " bytes");
     } else if (ec == http::error::body_limit) {
         refuse(
             ResultCode::RequestTooLarge, "the body is larger than " + std::to_string(settings.maxBodyBytes) + " bytes");
@@ -235,16 +278,29 @@
     }
 }
 
-void HttpConnection::refuse(ResultCode code, const std::string& message)
+std::string HttpConnection::timeLimit(Duration limit) const
+{
+    return m_endedForMemory ? milliseconds(RequestMemory::slowLimit) + " while memory is scarce" : milliseconds(limit);
+}
+
+void HttpConnection::refuse(ResultCode code, const std::string& message, std::optional<Duration> retryAfter)
 {
     if (m_phase == Phase::Closed)
         return;
     m_owner->countRefusal(code);
     m_exchange->keepAlive = false;
-    m_exchange->answer = refusalAnswer(code, message);
+    m_exchange->answer = refusalAnswer(code, message, retryAfter);
+    // Freed before the answer is written, as the caller may be slow to read it.
+    std::string().swap(m_exchange->parser.get().body());
+    m_exchange->account.reset();
     write();
 }
 
+void HttpConnection::refuseForMemory()
+{
+    refuse(ResultCode::QueueFull, "no memory for a request of this length now", RequestMemory::retryAfter);
+}
+
 pplx::task<void> HttpConnection::answer(HttpAnswer answer)
 {
     const pplx::task_completion_event<void> written;
@@ -256,6 +312,8 @@
             }
             self->m_exchange->answer = std::move(*answer);
             self->m_exchange->written = written;
+            if (self->m_exchange->account)
+                self->m_exchange->account->setAnswering(self->m_exchange->answer.body().size(), now());
             self->write();
         });
     return pplx::create_task(written);
@@ -301,6 +359,9 @@
     if (m_phase == Phase::Closed)
         return;
     m_phase = Phase::Closing;
+    m_exchange.reset();
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
     error_code ec;
     m_socket.shutdown(tcp::socket::shutdown_send, ec);
     armTimer(lingerTime);
@@ -331,6 +392,7 @@
             m_owner->requestEnded();
         m_exchange->counted = false;
         m_exchange->written.set();
+        m_exchange->account.reset();
     }
     m_owner->connectionClosed(*this);
 }
@@ -362,6 +424,7 @@
 {
     ++m_timerEpoch;
     m_expired = false;
+    m_endedForMemory = false;
     m_timer.cancel();
 }
 
@@ -379,4 +442,17 @@
     m_socket.cancel(ec);
 }
 
+void HttpConnection::endForMemory(uint32_t exchange)
+{
+    // Without an account, a refusal is being sent.
+    if (exchange != m_exchanges || m_expired || !m_exchange || !m_exchange->account)
+        return;
+    if (m_phase == Phase::Answering) {
+        close();
+    } else if (m_phase == Phase::Head || m_phase == Phase::Body) {
+        expired();
+        m_endedForMemory = true;
+    }
+}
+
 } // namespace plantainwall
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http_server.h"
+#include "request_memory.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -21,6 +22,7 @@
 public:
     virtual ~HttpConnectionOwner() = default;
     virtual const HttpSettings& settings() const = 0;
+    virtual RequestMemory& memory() = 0;
     virtual bool draining() const = 0;
     virtual void countRefusal(ResultCode) = 0;
     virtual void countCallerDisconnect() = 0;
@@ -53,7 +55,9 @@
 };
 
 /// Returns an answer whose JSON body contains a result code and a message.
-HttpAnswer refusalAnswer(ResultCode, const std::string& message);
+///
+/// @param retryAfter Advice when to send the request again.
+HttpAnswer refusalAnswer(ResultCode, const std::string& message, std::optional<Duration> retryAfter = {});
 
 /// An accepted connection. Reads, dispatches and answers one request at a time, on the strand of its socket.
 class HttpConnection final : public std::enable_shared_from_this<HttpConnection> {
@@ -86,6 +90,7 @@
         Parser parser;
         HttpAnswer answer;
         pplx::task_completion_event<void> written;
+        std::unique_ptr<RequestAccount> account; ///< Null once the request is refused.
         bool keepAlive = false;
         bool counted = false;
     };
@@ -95,8 +100,10 @@
     void headRead(const boost::system::error_code&);
     void readBody();
     void bodyRead(const boost::system::error_code&);
+    bool reserveBody();
     void run();
-    void refuse(ResultCode, const std::string& message);
+    void refuse(ResultCode, const std::string& message, std::optional<Duration> retryAfter = {});
+    void refuseForMemory();
     void handleReadError(const boost::system::error_code&);
     void write();
     void answerWritten(const boost::system::error_code&);
@@ -106,6 +113,8 @@
     void armTimer(Duration);
     void disarmTimer();
     void expired();
+    void endForMemory(uint32_t exchange);
+    std::string timeLimit(Duration) const;
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
@@ -115,8 +124,10 @@
     boost::beast::flat_buffer m_buffer;
     std::unique_ptr<Exchange> m_exchange; ///< Null while idle, to save memory.
     uint32_t m_timerEpoch = 0;
+    uint32_t m_exchanges = 0; ///< Number of the current exchange.
     Phase m_phase = Phase::Idle;
     bool m_expired = false;
+    bool m_endedForMemory = false;
 };
 
 } // namespace plantainwall
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,4 +1,5 @@
 #include "settings.h"
+#include "request_memory.h"
 #include "settings_keys.h"
 #include <algorithm>
 #include <cctype>
@@ -30,6 +31,9 @@
         return numberText(limit);
     }
 
+    /// Smallest memory of a machine, in bytes.
+    constexpr size_t minMachineBytes = 32 * 1024 * 1024;
+
     void requireRange(const SettingKey& key, double value)
     {
         if (value >= key.min && value <= key.max)
@@ -237,6 +241,9 @@
                 relationFault(root, "membership.suspect_after", "must be shorter than membership.dead_after");
             if (s.limit.rateSliceRenewal * 2 > s.limit.rateSliceLease)
                 relationFault(root, "limit.seat_renewal", "must be at most half of limit.seat_lease");
+            const size_t minMemory = std::max(minMachineBytes, RequestMemory::machineBodies * s.http.maxBodyBytes);
+            if (s.http.memoryBytes != 0 && s.http.memoryBytes < minMemory)
+                relationFault(root, "http.memory", "must be 0 or at least " + bytesText(minMemory));
             if (s.listenPort != 0 && s.listenPort == s.peerPort)
                 relationFault(root, "host.peer_listen", "must have another port than host.listen");
         }
--- a/src/settings_keys.cpp
+++ b/src/settings_keys.cpp
@@ -12,6 +12,7 @@
     constexpr double hour = 60 * minute;
     constexpr double kibibyte = 1024;
     constexpr double mebibyte = 1024 * kibibyte;
+    constexpr double pebibyte = 1024.0 * 1024 * 1024 * mebibyte;
     constexpr double maxText = 4096;
     constexpr double maxName = 64;
 
@@ -61,6 +62,8 @@
                 "Open connections of callers." },
             { "http", "max_connections_per_address", Kind::Integer, &s.maxConnectionsPerAddress, 1, 1e6, false,
                 "Open connections from one address." },
+            { "http", "memory", Kind::Bytes, &s.memoryBytes, 0, pebibyte, false,
+                "Memory of the machine, half of which is for requests; 0: as the system reports it." },
         };
         keys.insert(keys.end(), http.begin(), http.end());
     }
--- a/tests/integration_unruly_callers.cpp
+++ b/tests/integration_unruly_callers.cpp
@@ -323,12 +323,21 @@
     class FrontDoor final : public WatchedHost {
     public:
         FrontDoor()
-            : m_fleet({ { "mill/huon" }, {}, {}, "[http]\nmax_connections = 300\n" })
+            : m_fleet({ { "mill/huon" }, {}, {},
+                "[http]\nmax_connections = 300\nmemory = " + std::to_string(machineBytes) + "\n" })
             , m_port(static_cast<uint16_t>(std::stoul(m_fleet.at(0).substr(m_fleet.at(0).find(':') + 1))))
         {
         }
 
         uint16_t port() const { return m_port; }
+        const std::string& key() const { return m_fleet.key(); }
+
+        /// Returns whether a read of one statement is served, without a second attempt.
+        bool serves(const std::string& statement)
+        {
+            Caller caller = m_fleet.caller();
+            return caller.read(m_fleet.at(0), "g", statement).ok();
+        }
 
     private:
         Process& process() override { return m_fleet.host(0).process(); }
@@ -509,6 +518,17 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(front_door_statements_at_once)
+{
+    FrontDoor host;
+    BOOST_TEST(host.serves("GET " + std::string(1000000, 'k')), "a large request is not served in calm");
+    const std::string body = R"({"read_only": true, "statements": ["GET )" + std::string(1000000, 'k') + R"("]})";
+    const std::string request = "POST /v1/groups/g/query HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + host.key()
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    host.bear(host.port(), crowdSize, { mebibyte, 4096, milliseconds(0), false },
+        [&](size_t, size_t) { return std::string(request); });
+}
+
 BOOST_AUTO_TEST_CASE(front_door_connections_without_a_request)
 {
     FrontDoor host;
--- a/tests/unit_http_server.cpp
+++ b/tests/unit_http_server.cpp
@@ -1,4 +1,5 @@
 #include "http_server.h"
+#include "request_memory.h"
 #include <atomic>
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
@@ -256,6 +257,43 @@
     BOOST_TEST(fixture.refused(ResultCode::TooManyConnections) == 2);
 }
 
+// Guards against requests that together exceed the memory, refusals without advice, and callers that hold memory for
+// ever.
+BOOST_AUTO_TEST_CASE(requests_beyond_the_memory_are_refused)
+{
+    HttpSettings settings;
+    settings.memoryBytes = 2 * 1024 * 1024;
+    Fixture fixture(settings);
+    const std::string body(85000, 'b');
+    const std::string close = "Connection: close\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n" + close + "\r\n14c08\r\n" + body + "\r\n0\r\n\r\n";
+    BOOST_TEST(contains(RawCaller(fixture.port).send(post(body, "/v1", close)).readAll(), body));
+    BOOST_TEST(contains(RawCaller(fixture.port).send("POST /v1 HTTP/1.1\r\n" + chunked).readAll(), body));
+
+    RawCaller slow(fixture.port);
+    slow.send(post(body).substr(0, 1000));
+    while (fixture.control->stats().requestBytes < RequestMemory::copies * body.size())
+        std::this_thread::sleep_for(milliseconds(1));
+    const uint64_t requests = fixture.control->stats().requests;
+    const std::string head = "POST /v1 HTTP/1.1\r\nContent-Length: 85000\r\nExpect: 100-continue\r\n\r\n";
+    for (const std::string& request : { post(body), head, "POST /v1 HTTP/1.1\r\n" + chunked }) {
+        const std::string refused = RawCaller(fixture.port).send(request).readAll();
+        BOOST_TEST(refused.rfind("HTTP/1.1 503 ", 0) == 0U, refused);
+        BOOST_TEST(contains(refused, "Retry-After: 1\r\n"));
+        BOOST_TEST(contains(refused, R"("name":"queue_full","retry_after_ms":1000,"run":"not_run")"), refused);
+    }
+    BOOST_TEST(fixture.control->stats().requests == requests);
+    BOOST_TEST(contains(RawCaller(fixture.port).send(post("small", "/v1", close)).readAll(), "small"));
+
+    std::this_thread::sleep_for(RequestMemory::slowLimit);
+    BOOST_TEST(contains(RawCaller(fixture.port).send(post(body)).readAll(), "503 "));
+    const std::string ended = slow.readAll();
+    BOOST_TEST(contains(ended, "408 "));
+    BOOST_TEST(contains(ended, "the body did not arrive within 5000 ms while memory is scarce"));
+    BOOST_TEST(fixture.control->stats().endedForMemory == 1);
+    BOOST_TEST(contains(RawCaller(fixture.port).send(post(body, "/v1", close)).readAll(), body));
+}
+
 // Guards against connections lost under load and against idle connections that keep buffers.
 BOOST_AUTO_TEST_CASE(many_connections_are_served_and_small_when_idle)
 {
--- a/tests/unit_settings.cpp
+++ b/tests/unit_settings.cpp
@@ -103,6 +103,7 @@
 [http]
 max_head = "32KiB"
 max_body = 4096
+memory = "64MiB"
 idle_timeout = "2m"
 [group]
 probe_interval = "100ms"
@@ -129,6 +130,7 @@
     BOOST_TEST(s.seedPeers.size() == 1U);
     BOOST_TEST(s.http.maxHeadBytes == 32768U);
     BOOST_TEST(s.http.maxBodyBytes == 4096U);
+    BOOST_TEST(s.http.memoryBytes == 64U * 1024 * 1024);
     BOOST_TEST((s.http.idleTimeout == std::chrono::minutes(2)));
     BOOST_TEST((s.group.probeInterval == std::chrono::milliseconds(100)));
     BOOST_TEST(s.limit.rateSlices == 24U);
@@ -197,6 +199,20 @@
     BOOST_TEST(loadSettings("/nonexistent/file.toml").faults.size() == 1U);
 }
 
+// Guards against a memory in which a body of the largest size never fits.
+BOOST_AUTO_TEST_CASE(memory_has_room_for_the_largest_body)
+{
+    const std::string http = std::string(hostTable) + "[http]\nmax_body = \"2MiB\"\nmemory = ";
+    for (const char* const memory : { "0\n", "\"48MiB\"\n", "\"1GiB\"\n" })
+        BOOST_TEST(load(http + memory).faults.empty(), memory);
+    for (const char* const memory : { "1\n", "\"47MiB\"\n" }) {
+        const std::vector<SettingsFault> faults = load(http + memory).faults;
+        BOOST_REQUIRE(faults.size() == 1U);
+        BOOST_TEST(faults.front().path == "http.memory");
+        BOOST_TEST(faults.front().message == "must be 0 or at least 48MiB");
+    }
+}
+
 // Guards against fault messages that contain a secret, which would then appear in logs.
 BOOST_AUTO_TEST_CASE(messages_do_not_contain_values)
 {
