Include the line reader in the test of odd messages

It includes the header itself now, as integration.unruly-callers does, and builds. The test itself was not run for this commit.

--- a/tests/integration_odd_messages.cpp
+++ b/tests/integration_odd_messages.cpp
@@ -1,3 +1,4 @@
+#include "line_socket.h"
 #include "support_gateway_fleet.h"
 #include <atomic>
 #include <boost/asio/ip/udp.hpp>
