End a connection whose SET or RESET was refused ahead of a statement

SET and RESET are sent ahead of a statement without waiting for their replies. If a server refused one, the statement behind it ran under other session values, and its answer was passed on (PINNED).

The refusal now ends the connection, and with it the statement: a read is repeated elsewhere, a transaction is aborted, the outcome of a single write is unknown, which is true. Waiting for the reply instead would cost a round trip for each statement with new values.

--- a/src/gateway_backend.cpp
+++ b/src/gateway_backend.cpp
@@ -61,7 +61,9 @@
 
 void Gateway::send(GatewayConnection& connection, CommandRole role, const BackendCommand& command)
 {
-    connection.unansweredCommands.push_back({ role, m_clock() });
+    const bool changesValues
+        = command.kind == BackendCommandKind::SetValue || command.kind == BackendCommandKind::Reset;
+    connection.unansweredCommands.push_back({ role, m_clock(), changesValues });
     connection.link->send(command);
 }
 
@@ -295,7 +297,10 @@
         return;
     }
     const GatewayConnection::SentCommand command = connection.unansweredCommands.front();
-    if (rejectInDoubt(connection, command.role, reply)) {
+    // The statement that was sent behind a refused SET or RESET runs under other values than its session's.
+    const bool refusedValues = command.role == CommandRole::Setup && command.changesValues && connection.job != 0
+        && reply.error != BackendError::None;
+    if (refusedValues || rejectInDoubt(connection, command.role, reply)) {
         connectionClosed(connection, BackendCloseReason::ProtocolError);
         return;
     }
--- a/src/gateway_connection.h
+++ b/src/gateway_connection.h
@@ -30,6 +30,7 @@
     struct SentCommand {
         CommandRole role;
         Instant sentAt;
+        bool changesValues; ///< It sets or resets session values.
     };
 
     GatewayConnection(Gateway& gateway, GatewayServer& server, std::string customer)
