--- a/src/log_event.h
+++ b/src/log_event.h
@@ -86,6 +86,7 @@
     CallerClosedForMemory,
     ConnectionEndedForRoom,
     MessageUnreadable,
+    CallerMessageUnreadable,
     Count
 };
 
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -120,8 +120,12 @@
         { 73, "connection_ended_for_room", LogLevel::Warn,
             "A connection that was not in use was closed to make room for a new one; the field port says where." },
         { 74, "message_unreadable", LogLevel::Warn,
-            "A message from a caller or a backend server could not be read; the fields tell its length and how many "
-            "CR and LF it holds." },
+            "A message of a backend server could not be read; the fields tell why, its length, and how many CR and LF "
+            "it "
+            "holds." },
+        { 75, "caller_message_unreadable", LogLevel::Info,
+            "A message of a caller could not be read; the fields tell why, its length, and how many CR and LF it "
+            "holds." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/src/prepared_names.h
+++ b/src/prepared_names.h
@@ -9,8 +9,8 @@
 /// Names of the prepared statements on one connection to a backend server; sessions with the same shape share one.
 ///
 /// Load pattern: hundreds of sessions that prepare shapes of their own, as any text, under the same few names. A name
-/// is a number, so that no shape can be a part of another's name. It is given once in the life of a connection, so that
-/// it stands for one shape even where the server has kept what was taken for dropped.
+/// is a number, so that no shape can be a part of another's name. It is given once for as long as a host uses the
+/// connection, so that it stands for one shape even where the server has kept what was taken for dropped.
 class PreparedNames {
 public:
     /// Returns a name that is as long as any.
--- a/tests/support_gateway.cpp
+++ b/tests/support_gateway.cpp
@@ -1,4 +1,5 @@
 #include "support_gateway.h"
+#include <algorithm>
 
 namespace plantainwall {
 
@@ -37,6 +38,14 @@
     }
 }
 
+std::optional<size_t> FakeConnector::linkToAnswer()
+{
+    acceptAll();
+    const auto it = std::find_if(
+        links.begin(), links.end(), [](const Opened& link) { return !link.closed && !link.commands.empty(); });
+    return it == links.end() ? std::nullopt : std::make_optional(static_cast<size_t>(it - links.begin()));
+}
+
 size_t FakeConnector::statementLink() const
 {
     for (size_t i = 0; i < links.size(); ++i) {
--- a/tests/support_gateway.h
+++ b/tests/support_gateway.h
@@ -55,6 +55,9 @@
     /// position, until none is left.
     void answerOwnCommands(LogPosition);
 
+    /// Accepts every pending connection. Returns the first open link with an unanswered command, if there is one.
+    std::optional<size_t> linkToAnswer();
+
     /// Returns the index of the open link with an unanswered statement of a caller, or links.size().
     size_t statementLink() const;
 
