--- a/src/store_http.cpp
+++ b/src/store_http.cpp
@@ -50,16 +50,26 @@
         throw CallFailed(state, "store answered with status " + std::to_string(reply.status));
     }
 
+    /// Parses an answer. The JSON library throws something else than json_exception for some escapes.
+    value parseAnswer(const std::string& body)
+    {
+        try {
+            return value::parse(body);
+        } catch (const std::range_error&) {
+            throw web::json::json_exception("an escaped surrogate is not one of a pair");
+        }
+    }
+
     /// Returns whether an entry read under a key can be the answer.
     bool isEntryOf(const HttpReply& reply, const std::string& key)
     {
         if (reply.status != 200)
             return true;
-        const value json = value::parse(reply.body);
+        const value json = parseAnswer(reply.body);
         return json.has_string_field("key") && json.at("key").as_string() == key;
     }
 
-    value parseBody(const HttpReply& reply) { return reply.body.empty() ? value::object() : value::parse(reply.body); }
+    value parseBody(const HttpReply& reply) { return reply.body.empty() ? value::object() : parseAnswer(reply.body); }
 
     /// Revisions of the changes that this process has made. Each change has a revision of its own, so an answer with a
     /// known one is a copy. Safe to use from any thread.
@@ -70,7 +80,7 @@
         {
             if (reply.status != 200 && reply.status != 409)
                 return true;
-            const value json = value::parse(reply.body);
+            const value json = parseAnswer(reply.body);
             if (!json.has_boolean_field("applied"))
                 return false;
             const uint64_t revision = json.at("revision").as_number().to_uint64();
--- a/tests/unit_store_http.cpp
+++ b/tests/unit_store_http.cpp
@@ -67,6 +67,15 @@
 }
 
 // Guards against a change that may have been applied being reported as not applied.
+// The parser throws another exception for half a surrogate pair than for other text that is not JSON.
+BOOST_FIXTURE_TEST_CASE(text_that_is_no_unicode_is_a_malformed_answer, Fixture)
+{
+    caller->answer(200, R"({"applied":true,"revision":12,"x":"\ud800\u0041"})");
+    BOOST_TEST((swapFailure() == SendState::MaybeSent));
+    BOOST_CHECK_THROW(store->get("config/a").get(), CallFailed);
+    BOOST_TEST(caller->last.fits(caller->reply));
+}
+
 BOOST_FIXTURE_TEST_CASE(failures_keep_their_send_state, Fixture)
 {
     caller->reply.sendState = SendState::NotSent;
