--- a/src/line_socket.h
+++ b/src/line_socket.h
@@ -30,6 +30,12 @@
     /// @param maxLine Longest line that is handled, in bytes without its line end.
     LineSocket(boost::asio::ip::tcp::socket socket, LineEnd, size_t maxLine);
 
+    /// Likewise, for lines that end with CR LF, as those of callers and servers do.
+    LineSocket(boost::asio::ip::tcp::socket socket, size_t maxLine)
+        : LineSocket(std::move(socket), LineEnd::CrLf, maxLine)
+    {
+    }
+
     /// Lets a budget limit what is read and counts what is held; close() ends the account. Must be called before
     /// start() or connect(). Unless the account is a backend server's, reading also pauses while much output is unsent,
     /// and while a line is handled, beyond a few lines ahead.
--- a/tests/support_line_group.h
+++ b/tests/support_line_group.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "line_socket.h" // For stand-ins elsewhere that include this header.
 #include "support_odd_texts.h"
 #include "support_wire_stream.h"
 #include <boost/asio/steady_timer.hpp>
--- a/tests/unit_line_socket.cpp
+++ b/tests/unit_line_socket.cpp
@@ -80,7 +80,8 @@
 {
     for (const LineEnd lineEnd : { LineEnd::CrLf, LineEnd::Lf }) {
         const std::string end = lineEnd == LineEnd::CrLf ? "\r\n" : "\n";
-        const std::string text = "b" + end + std::string(maxLine + 1, 'a') + end + "c" + end;
+        std::string text = "b" + end;
+        text.append(maxLine + 1, 'a').append(end).append("c").append(end);
         for (size_t cut = 1; cut < text.size(); ++cut) {
             const Received received = receive(lineEnd, { text.substr(0, cut), text.substr(cut) });
             BOOST_TEST(received.lines == std::vector<std::string> { "b" }, boost::test_tools::per_element());
