--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,5 +1,5 @@
 // Callers prepare and execute many statements of legal size, each in one transaction.
-#include "deployment.h"
+#include "../standin-2/deployment.h"
 #include <algorithm>
 #include <csignal>
 
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,5 +1,5 @@
 // An entry host gets SIGTERM while answers of several megabytes are on their way to callers.
-#include "deployment.h"
+#include "../standin-2/deployment.h"
 #include <algorithm>
 #include <csignal>
 
--- /dev/null
+++ b/review/8/case.cpp
@@ -0,0 +1,122 @@
+// A replica that had been down runs again without reaching the store, confirms commits, and is then lost together with
+// the primary.
+#include "../standin-2/deployment.h"
+#include <algorithm>
+
+namespace plantainwall::review {
+
+namespace {
+
+    constexpr size_t primary = 0;
+    constexpr size_t near = 1;
+    constexpr size_t far = 2;
+    constexpr Milliseconds zonePassage(1); // One way between zones 0.9 ms, between regions 30 ms.
+    constexpr Milliseconds regionPassage(30);
+    constexpr Milliseconds writePause(15);
+    constexpr Milliseconds warmUp(4000);
+    constexpr Milliseconds downTime(7000);
+    constexpr Milliseconds storeCutTime(4500);
+    constexpr Milliseconds promotionLimit(30000);
+    constexpr Milliseconds calmTime(5000);
+    constexpr size_t writersPerHost = 2;
+
+    /// Writes again and again.
+    class Writer {
+    public:
+        Writer(Deployment& deployment, const Host& host, std::string tenant, std::set<std::string>& acknowledged)
+            : m_deployment(deployment)
+            , m_host(host)
+            , m_tenant(std::move(tenant))
+            , m_acknowledged(acknowledged)
+            , m_caller(deployment.loop, deployment.record, "writer")
+        {
+            m_caller.quiet = true;
+            open();
+        }
+
+    private:
+        void open()
+        {
+            m_caller.open(m_host.callerPort(), "order-post", "key-" + m_tenant, [this](bool open) {
+                if (open)
+                    write();
+                else
+                    openLater();
+            });
+        }
+
+        void openLater()
+        {
+            m_deployment.after(writePause * 10, [this] { open(); });
+        }
+
+        void write()
+        {
+            const std::string id = m_deployment.freshId();
+            m_caller.query(id, "WRITE 1a4 " + id, [this, id](const Caller::Answer& answer) {
+                if (answer.ok()) {
+                    m_acknowledged.insert(id);
+                    m_deployment.record.note("WRITE " + id + " is acknowledged to its caller");
+                }
+                if (answer.closed)
+                    openLater();
+                else
+                    m_deployment.after(writePause, [this] { write(); });
+            });
+        }
+
+        Deployment& m_deployment;
+        const Host& m_host;
+        std::string m_tenant;
+        std::set<std::string>& m_acknowledged; ///< Ids of the writes that were acknowledged to callers.
+        Caller m_caller;
+    };
+
+    Verdict run(const std::string& folder)
+    {
+        Deployment::Settings settings;
+        settings.tenants = { { "milliners", 121, 121 }, { "dyers", 121, 121 }, { "packers", 121, 121 } };
+        Deployment deployment(folder, settings);
+        Databases& databases = *deployment.databases;
+        databases.server(near).receiveDelay = zonePassage;
+        databases.server(far).receiveDelay = regionPassage;
+        if (!deployment.start())
+            return Verdict::CouldNotRun;
+        std::set<std::string> acknowledged;
+        std::list<Writer> writers;
+        for (size_t i = 0; i < deployment.hosts.size() * writersPerHost; ++i)
+            writers.emplace_back(deployment, *deployment.hosts[i % deployment.hosts.size()],
+                settings.tenants[i % settings.tenants.size()].name, acknowledged);
+        deployment.pass(warmUp);
+        if (acknowledged.empty())
+            return Verdict::CouldNotRun;
+        if (withTrouble())
+            databases.crash(near);
+        deployment.pass(downTime);
+        if (withTrouble()) {
+            databases.server(near).reachesStore = false;
+            databases.restart(near);
+        }
+        deployment.pass(storeCutTime);
+        if (withTrouble()) {
+            databases.crash(primary);
+            databases.crash(near);
+        }
+        deployment.passUntil(withTrouble() ? promotionLimit : calmTime, [&] { return databases.term() > 1; });
+        const std::vector<std::string>& lost = databases.lost();
+        const auto lostToCallers = std::count_if(
+            lost.begin(), lost.end(), [&](const std::string& id) { return acknowledged.count(id) != 0; });
+        deployment.record.note("writes acknowledged to callers " + std::to_string(acknowledged.size())
+            + ", lost of these " + std::to_string(lostToCallers) + ", term " + std::to_string(databases.term()));
+        return lostToCallers == 0 ? Verdict::Held : Verdict::Broken;
+    }
+
+} // namespace
+
+} // namespace plantainwall::review
+
+int main(int argc, char** argv)
+{
+    const std::string folder = argc > 1 ? argv[1] : ".";
+    return plantainwall::review::runCase([&] { return plantainwall::review::run(folder); });
+}
--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -20,7 +20,7 @@
     constexpr size_t recordedBytes = 120;
     constexpr Milliseconds heartbeatInterval(1200);
     constexpr Milliseconds readyLimit(20000);
-    constexpr size_t bytesPerMiB = 1024 * 1024;
+    constexpr const char* complete = "COMPLETE -\r\n";
 
     uint64_t unixMilliseconds()
     {
@@ -369,21 +369,89 @@
     session->lines->send(result + "READY " + state + " " + position(session->index) + "\r\n");
 }
 
+void Databases::open(const std::shared_ptr<Session>& session, std::string_view rest)
+{
+    const Server& server = m_servers[session->index];
+    const std::string service = nextWord(rest);
+    session->tenant = nextWord(rest);
+    const std::string expected = nextWord(rest);
+    if (service == m_settings.service && (expected.empty() || expected == server.id)) {
+        answer(session, "");
+        return;
+    }
+    session->lines->send("ERROR MISROUTED " + server.id + "\r\n");
+    session->lines->close();
+}
+
+void Databases::fail(const std::shared_ptr<Session>& session, const std::string& code)
+{
+    session->failed = session->failed || session->open;
+    answer(session, "ERROR " + code + " " + m_servers[session->index].id + "\r\n");
+}
+
+void Databases::begin(const std::shared_ptr<Session>& session, std::string_view mode)
+{
+    session->writable = mode != "READ";
+    if (session->writable && !leads(session->index)) {
+        fail(session, "READONLY");
+        return;
+    }
+    session->open = true;
+    session->term = m_term;
+    answer(session, complete);
+}
+
+bool Databases::control(size_t index, const std::string& verb, std::string_view rest)
+{
+    Server& server = m_servers[index];
+    const uint64_t term = verb == "PAUSE" || verb == "DEMOTE" ? std::stoull(std::string(rest)) : 0;
+    if (verb == "PAUSE" && !leads(index) && term > m_term)
+        server.pausedAtTerm = std::max(server.pausedAtTerm, term);
+    if (verb == "RESUME") {
+        server.pausedAtTerm = 0;
+        replicate(index);
+    }
+    if (verb == "DEMOTE" && leads(index) && term > m_term) {
+        m_record.note(server.id + " is demoted");
+        m_primary.reset();
+        endPending(false, SIZE_MAX);
+        registerServers();
+    }
+    return verb == "STATUS" || verb == "PAUSE" || verb == "RESUME" || verb == "DEMOTE";
+}
+
+bool Databases::runAtOnce(const std::shared_ptr<Session>& session, const std::string& verb, std::string_view rest)
+{
+    if (verb == "ROLLBACK") {
+        session->open = false;
+        session->failed = false;
+        session->writes.clear();
+    } else if (verb == "SET") {
+        const std::string name = nextWord(rest);
+        session->values[name] = std::string(rest);
+    } else if (verb == "PREPARE") {
+        // The shape itself is not kept, so that its memory counts at the entry host alone.
+        const std::string name = nextWord(rest);
+        session->prepared[name] = nextWord(rest);
+    } else if (verb == "DEALLOC") {
+        session->prepared.erase(std::string(rest));
+    } else if (verb == "RESET") {
+        session->values.clear();
+        session->prepared.clear();
+    } else {
+        return false;
+    }
+    answer(session, complete);
+    return true;
+}
+
 void Databases::execute(const std::shared_ptr<Session>& session, const std::string& line)
 {
-    Server& server = m_servers[session->index];
+    const Server& server = m_servers[session->index];
     std::string_view rest = line;
     const std::string word = nextWord(rest);
     if (word == "STARTUP") {
-        const std::string service = nextWord(rest);
-        session->tenant = nextWord(rest);
-        const std::string expected = nextWord(rest);
-        if (service == m_settings.service && (expected.empty() || expected == server.id)) {
-            answer(session, "");
-            return;
-        }
-        session->lines->send("ERROR MISROUTED " + server.id + "\r\n");
-        session->lines->close();
+        open(session, rest);
         return;
     }
     if (word != "QUERY") {
@@ -396,70 +464,22 @@
     if (verb == "AFTERLSN") {
         const std::string needed = nextWord(rest);
         const size_t dot = needed.find('.');
-        const uint64_t term = std::stoull(needed.substr(0, dot));
-        lagging = term > server.term || std::stoull(needed.substr(dot + 1)) > server.log.size();
+        lagging = std::stoull(needed.substr(0, dot)) > server.term
+            || std::stoull(needed.substr(dot + 1)) > server.log.size();
         verb = nextWord(rest);
     }
-    const auto fail = [&](const std::string& code) {
-        session->failed = session->failed || session->open;
-        answer(session, "ERROR " + code + " " + server.id + "\r\n");
-    };
-    constexpr const char* complete = "COMPLETE -\r\n";
     const bool lost = session->open && session->writable && (!leads(session->index) || session->term != m_term);
     if (session->failed && verb != "ROLLBACK")
-        fail("MALFORMED");
+        fail(session, "MALFORMED");
     else if (lagging)
-        fail("LAGGING");
-    else if (verb == "BEGIN" && rest != "READ" && !leads(session->index))
-        fail("READONLY");
-    else if (verb == "BEGIN") {
-        session->open = true;
-        session->writable = rest != "READ";
-        session->term = m_term;
-        answer(session, complete);
-    } else if (verb == "ROLLBACK") {
-        session->open = false;
-        session->failed = false;
-        session->writes.clear();
-        answer(session, complete);
-    } else if (verb == "SET") {
-        const std::string name = nextWord(rest);
-        session->values[name] = std::string(rest);
-        answer(session, complete);
-    } else if (verb == "PREPARE") {
-        // The shape itself is not kept, so that its memory counts at the entry host alone.
-        const std::string name = nextWord(rest);
-        session->prepared[name] = nextWord(rest);
-        answer(session, complete);
-    } else if (verb == "DEALLOC") {
-        session->prepared.erase(std::string(rest));
-        answer(session, complete);
-    } else if (verb == "RESET") {
-        session->values.clear();
-        session->prepared.clear();
-        answer(session, complete);
-    } else if (verb == "STATUS") {
-        answer(session, status(session->index));
-    } else if (verb == "PAUSE") {
-        const uint64_t term = std::stoull(std::string(rest));
-        if (!leads(session->index) && term > m_term)
-            server.pausedAtTerm = std::max(server.pausedAtTerm, term);
-        answer(session, status(session->index));
-    } else if (verb == "RESUME") {
-        server.pausedAtTerm = 0;
-        replicate(session->index);
-        answer(session, status(session->index));
-    } else if (verb == "DEMOTE") {
-        if (leads(session->index) && std::stoull(std::string(rest)) > m_term) {
-            m_record.note(server.id + " is demoted");
-            m_primary.reset();
-            endPending(false, SIZE_MAX);
-            registerServers();
-        }
+        fail(session, "LAGGING");
+    else if (verb == "BEGIN")
+        begin(session, rest);
+    else if (control(session->index, verb, rest))
         answer(session, status(session->index));
-    } else if (lost) {
-        fail("READONLY");
-    } else {
+    else if (!runAtOnce(session, verb, rest) && lost)
+        fail(session, "READONLY");
+    else if (verb == "READ" || verb == "WRITE" || verb == "EXECUTE" || verb == "COMMIT") {
         session->busy = true;
         after(m_settings.work, [this, session, id, verb, text = std::string(rest)] {
             if (m_servers[session->index].running && session->lines->open())
@@ -533,17 +553,25 @@
         replicate(i);
 }
 
+// A replica receives what the primary had sent when the message left, and the primary hears of it a passage later.
 void Databases::replicate(size_t index)
 {
-    after(std::max(m_settings.receive, m_servers[index].receiveDelay), [this, index] {
+    if (!m_primary || leads(index) || !m_servers[*m_primary].running)
+        return;
+    const Milliseconds passage = std::max(m_settings.receive, m_servers[index].receiveDelay);
+    after(passage, [this, index, passage, term = m_term, n = m_servers[*m_primary].log.size()] {
         Server& replica = m_servers[index];
-        const bool follows = m_primary && !leads(index) && m_servers[*m_primary].running && replica.running
-            && replica.receives && replica.pausedAtTerm == 0;
-        if (!follows)
+        const auto current = [this, term] { return m_primary && m_term == term && m_servers[*m_primary].running; };
+        if (!current() || !replica.running || !replica.receives || replica.pausedAtTerm != 0)
             return;
-        replica.log = m_servers[*m_primary].log;
-        replica.term = m_term;
-        endPending(true, replica.log.size());
+        const std::vector<Commit>& sent = m_servers[*m_primary].log;
+        if (replica.log.size() < n)
+            replica.log.assign(sent.begin(), sent.begin() + static_cast<std::ptrdiff_t>(n));
+        replica.term = term;
+        after(passage, [this, current, n] {
+            if (current())
+                endPending(true, n);
+        });
     });
 }
 
@@ -566,7 +594,7 @@
 void Databases::crash(size_t index)
 {
     Server& server = m_servers[index];
-    m_record.note("crash of " + server.id);
+    m_record.note("crash of " + server.id + " with " + std::to_string(server.log.size()) + " commits");
     server.running = false;
     server.acceptor.reset();
     for (const std::weak_ptr<Lines>& it : server.connections) {
@@ -576,7 +604,28 @@
     server.connections.clear();
     if (leads(index))
         endPending(false, SIZE_MAX);
-    after(heartbeatInterval * 3, [this, index] { m_store.erase("servers/" + m_servers[index].id); });
+    after(heartbeatInterval * 3, [this, index] {
+        if (m_servers[index].running && m_servers[index].reachesStore)
+            return;
+        m_record.note("the store drops the entry of " + m_servers[index].id);
+        m_store.erase("servers/" + m_servers[index].id);
+    });
+}
+
+void Databases::restart(size_t index)
+{
+    Server& server = m_servers[index];
+    m_record.note("start of " + server.id + " with its log of " + std::to_string(server.log.size()) + " commits"
+        + (server.reachesStore ? "" : "; it does not reach the store"));
+    server.running = true;
+    server.pausedAtTerm = 0;
+    server.bornUnixMs = unixMilliseconds();
+    server.sequence = 0;
+    server.acceptor
+        = std::make_unique<tcp::acceptor>(m_loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), server.port));
+    accept(index);
+    replicate(index);
+    registerServers();
 }
 
 unsigned Databases::promote(const test::KvStore::Order& order)
@@ -610,7 +659,8 @@
     }
     m_primary = index;
     ++m_term;
-    m_record.note(m_servers[index].id + " leads term " + std::to_string(m_term));
+    m_record.note(m_servers[index].id + " leads term " + std::to_string(m_term) + " with " + std::to_string(kept.size())
+        + " commits; acknowledged were " + std::to_string(m_acknowledged.size()));
     m_servers[index].term = m_term;
     m_servers[index].pausedAtTerm = 0;
     for (size_t i = 0; i < m_servers.size(); ++i) {
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "support_kv_store.h"
+#include "../../tests/support_kv_store.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -139,7 +139,10 @@
 
     /// Ends a server's process; its log stays.
     void crash(size_t index);
+    /// Starts a crashed server with its log.
+    void restart(size_t index);
 
+    size_t acknowledged() const { return m_acknowledged.size(); }
     uint64_t statements() const { return m_statements; }
     /// Commits that were acknowledged and that the database that was promoted lacked.
     const std::vector<std::string>& lost() const { return m_lost; }
@@ -158,6 +161,13 @@
     void take(const std::shared_ptr<Session>&, std::string_view line);
     void next(const std::shared_ptr<Session>&);
     void execute(const std::shared_ptr<Session>&, const std::string& line);
+    void open(const std::shared_ptr<Session>&, std::string_view rest);
+    void begin(const std::shared_ptr<Session>&, std::string_view mode);
+    void fail(const std::shared_ptr<Session>&, const std::string& code);
+    /// Runs a statement that takes no slot. Returns false if it is none.
+    bool runAtOnce(const std::shared_ptr<Session>&, const std::string& verb, std::string_view rest);
+    /// Runs STATUS, PAUSE, RESUME or DEMOTE. Returns false if it is none.
+    bool control(size_t index, const std::string& verb, std::string_view rest);
     void runStatement(
         const std::shared_ptr<Session>&, const std::string& id, const std::string& verb, const std::string& rest);
     void answer(const std::shared_ptr<Session>&, const std::string& result);
