--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -662,15 +662,83 @@
     m_record.note(m_servers[index].id + " leads term " + std::to_string(m_term) + " with " + std::to_string(kept.size())
         + " commits; acknowledged were " + std::to_string(m_acknowledged.size()));
     m_servers[index].term = m_term;
-    m_servers[index].pausedAtTerm = 0;
     for (size_t i = 0; i < m_servers.size(); ++i) {
         Server& server = m_servers[i];
+        server.pausedAtTerm = 0; // A pause lasts until a promote.
         server.log.resize(std::min(server.log.size(), kept.size()));
         replicate(i);
     }
     registerServers();
 }
 
+// PromotionPort.
+
+struct PromotionPort::Connection {
+    explicit Connection(tcp::socket socket)
+        : stream(std::move(socket))
+    {
+    }
+
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    boost::beast::http::request<boost::beast::http::string_body> request;
+    boost::beast::http::response<boost::beast::http::string_body> response;
+};
+
+PromotionPort::PromotionPort(boost::asio::io_context& loop, uint16_t port, Handler handler)
+    : m_loop(loop)
+    , m_acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), port))
+    , m_handler(std::move(handler))
+{
+    accept();
+}
+
+void PromotionPort::accept()
+{
+    m_acceptor.async_accept([this](const boost::system::error_code& ec, tcp::socket socket) {
+        if (ec)
+            return;
+        read(std::make_shared<Connection>(std::move(socket)));
+        accept();
+    });
+}
+
+void PromotionPort::read(const std::shared_ptr<Connection>& connection)
+{
+    connection->request = {};
+    boost::beast::http::async_read(connection->stream, connection->buffer, connection->request,
+        [this, connection](const boost::system::error_code& ec, size_t) {
+            if (!ec)
+                handle(connection);
+        });
+}
+
+void PromotionPort::handle(const std::shared_ptr<Connection>& connection)
+{
+    const value body = value::parse(connection->request.body());
+    test::KvStore::Order order;
+    order.service = body.at("service").as_string();
+    order.id = body.at("id").as_string();
+    order.holder = std::string(connection->request["Plantainwall-Lease-Holder"]);
+    order.fencingToken = std::stoull(std::string(connection->request["Plantainwall-Fencing-Token"]));
+    const std::optional<unsigned> status = m_handler(order);
+    if (!status) {
+        read(connection); // Nothing more comes; the caller closes the connection.
+        return;
+    }
+    connection->response = {};
+    connection->response.version(11);
+    connection->response.result(*status);
+    connection->response.set(boost::beast::http::field::content_type, "application/json");
+    connection->response.body() = "{}";
+    connection->response.prepare_payload();
+    boost::beast::http::async_write(
+        connection->stream, connection->response, [this, connection](const boost::system::error_code& ec, size_t) {
+            if (!ec)
+                read(connection);
+        });
+}
+
 // Host.
 
 Host::Host(Record& record, const std::string& folder, const Place& place)
@@ -684,7 +752,7 @@
         << "[gateway]\nhost = \"" << place.name << "\"\ndata_centre = \"" << place.zone << "\"\nregion = \""
         << (place.zone == "tamar-store" ? "tamar" : "huon") << "\"\ncaller_listen = \"" << loopback(m_callers)
         << "\"\nstatus_listen = \"" << loopback(m_status) << "\"\npeer_listen = \"" << loopback(m_peers)
-        << "\"\nstore = \"" << loopback(place.storePort) << "\"\npromotions = \"" << loopback(place.storePort)
+        << "\"\nstore = \"" << loopback(place.storePort) << "\"\npromotions = \"" << loopback(place.promotionPort)
         << "\"\nfirst_start = true\nfenced_primaries = true\nstore_min_lease = \"1000ms\"\n"
            "drain_limit = \"7000ms\"\nshutdown_grace = \"6s\"\nmax_descriptors = 4300\n"
            "memory = \""
@@ -894,6 +962,9 @@
     store = std::make_unique<test::KvStore>(
         loop, m_storePort, [this](const test::KvStore::Order& order) { return databases->promote(order); });
     store->put("op/config", configuration(settings.databases, settings.tenants));
+    m_promotions = std::make_unique<PromotionPort>(loop, m_promotionPort, [this](const test::KvStore::Order& order) {
+        return promoted ? promoted(order) : std::optional<unsigned>(databases->promote(order));
+    });
     databases = std::make_unique<Databases>(loop, record, *store, settings.databases);
     for (size_t i = 0; i < settings.hostZones.size(); ++i) {
         Host::Place place;
@@ -901,6 +972,7 @@
         place.zone = settings.hostZones[i];
         place.memoryMb = settings.memoryMb;
         place.storePort = m_storePort;
+        place.promotionPort = m_promotionPort;
         hosts.push_back(std::make_unique<Host>(record, m_work, place));
     }
 }
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -198,6 +198,26 @@
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
+/// The platform's call that promotes a database.
+class PromotionPort {
+public:
+    /// Returns the HTTP status; nothing: the call gets no answer.
+    using Handler = std::function<std::optional<unsigned>(const test::KvStore::Order&)>;
+
+    PromotionPort(boost::asio::io_context&, uint16_t port, Handler);
+
+private:
+    struct Connection;
+
+    void accept();
+    void read(const std::shared_ptr<Connection>&);
+    void handle(const std::shared_ptr<Connection>&);
+
+    boost::asio::io_context& m_loop;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    Handler m_handler;
+};
+
 /// An entry host: the project's program as its own process.
 class Host {
 public:
@@ -206,7 +226,7 @@
         std::string zone;
         unsigned memoryMb = 260;
         uint16_t storePort = 0;
-        std::string peerAdvertised; ///< Empty: its own address.
+        uint16_t promotionPort = 0;
     };
 
     Host(Record&, const std::string& folder, const Place&);
@@ -314,6 +334,8 @@
     std::unique_ptr<test::KvStore> store;
     std::unique_ptr<Databases> databases;
     std::vector<std::unique_ptr<Host>> hosts;
+    /// Takes the place of Databases::promote(), if set.
+    PromotionPort::Handler promoted;
 
 private:
     bool hostsReady();
@@ -321,6 +343,8 @@
     Settings m_settings;
     std::string m_work;
     uint16_t m_storePort = freePort();
+    uint16_t m_promotionPort = freePort();
+    std::unique_ptr<PromotionPort> m_promotions;
     uint64_t m_lastId = 0;
 };
 
