--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,5 +1,6 @@
-// An entry host gets SIGTERM while answers of several megabytes are on their way to callers.
+// An order to promote that got no answer is carried out late, while the next coordinator replaces the primary.
 #include "../standin-2/deployment.h"
+#include "../standin-2/writer.h"
 #include <algorithm>
 #include <csignal>
 
@@ -7,87 +8,88 @@
 
 namespace {
 
-    constexpr size_t rowBytes = 1040000; // A message has at most 1 MiB.
-    constexpr size_t rowsPerAnswer = 8;
-    constexpr size_t pathBytesPerSecond = 30 * 1000 * 1000 / 8; // 30 Mbit/s.
-    constexpr Milliseconds graceTime(6000); // grace_s
-    constexpr Milliseconds answerLimit(12000);
-    /// When the callers send their requests, after the SIGTERM. Their sessions were open before it.
-    constexpr Milliseconds requestTimes[] = { Milliseconds(1500), Milliseconds(1800), Milliseconds(2000) };
-
-    struct Request {
-        explicit Request(Deployment& deployment, size_t number)
-            : caller(deployment.loop, deployment.record, "caller " + std::to_string(number))
-        {
-            caller.bytesPerSecond = pathBytesPerSecond;
-        }
-
-        Caller caller;
-        std::string id;
-        std::optional<Caller::Answer> answer;
-        bool open = false;
-    };
-
-    bool whole(const Request& request)
-    {
-        return request.answer && request.answer->ok() && request.answer->rows.size() == rowsPerAnswer;
-    }
+    constexpr size_t primary = 0;
+    constexpr Milliseconds zonePassage(1); // One way between zones 0.9 ms, between regions 30 ms.
+    constexpr Milliseconds regionPassage(30);
+    constexpr Milliseconds warmUp(5000);
+    constexpr size_t tenantCount = 8;
+    constexpr size_t writersPerHost = 8;
+    constexpr Milliseconds downTime(1600);
+    /// When the late order is carried out, after the next coordinator has begun. Replicas that another host has left
+    /// paused start a change of the primary 1.5 s after it.
+    constexpr Milliseconds carriedOutAfter(1000);
+    constexpr Milliseconds leastLateness(2000); ///< An order without an answer is carried out 2 to 12 s later.
+    constexpr Milliseconds limit(15000);
+    constexpr Milliseconds calmTime(8000);
 
     Verdict run(const std::string& folder)
     {
-        Deployment deployment(folder, {});
-        deployment.databases->rows
-            = [](const std::string&) { return std::vector<std::string>(rowsPerAnswer, std::string(rowBytes, 'r')); };
+        Deployment::Settings settings;
+        settings.tenants.clear();
+        for (size_t i = 0; i < tenantCount; ++i)
+            settings.tenants.push_back({ "tenant-" + std::to_string(i), 121, 121 });
+        Deployment deployment(folder, settings);
+        Databases& databases = *deployment.databases;
+        // The primary stands in the other region.
+        databases.server(primary).receiveDelay = regionPassage;
+        databases.server(1).receiveDelay = zonePassage;
+        databases.server(2).receiveDelay = zonePassage;
         if (!deployment.start())
             return Verdict::CouldNotRun;
-        deployment.pass(Milliseconds(1500));
-        Host& host = *deployment.hosts.front();
-        std::list<Request> requests;
-        for (size_t i = 0; i < std::size(requestTimes); ++i) {
-            Request& request = requests.emplace_back(deployment, i + 1);
-            request.caller.open(
-                host.callerPort(), "braid-lookup", "key-milliners", [&](bool open) { request.open = open; });
-        }
-        const bool open = deployment.passUntil(Milliseconds(3000),
-            [&] { return std::all_of(requests.begin(), requests.end(), [](const auto& it) { return it.open; }); });
-        if (!open)
+        std::set<std::string> acknowledged;
+        std::list<Writer> writers;
+        for (size_t i = 0; i < deployment.hosts.size() * writersPerHost; ++i)
+            writers.emplace_back(deployment, *deployment.hosts[i % deployment.hosts.size()],
+                settings.tenants[i % settings.tenants.size()].name, acknowledged);
+        deployment.pass(warmUp);
+        if (acknowledged.empty())
             return Verdict::CouldNotRun;
-        if (withTrouble())
-            host.signal(SIGTERM);
-        size_t i = 0;
-        for (Request& request : requests) {
-            deployment.after(requestTimes[i++], [&deployment, &request] {
-                request.id = deployment.freshId();
-                request.caller.query(
-                    request.id, "READ 1a4", [&request](const Caller::Answer& answer) { request.answer = answer; });
+        std::optional<test::KvStore::Order> late;
+        Clock::time_point orderedAt;
+        bool asked = false; ///< The next coordinator has begun.
+        Clock::time_point terminatedAt = Clock::time_point::max();
+        deployment.promoted = [&](const test::KvStore::Order& order) -> std::optional<unsigned> {
+            if (late)
+                return databases.promote(order);
+            late = order;
+            orderedAt = Clock::now();
+            deployment.record.note("POST /promote of " + order.id + " by " + order.holder + " with token "
+                + std::to_string(order.fencingToken) + ": no answer; it will be carried out late");
+            return std::nullopt;
+        };
+        databases.statusAsked = [&](size_t index, Clock::time_point opened) {
+            if (asked || index == primary || opened < terminatedAt)
+                return;
+            asked = true;
+            const Clock::time_point due = std::max(Clock::now() + carriedOutAfter, orderedAt + leastLateness);
+            deployment.record.note("the next coordinator asks " + databases.server(index).id + " for its status");
+            deployment.after(std::chrono::duration_cast<Milliseconds>(due - Clock::now()), [&] {
+                deployment.record.note("the late order is carried out, after "
+                    + std::to_string(std::chrono::duration_cast<Milliseconds>(Clock::now() - orderedAt).count())
+                    + " ms");
+                databases.promote(*late);
+            });
+        };
+        if (withTrouble()) {
+            databases.crash(primary);
+            deployment.after(downTime, [&] {
+                databases.restart(primary);
+                terminatedAt = Clock::now();
+                for (const std::unique_ptr<Host>& host : deployment.hosts) {
+                    if (late && host->name() == late->holder)
+                        host->signal(SIGTERM);
+                }
             });
         }
-        const Milliseconds terminatedAt = deployment.record.now();
-        deployment.passUntil(answerLimit, [&] {
-            const Milliseconds passed = deployment.record.now() - terminatedAt;
-            if (withTrouble() && passed >= graceTime)
-                host.signal(SIGKILL);
-            return std::all_of(requests.begin(), requests.end(), [](const auto& it) { return it.answer.has_value(); });
-        });
-        size_t cut = 0;
-        size_t answered = 0;
-        for (const Request& request : requests) {
-            // A refusal that the request has not run is an answer, too.
-            const bool ended = request.answer && request.answer->closed;
-            const bool passedOn = deployment.databases->runs().count(request.id) != 0;
-            deployment.record.note(request.caller.name() + ": " + request.id
-                + (passedOn ? " ran on a database, " : " did not run, ")
-                + (whole(request) ? "whole answer"
-                        : ended   ? "the connection ended after " + std::to_string(request.answer->rows.size()) + " of "
-                            + std::to_string(rowsPerAnswer) + " rows"
-                        : request.answer ? "refused: " + request.answer->error
-                                         : "no answer"));
-            cut += ended && passedOn ? 1 : 0;
-            answered += request.answer ? 1 : 0;
-        }
-        if (cut > 0)
-            return Verdict::Broken;
-        return answered == requests.size() ? Verdict::Held : Verdict::CouldNotRun;
+        deployment.passUntil(withTrouble() ? limit : calmTime, [&] { return databases.term() > 2; });
+        if (withTrouble() && !asked)
+            return Verdict::CouldNotRun;
+        const std::vector<std::string>& lost = databases.lost();
+        const auto lostToCallers = std::count_if(
+            lost.begin(), lost.end(), [&](const std::string& id) { return acknowledged.count(id) != 0; });
+        deployment.record.note("writes acknowledged to callers " + std::to_string(acknowledged.size())
+            + ", lost of these " + std::to_string(lostToCallers) + ", term " + std::to_string(databases.term()));
+        return lostToCallers == 0 ? Verdict::Held : Verdict::Broken;
     }
 
 } // namespace
--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -247,6 +247,7 @@
 struct Databases::Session {
     size_t index = 0;
     std::shared_ptr<Lines> lines;
+    Clock::time_point opened = Clock::now();
     std::string tenant;
     std::deque<std::string> waiting;
     bool busy = false;
@@ -475,9 +476,11 @@
         fail(session, "LAGGING");
     else if (verb == "BEGIN")
         begin(session, rest);
-    else if (control(session->index, verb, rest))
+    else if (control(session->index, verb, rest)) {
+        if (statusAsked && verb == "STATUS")
+            statusAsked(session->index, session->opened);
         answer(session, status(session->index));
-    else if (!runAtOnce(session, verb, rest) && lost)
+    } else if (!runAtOnce(session, verb, rest) && lost)
         fail(session, "READONLY");
     else if (verb == "READ" || verb == "WRITE" || verb == "EXECUTE" || verb == "COMMIT") {
         session->busy = true;
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -124,6 +124,10 @@
     Databases(boost::asio::io_context&, Record&, test::KvStore&, const Settings&);
     ~Databases();
 
+    /// Called when a server is asked for its status.
+    /// @param opened When the connection was opened.
+    std::function<void(size_t index, Clock::time_point opened)> statusAsked;
+
     /// Rows that a READ of an item returns.
     std::function<std::vector<std::string>(const std::string& item)> rows;
 
