--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -374,7 +374,7 @@
 {
     const Server& server = m_servers[session->index];
     const std::string service = nextWord(rest);
-    session->tenant = nextWord(rest);
+    nextWord(rest);
     const std::string expected = nextWord(rest);
     if (service == m_settings.service && (expected.empty() || expected == server.id)) {
         answer(session, "");
@@ -451,6 +451,13 @@
     const Server& server = m_servers[session->index];
     std::string_view rest = line;
     const std::string word = nextWord(rest);
+    if (word == "STARTUP") {
+        std::string_view fields = rest;
+        nextWord(fields);
+        session->tenant = nextWord(fields);
+    }
+    if (cutOff && cutOff(session->index, session->tenant))
+        return;
     if (word == "STARTUP") {
         open(session, rest);
         return;
@@ -742,6 +749,38 @@
         });
 }
 
+// PeerRoute.
+
+PeerRoute::PeerRoute(boost::asio::io_context& loop, uint16_t port, uint16_t target, Cut cut)
+    : m_loop(loop)
+    , m_socket(loop, { boost::asio::ip::address_v4::loopback(), port })
+    , m_target(target)
+    , m_cut(std::move(cut))
+    , m_buffer(64 * 1024)
+{
+    receive();
+}
+
+void PeerRoute::receive()
+{
+    m_socket.async_receive_from(
+        boost::asio::buffer(m_buffer), m_sender, [this](const boost::system::error_code& ec, size_t n) {
+            if (ec == boost::asio::error::operation_aborted)
+                return;
+            if (!ec)
+                pass(m_sender.port(), n);
+            receive();
+        });
+}
+
+void PeerRoute::pass(uint16_t sender, size_t size)
+{
+    boost::system::error_code ec;
+    if (!m_cut(sender))
+        m_socket.send_to(
+            boost::asio::buffer(m_buffer.data(), size), { boost::asio::ip::address_v4::loopback(), m_target }, 0, ec);
+}
+
 // Host.
 
 Host::Host(Record& record, const std::string& folder, const Place& place)
@@ -756,6 +795,8 @@
         << (place.zone == "tamar-store" ? "tamar" : "huon") << "\"\ncaller_listen = \"" << loopback(m_callers)
         << "\"\nstatus_listen = \"" << loopback(m_status) << "\"\npeer_listen = \"" << loopback(m_peers)
         << "\"\nstore = \"" << loopback(place.storePort) << "\"\npromotions = \"" << loopback(place.promotionPort)
+        << (place.advertisedPeerPort == 0 ? std::string()
+                                          : "\"\npeer_advertise = \"" + loopback(place.advertisedPeerPort))
         << "\"\nfirst_start = true\nfenced_primaries = true\nstore_min_lease = \"1000ms\"\n"
            "drain_limit = \"7000ms\"\nshutdown_grace = \"6s\"\nmax_descriptors = 4300\n"
            "memory = \""
@@ -976,7 +1017,13 @@
         place.memoryMb = settings.memoryMb;
         place.storePort = m_storePort;
         place.promotionPort = m_promotionPort;
+        if (settings.peerRoutes)
+            place.advertisedPeerPort = freePort();
         hosts.push_back(std::make_unique<Host>(record, m_work, place));
+        const Host& host = *hosts.back();
+        if (settings.peerRoutes)
+            m_peerRoutes.emplace_back(loop, place.advertisedPeerPort, host.peerPort(),
+                [this, &host](uint16_t sender) { return isCutOff(host, sender); });
     }
 }
 
@@ -990,6 +1037,11 @@
         std::cerr << "logs: " << m_work << std::endl;
 }
 
+bool Deployment::isCutOff(const Host& receiver, uint16_t sender) const
+{
+    return cutOffHost != nullptr && (&receiver == cutOffHost || sender == cutOffHost->peerPort());
+}
+
 void Deployment::pass(Milliseconds time)
 {
     loop.restart();
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -3,6 +3,7 @@
 #include "../../tests/support_kv_store.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <deque>
@@ -128,6 +129,9 @@
     /// @param opened When the connection was opened.
     std::function<void(size_t index, Clock::time_point opened)> statusAsked;
 
+    /// Returns whether a server's messages from and to the connections of a tenant are lost.
+    std::function<bool(size_t index, const std::string& tenant)> cutOff;
+
     /// Rows that a READ of an item returns.
     std::function<std::vector<std::string>(const std::string& item)> rows;
 
@@ -222,6 +226,26 @@
     Handler m_handler;
 };
 
+/// Passes on the datagrams that other entry hosts send to one, unless they are cut off from each other.
+class PeerRoute {
+public:
+    /// Returns whether datagrams from a sender's port are lost.
+    using Cut = std::function<bool(uint16_t sender)>;
+
+    PeerRoute(boost::asio::io_context&, uint16_t port, uint16_t target, Cut);
+
+private:
+    void receive();
+    void pass(uint16_t sender, size_t size);
+
+    boost::asio::io_context& m_loop;
+    boost::asio::ip::udp::socket m_socket;
+    uint16_t m_target;
+    Cut m_cut;
+    boost::asio::ip::udp::endpoint m_sender;
+    std::vector<char> m_buffer;
+};
+
 /// An entry host: the project's program as its own process.
 class Host {
 public:
@@ -231,6 +255,7 @@
         unsigned memoryMb = 260;
         uint16_t storePort = 0;
         uint16_t promotionPort = 0;
+        uint16_t advertisedPeerPort = 0; ///< 0: its own.
     };
 
     Host(Record&, const std::string& folder, const Place&);
@@ -320,6 +345,7 @@
         Databases::Settings databases;
         std::vector<Tenant> tenants { { "milliners" } };
         unsigned memoryMb = 260;
+        bool peerRoutes = false; ///< Entry hosts reach each other through PeerRoute.
     };
 
     /// @param folder Of the case: record.txt is written there.
@@ -340,15 +366,19 @@
     std::vector<std::unique_ptr<Host>> hosts;
     /// Takes the place of Databases::promote(), if set.
     PromotionPort::Handler promoted;
+    /// Entry host that is cut off from all others, if there are routes; null: none.
+    const Host* cutOffHost = nullptr;
 
 private:
     bool hostsReady();
+    bool isCutOff(const Host& receiver, uint16_t sender) const;
 
     Settings m_settings;
     std::string m_work;
     uint16_t m_storePort = freePort();
     uint16_t m_promotionPort = freePort();
     std::unique_ptr<PromotionPort> m_promotions;
+    std::list<PeerRoute> m_peerRoutes;
     uint64_t m_lastId = 0;
 };
 
