--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -20,11 +20,11 @@
     constexpr Milliseconds calmTime(5000);
     constexpr size_t writersPerHost = 2;
 
-    Verdict run(const std::string& folder)
+    Verdict run(const std::string& recordFile)
     {
         Deployment::Settings settings;
         settings.tenants = { { "milliners", 121, 121 }, { "dyers", 121, 121 }, { "packers", 121, 121 } };
-        Deployment deployment(folder, settings);
+        Deployment deployment(recordFile, settings);
         Databases& databases = *deployment.databases;
         databases.server(near).receiveDelay = zonePassage;
         databases.server(far).receiveDelay = regionPassage;
@@ -65,6 +65,6 @@
 
 int main(int argc, char** argv)
 {
-    const std::string folder = argc > 1 ? argv[1] : ".";
-    return plantainwall::review::runCase([&] { return plantainwall::review::run(folder); });
+    const std::string recordFile = argc > 1 ? argv[1] : "record.txt";
+    return plantainwall::review::runCase([&] { return plantainwall::review::run(recordFile); });
 }
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -11,7 +11,7 @@
     constexpr size_t replica = 1; ///< The one that crashes.
     constexpr Milliseconds zonePassage(1);
     constexpr Milliseconds warmUp(5000);
-    constexpr Milliseconds downBefore(3000); ///< From the crash of the replica to the partition.
+    constexpr Milliseconds downBefore(1500); ///< From the crash of the replica to the partition.
     constexpr Milliseconds backAfter(150); ///< The replica, from the order to promote the other one.
     constexpr Milliseconds limit(6500); ///< Of the partition.
     constexpr size_t writerCount = 6;
@@ -27,12 +27,13 @@
         return it == deployment.hosts.end() ? nullptr : it->get();
     }
 
-    Verdict run(const std::string& folder)
+    Verdict run(const std::string& recordFile)
     {
         Deployment::Settings settings;
         settings.tenants = { { "dyers", 121, 121 }, { writersTenant, 121, 121 } };
         settings.peerRoutes = true;
-        Deployment deployment(folder, settings);
+        settings.hostZones = { "huon-mill", "huon-mill", "huon-sheds", "huon-sheds", "tamar-store", "tamar-store" };
+        Deployment deployment(recordFile, settings);
         Databases& databases = *deployment.databases;
         for (size_t i = 0; i < databases.servers().size(); ++i)
             databases.server(i).receiveDelay = zonePassage;
@@ -83,6 +84,6 @@
 
 int main(int argc, char** argv)
 {
-    const std::string folder = argc > 1 ? argv[1] : ".";
-    return plantainwall::review::runCase([&] { return plantainwall::review::run(folder); });
+    const std::string recordFile = argc > 1 ? argv[1] : "record.txt";
+    return plantainwall::review::runCase([&] { return plantainwall::review::run(recordFile); });
 }
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -22,13 +22,13 @@
     constexpr Milliseconds limit(15000);
     constexpr Milliseconds calmTime(8000);
 
-    Verdict run(const std::string& folder)
+    Verdict run(const std::string& recordFile)
     {
         Deployment::Settings settings;
         settings.tenants.clear();
         for (size_t i = 0; i < tenantCount; ++i)
             settings.tenants.push_back({ "tenant-" + std::to_string(i), 121, 121 });
-        Deployment deployment(folder, settings);
+        Deployment deployment(recordFile, settings);
         Databases& databases = *deployment.databases;
         // The primary stands in the other region.
         databases.server(primary).receiveDelay = regionPassage;
@@ -98,6 +98,6 @@
 
 int main(int argc, char** argv)
 {
-    const std::string folder = argc > 1 ? argv[1] : ".";
-    return plantainwall::review::runCase([&] { return plantainwall::review::run(folder); });
+    const std::string recordFile = argc > 1 ? argv[1] : "record.txt";
+    return plantainwall::review::runCase([&] { return plantainwall::review::run(recordFile); });
 }
--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -994,8 +994,8 @@
 
 // Deployment.
 
-Deployment::Deployment(const std::string& folder, const Settings& settings)
-    : record(folder + "/record.txt")
+Deployment::Deployment(const std::string& recordFile, const Settings& settings)
+    : record(recordFile)
     , m_settings(settings)
 {
     std::string pattern = "/tmp/plantainwall-review-XXXXXX";
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -348,8 +348,8 @@
         bool peerRoutes = false; ///< Entry hosts reach each other through PeerRoute.
     };
 
-    /// @param folder Of the case: record.txt is written there.
-    Deployment(const std::string& folder, const Settings&);
+    /// @param recordFile Where the record is written.
+    Deployment(const std::string& recordFile, const Settings&);
     ~Deployment();
 
     /// Starts the entry hosts and waits until all of them report that they are ready. Returns whether they did.
