--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -456,8 +456,10 @@
         nextWord(fields);
         session->tenant = nextWord(fields);
     }
-    if (cutOff && cutOff(session->index, session->tenant))
+    if (cutOff && cutOff(session->index, session->tenant)) {
+        m_record.note("lost on the way to " + server.id + ": " + shortened(line));
         return;
+    }
     if (word == "STARTUP") {
         open(session, rest);
         return;
