--- a/src/failover_member.h
+++ b/src/failover_member.h
@@ -14,7 +14,7 @@
     Instant lapsedAt; ///< When the registration ended.
     /// An earlier process under an id that was registered again with another start time. It has ended.
     bool ended = false;
-    /// It was down, and its log was not needed, when a coordinator last asked it.
+    /// It was down, and its log was not needed, when a coordinator last asked it; it may have run since.
     bool settled = false;
     uint64_t startedUnixMs = 0; ///< Start of its process; 0 if unknown. A restarted server may have lost its log.
     bool wasPrimary = false; ///< Of a process that has ended: it was the last known primary.
--- a/src/failover_plan.cpp
+++ b/src/failover_plan.cpp
@@ -257,9 +257,26 @@
     m_revokedSince = inForce ? revokedSince : std::nullopt;
 }
 
+void FailoverPlan::checkAcknowledged(Instant now, const Stopped& stopped, const std::vector<FailoverMember>& members,
+    uint64_t term, const FailoverKnowledge& knowledge, std::vector<ReplicaLogs::Missing>& missing) const
+{
+    const NewestAcknowledged& acknowledged = knowledge.acknowledged;
+    const bool mayAnswer = std::any_of(missing.begin(), missing.end(), [&](const ReplicaLogs::Missing& log) {
+        const FailoverMember* const member = findMember(members, log.id);
+        return !log.lost && member != nullptr && !member->silentSince;
+    });
+    if (commitsWithheld() && !mayAnswer && acknowledged.latest && reaches(stopped.longest, *acknowledged.latest)) {
+        missing.clear();
+        return;
+    }
+    // A later primary either has the commits of earlier terms or has replaced them.
+    if (acknowledged.earliest.term >= term && !reaches(stopped.longest, acknowledged.earliest)
+        && now - knowledge.primarySeenAt < m_settings.acknowledgedWait)
+        missing.push_back({ "", "a caller was told of a commit that no known log holds", true });
+}
+
 FailoverPlan::Step FailoverPlan::collect(Instant now, const std::string& primary,
-    const std::vector<FailoverMember>& members, uint64_t term, const PermitPromotion& permit,
-    std::optional<Instant> revokedSince)
+    const std::vector<FailoverMember>& members, uint64_t term, const FailoverKnowledge& knowledge)
 {
     Step step;
     step.term = m_term;
@@ -277,17 +294,19 @@
             leader = &member;
     }
     noteDemoted(leader, members, term);
-    updateRevocation(leader, members, term, revokedSince, now);
+    updateRevocation(leader, members, term, knowledge.revokedSince, now);
     const Stopped stopped = stoppedReplicas(primary, members, term);
     const std::optional<Instant> unansweredSince = leader != nullptr
         ? std::nullopt
         : std::optional<Instant>(m_demotedAt ? std::max(m_startedAt, *m_demotedAt) : m_startedAt);
     std::vector<ReplicaLogs::Missing> missing = m_logs.missing(stopped.ids, stopped.longestButDemoted, unansweredSince);
+    if (leader == nullptr)
+        checkAcknowledged(now, stopped, members, term, knowledge, missing);
     const FailoverMember* const target = chooseTarget(now, stopped, members, term, missing);
     const bool commitsEnded = m_revocation->scope == RevocationScope::NewCommits || m_revokedSince;
     if (target != nullptr && leader == nullptr && commitsEnded) {
         // The replicas stay stopped until the promotion is permitted; no commit is acknowledged meanwhile.
-        if (permit && !permit(target->id, term + 1, m_demotedAt && !isSuperseded(members)))
+        if (knowledge.permit && !knowledge.permit(target->id, term + 1, m_demotedAt && !isSuperseded(members)))
             return step;
         m_target = target->id;
         m_phase = Phase::Promoting;
@@ -352,10 +371,9 @@
 }
 
 FailoverPlan::Step FailoverPlan::step(Instant now, const std::string& primary,
-    const std::vector<FailoverMember>& members, uint64_t term, const PermitPromotion& permit,
-    std::optional<Instant> revokedSince)
+    const std::vector<FailoverMember>& members, uint64_t term, const FailoverKnowledge& knowledge)
 {
-    m_logs.update(now, primary, members, term);
+    m_logs.update(now, primary, members, term, knowledge.primarySeenAt);
     noteAnswers(now, members);
     switch (m_phase) {
     case Phase::Watching: {
@@ -371,10 +389,10 @@
         m_repeatAt = now;
         m_term = term + 1;
         m_promotionOrdered = false;
-        return collect(now, primary, members, term, permit, revokedSince);
+        return collect(now, primary, members, term, knowledge);
     }
     case Phase::Collecting:
-        return collect(now, primary, members, term, permit, revokedSince);
+        return collect(now, primary, members, term, knowledge);
     case Phase::Promoting: {
         if (m_waitingForAnswer || now < m_repeatAt)
             return {};
--- a/src/failover_plan.h
+++ b/src/failover_plan.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "acknowledged_commits.h"
 #include "primary_revocation.h"
 #include "replica_logs.h"
 #include <functional>
@@ -36,6 +37,9 @@
     /// known server has answered without interruption for this long, and none became known meanwhile.
     Duration allAnsweringTime = std::chrono::milliseconds(5000);
     Duration reportMissingInterval = std::chrono::milliseconds(2000);
+    /// For this long after a primary was last seen, a log is waited for that holds all commits which callers were told
+    /// of. Then the server that had it counts as lost for good.
+    Duration acknowledgedWait = std::chrono::seconds(60);
     ReplicaLogsSettings logs;
 };
 
@@ -46,6 +50,23 @@
 /// Returns a stable lower-case name for logs.
 std::string_view failoverReasonName(FailoverReason);
 
+/// Returns whether the promotion of a server to primary of a term may be ordered now. demoted: the old primary has
+/// reported that it leads no more. Otherwise it may go on leading by its own account.
+using PermitPromotion = std::function<bool(const std::string& server, uint64_t term, bool demoted)>;
+
+/// What the coordinator knows of a service besides its servers' answers.
+struct FailoverKnowledge {
+    /// Asked before each promotion that this attempt has not ordered yet; empty: all may be ordered.
+    PermitPromotion permit;
+    /// Since when all hosts have known FailoverPlan::revocation(); nothing: some may not. Zero: there are no hosts.
+    std::optional<Instant> revokedSince = Instant();
+    /// The newest commit that callers were told of. Its latest position is set only while FailoverPlan::revocation()
+    /// withholds commits.
+    NewestAcknowledged acknowledged;
+    /// When this host last learned a position from a primary, or when its process started.
+    Instant primarySeenAt;
+};
+
 /// Plans the change of the primary of one service. A decision object.
 ///
 /// A commit is acknowledged once one replica has received it. Before a replica is promoted, every replica stops
@@ -61,6 +82,9 @@
 /// could confirm commits until the promotion takes effect. No server is promoted before all hosts have stopped to
 /// acknowledge commits of that primary, and only logs that were reported after that count.
 ///
+/// Once no host acknowledges commits, the hosts together know how far the acknowledged ones reach. A log that reaches
+/// as far needs no other one beside it, whether those were destroyed or are of servers that do not answer.
+///
 /// A primary that answers is always demoted first. A replica that this host does not know could otherwise confirm a
 /// commit until the promotion takes effect. It may have confirmed others before, which only it and the primary have, so
 /// the server that replaces a leaving primary must have its whole log. Hosts therefore stop to send a leaving primary
@@ -81,20 +105,14 @@
         std::vector<ReplicaLogs::Missing> missing;
     };
 
-    /// Returns whether the promotion of a server to primary of a term may be ordered now. demoted: the old primary has
-    /// reported that it leads no more. Otherwise it may go on leading by its own account.
-    using PermitPromotion = std::function<bool(const std::string& server, uint64_t term, bool demoted)>;
-
     explicit FailoverPlan(const FailoverSettings& = {});
 
     /// Returns the next step.
     /// @param primary Server assumed to be primary; empty if none.
     /// @param members All registered servers of the service, and those whose registrations have ended.
     /// @param term Newest term seen.
-    /// @param permit Asked before each promotion that this attempt has not ordered yet; empty: all may be ordered.
-    /// @param revokedSince Since when all hosts have known revocation(); nothing: some may not. Zero: there are none.
     Step step(Instant now, const std::string& primary, const std::vector<FailoverMember>& members, uint64_t term,
-        const PermitPromotion& permit = {}, std::optional<Instant> revokedSince = Instant());
+        const FailoverKnowledge& = {});
 
     /// Returns which primary is being replaced, and what hosts must no longer do with it; nothing if none is.
     const std::optional<PrimaryRevocation>& revocation() const { return m_revocation; }
@@ -151,7 +169,11 @@
     void restartAttempt(Instant);
     FailoverReason findReason(Instant, const std::string& primary, const std::vector<FailoverMember>&, uint64_t term);
     Step collect(Instant, const std::string& primary, const std::vector<FailoverMember>&, uint64_t term,
-        const PermitPromotion&, std::optional<Instant> revokedSince);
+        const FailoverKnowledge&);
+    /// Drops missing logs that are not needed, because the longest stopped one holds all that callers were told of, and
+    /// adds one if it lacks something of that.
+    void checkAcknowledged(Instant, const Stopped&, const std::vector<FailoverMember>&, uint64_t term,
+        const FailoverKnowledge&, std::vector<ReplicaLogs::Missing>&) const;
     Step resumeStopped(const std::vector<FailoverMember>&);
 
     FailoverSettings m_settings;
--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -221,6 +221,8 @@
         peer.listedAt = m_clock();
     if (peer.registered && peer.incarnation != registration.incarnation)
         peer.endedIncarnations.insert(peer.incarnation);
+    if (peer.incarnation != 0 && peer.incarnation != registration.incarnation)
+        m_revocations.noteDeparture();
     // The numbers of a process may be lower than those of the one before, if the time of day was set back.
     if (peer.incarnation != registration.incarnation)
         peer.leaseRequest = 0;
@@ -237,7 +239,10 @@
 void FleetMember::ownItemsChanged()
 {
     m_replicaItemsChanged = true;
+    std::set<std::string> registeredBefore;
     for (auto& [host, peer] : m_peers) {
+        if (peer.registered)
+            registeredBefore.insert(host);
         peer.registered = false;
         peer.endedIncarnations.clear();
     }
@@ -253,6 +258,9 @@
         if (m_registrationRevision != 0 && registration.incarnation != m_incarnation && own < registration.version)
             afterRegistration(registrationRetryDelay, &FleetMember::registerHost);
     }
+    if (std::any_of(registeredBefore.begin(), registeredBefore.end(),
+            [this](const std::string& host) { return !m_peers.at(host).registered; }))
+        m_revocations.noteDeparture();
     const std::map<std::string, StoreItem>& items = m_follower.items();
     const auto record = items.find(primaryRecordKey);
     if (record != items.end())
@@ -416,6 +424,7 @@
         Peer& peer = it->second;
         if (!peer.registered && peer.silent && now - peer.lastSeen > m_settings.quotaReservationTime) {
             m_gateway.forgetReports(it->first);
+            m_revocations.noteDeparture();
             it = m_peers.erase(it);
             continue;
         }
--- a/src/fleet_member_replicas.cpp
+++ b/src/fleet_member_replicas.cpp
@@ -44,7 +44,8 @@
     std::vector<RevocationTarget> targets;
     targets.reserve(m_peers.size());
     for (const auto& [host, peer] : m_peers)
-        targets.push_back({ host, peer.address, peer.incarnation, peer.registered && !isUnreachable(peer) });
+        targets.push_back({ host, peer.address, peer.incarnation, peer.registered && !isUnreachable(peer),
+            peer.registered || !peer.silent });
     return targets;
 }
 
--- a/src/fleet_member_reports.cpp
+++ b/src/fleet_member_reports.cpp
@@ -256,6 +256,7 @@
             // A notice of an earlier process may arrive late.
             if (incarnation == it->second.incarnation) {
                 m_gateway.forgetReports(host);
+                m_revocations.noteDeparture();
                 m_peers.erase(it);
                 m_fleetChanged = true;
             }
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -359,6 +359,21 @@
         m_primaryPositions[service].note(observation.position, observation.requestedAt);
 }
 
+AcknowledgedCommits Gateway::acknowledgedCommits(const std::string& service) const
+{
+    const auto acknowledged = m_acknowledged.find(service);
+    AcknowledgedCommits result = acknowledged == m_acknowledged.end() ? AcknowledgedCommits() : acknowledged->second;
+    const auto positions = m_primaryPositions.find(service);
+    if (positions != m_primaryPositions.end())
+        result.observed = positions->second.newest();
+    return result;
+}
+
+void Gateway::commitAcknowledged(const std::string& service, const LogPosition& before, const LogPosition& end)
+{
+    m_acknowledged[service].note(before, end);
+}
+
 void Gateway::refreshPosition(const std::string& service, GatewayConnection* idle)
 {
     const Instant now = m_clock();
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "acknowledged_commits.h"
 #include "evacuations.h"
 #include "gateway_connection.h"
 #include "gateway_settings.h"
@@ -70,6 +71,14 @@
     PrimaryLeases& primaryLeases() { return m_primaryLeases; }
     PrimaryRevocations& revocations() { return m_revocations; }
 
+    Instant startedAt() const { return m_started; }
+
+    /// Returns what this host knows of the commits of a service.
+    AcknowledgedCommits acknowledgedCommits(const std::string& service) const;
+
+    /// Records that a caller is told of a commit. Parameters as in AcknowledgedCommits::note.
+    void commitAcknowledged(const std::string& service, const LogPosition& before, const LogPosition& end);
+
     /// Sets the number of registered entry hosts, this one included.
     void setHosts(size_t hosts);
 
@@ -181,6 +190,7 @@
         Instant freshnessTime; ///< Reads must see all commits acknowledged before this time less the allowed staleness.
         Instant timeoutAt;
         Instant sentAt;
+        LogPosition primaryBefore; ///< Newest position that a primary had reported when it was sent; zero if none.
         Instant resendAt; ///< When to resend a statement for which a pinned connection found no slot; zero: none.
         std::set<std::string> tried;
         unsigned attempts = 0;
@@ -355,6 +365,7 @@
     bool m_regionsRestricted = false; ///< See noteRegions().
     bool m_sharedConnections = false;
     std::map<std::string, PrimaryPositions> m_primaryPositions; ///< By service.
+    std::map<std::string, AcknowledgedCommits> m_acknowledged; ///< By service; without observed.
     std::map<std::string, Instant> m_positionNeededAt; ///< By service; last need of a primary position.
     std::map<std::string, Instant> m_positionPolledAt; ///< By service; when its position was last polled.
     bool m_positionsFromPeers = false;
--- a/src/gateway_backend.cpp
+++ b/src/gateway_backend.cpp
@@ -195,6 +195,8 @@
     connection.preparedName = command.name;
     job.sentToServer = true;
     job.sentAt = m_clock();
+    const std::optional<PrimaryPositions::Observation> newest = m_primaryPositions[connection.server.service].newest();
+    job.primaryBefore = newest ? newest->position : LogPosition();
     noteSent(connection.server);
     connection.statementSent = true;
     send(connection, CommandRole::Statement, command);
@@ -427,6 +429,7 @@
                 return;
             }
             notePrimary(connection.server, reply.position, sentAt);
+            commitAcknowledged(service, job.primaryBefore, reply.position);
             if (session != nullptr)
                 session->ownPosition = laterPosition(session->ownPosition, reply.position);
         }
--- a/src/promotion_coordinator.cpp
+++ b/src/promotion_coordinator.cpp
@@ -209,14 +209,18 @@
     if (!allPolled)
         return;
     FailoverPlan& plan = m_plans.try_emplace(service).first->second;
-    FailoverPlan::PermitPromotion permit;
+    FailoverKnowledge knowledge;
     if (m_guard != nullptr)
-        permit = [this, &service](const std::string& server, uint64_t term, bool demoted) {
+        knowledge.permit = [this, &service](const std::string& server, uint64_t term, bool demoted) {
             return m_guard->mayPromote(service, server, term, demoted);
         };
-    const std::optional<Instant> revokedSince
-        = m_revocations == nullptr ? Instant() : m_revocations->inForceSince(service);
-    carryOut(service, plan.step(now, primary, reports, m_gateway.directory().term(service), permit, revokedSince));
+    if (m_revocations != nullptr) {
+        knowledge.revokedSince = m_revocations->inForceSince(service);
+        knowledge.acknowledged = m_revocations->newestAcknowledged(service);
+    }
+    const std::optional<PrimaryPositions::Observation> seen = m_gateway.acknowledgedCommits(service).observed;
+    knowledge.primarySeenAt = seen ? seen->requestedAt : m_gateway.startedAt();
+    carryOut(service, plan.step(now, primary, reports, m_gateway.directory().term(service), knowledge));
     if (m_revocations != nullptr)
         m_revocations->setRevocation(service, plan.revocation(), m_token);
     for (const auto& [id, startedUnixMs] : m_gateway.directory().settleLapsed(service, plan.settled(), now))
--- a/src/replica_logs.cpp
+++ b/src/replica_logs.cpp
@@ -78,8 +78,10 @@
     const bool wasLeading = copy.leading;
     if (added) {
         copy.startedUnixMs = member.startedUnixMs;
-        if (member.settled)
-            copy.down = Coverage { now, {}, {}, now };
+        if (member.settled) {
+            copy.down = Coverage { now, {}, {}, {} };
+            copy.settledBefore = true;
+        }
     }
     if (copy.startedUnixMs != member.startedUnixMs && member.startedUnixMs != 0) {
         if (copy.startedUnixMs != 0) {
@@ -123,14 +125,15 @@
     }
     const bool reachedSince = copy.down && member.probes.reachedAt && *member.probes.reachedAt > copy.down->since;
     const bool stillSettled = member.settled && copy.down && !member.status && !reachedSince;
-    if (!isDown(now, member, copy.down.has_value()) && !stillSettled)
+    if (!isDown(now, member, copy.down.has_value()) && !stillSettled) {
         copy.down.reset();
-    else if (!copy.down)
+        copy.settledBefore = false;
+    } else if (!copy.down)
         copy.down = Coverage { now, {}, {}, {} };
 }
 
-void ReplicaLogs::update(
-    Instant now, const std::string& primary, const std::vector<FailoverMember>& members, uint64_t term)
+void ReplicaLogs::update(Instant now, const std::string& primary, const std::vector<FailoverMember>& members,
+    uint64_t term, Instant primarySeenAt)
 {
     for (const FailoverMember& member : members) {
         if (!leads(member, primary, term) || !member.status || member.silentSince)
@@ -180,6 +183,9 @@
             copy.down = Coverage { now, {}, {}, {} };
         if (copy.down)
             updateCoverage(*copy.down);
+        if (copy.down && !copy.down->coveredAt && copy.settledBefore
+            && now - std::max(primarySeenAt, m_leaderSeenAt) >= m_settings.settledReturnTime)
+            copy.down->coveredAt = now;
         it = !listed && copy.down && copy.down->coveredAt ? m_copies.erase(it) : std::next(it);
     }
     for (auto it = m_lostCopies.begin(); it != m_lostCopies.end();) {
@@ -236,6 +242,8 @@
             continue;
         if (!copy.down)
             result.push_back({ id, "has not stopped receiving", false });
+        else if (!covered(*copy.down) && copy.settledBefore)
+            result.push_back({ id, "was not needed by an earlier coordinator, but may have run since", false });
         else if (!covered(*copy.down))
             result.push_back({ id, "does not answer, and its commits may be in no other log", false });
         else if (!unansweredSince || (!copy.unlistedSince && copy.failedAt < *unansweredSince))
@@ -252,7 +260,7 @@
 {
     std::vector<std::pair<std::string, uint64_t>> result;
     for (const auto& [id, copy] : m_copies) {
-        if (!copy.registered && copy.down && copy.down->coveredAt)
+        if (!copy.registered && copy.down && (copy.down->coveredAt || copy.settledBefore))
             result.emplace_back(id, copy.startedUnixMs);
     }
     for (const LostCopy& lost : m_lostCopies) {
--- a/src/replica_logs.h
+++ b/src/replica_logs.h
@@ -12,6 +12,10 @@
     /// this long. A longer time protects commits of a server that only the primary reaches; a shorter one lets the
     /// service survive the loss of a second server sooner.
     Duration goneTimeout = std::chrono::milliseconds(5000);
+    /// A server that an earlier coordinator found not needed may have run since without being noticed. Unless its log
+    /// is proven to be covered, it is waited for until nobody has seen a primary for this long: the time within which
+    /// the process of a crashed server is started again.
+    Duration settledReturnTime = std::chrono::milliseconds(8000);
 };
 
 /// Tracks which logs of one service may hold an acknowledged commit that no other log has. A decision object.
@@ -32,7 +36,9 @@
     explicit ReplicaLogs(const ReplicaLogsSettings& = {});
 
     /// Updates the state of all logs. Parameters as in FailoverPlan::step.
-    void update(Instant now, const std::string& primary, const std::vector<FailoverMember>&, uint64_t term);
+    /// @param primarySeenAt When this host last learned anything from a primary.
+    void update(Instant now, const std::string& primary, const std::vector<FailoverMember>&, uint64_t term,
+        Instant primarySeenAt = Instant());
 
     /// Records that a new primary leads; it holds every acknowledged commit, but other logs may not yet.
     void primaryChanged(Instant now);
@@ -56,7 +62,7 @@
         gsl::span<const std::string> stopped, const LogPosition& longest, std::optional<Instant> unansweredSince) const;
 
     /// Returns id and start time (Unix milliseconds) of the unregistered servers that are down and whose logs are not
-    /// needed. They may still answer again.
+    /// needed, as this or an earlier coordinator has found. They may still answer again.
     std::vector<std::pair<std::string, uint64_t>> settled() const;
 
 private:
@@ -78,6 +84,7 @@
         uint64_t ledTerm = 0; ///< Newest term of which the process reported that it is primary; 0 if none.
         uint64_t lostInTerm = 0; ///< Newest term in which a process under the id had more than a later one.
         bool restarted = false; ///< The process has not answered yet; its first status shows whether it kept the log.
+        bool settledBefore = false; ///< Down and not needed by the word of an earlier coordinator only.
         bool leading = false; ///< Log of the primary: the replicas hold all that it acknowledged.
         bool registered = true;
         Instant failedAt; ///< See FailoverMember.
--- a/src/replica_record.cpp
+++ b/src/replica_record.cpp
@@ -28,6 +28,7 @@
         if (entry.id.empty() || entry.address.empty())
             throw std::invalid_argument("a server without id or address");
         replica.ended = json.has_field("ended") && json.at("ended").as_bool();
+        replica.settled = json.has_field("settled") && json.at("settled").as_bool();
         return replica;
     }
 
@@ -39,7 +40,7 @@
     {
         const ServerEntry& left = a.entry;
         const ServerEntry& right = b.entry;
-        return a.ended == b.ended && left.id == right.id && left.address == right.address
+        return a.ended == b.ended && a.settled == b.settled && left.id == right.id && left.address == right.address
             && left.dataCentre == right.dataCentre && left.slots == right.slots && left.draining == right.draining
             && left.primary == right.primary && left.startedUnixMs == right.startedUnixMs;
     }
@@ -77,6 +78,8 @@
             json["primary"] = Json::boolean(true);
         if (replica.ended)
             json["ended"] = Json::boolean(true);
+        if (replica.settled)
+            json["settled"] = Json::boolean(true);
         list.push_back(std::move(json));
     }
     Json record = Json::object();
@@ -159,6 +162,14 @@
                 directory.noteSettled(replica.entry.id, replica.entry.startedUnixMs, now);
         }
     }
+    // A copy of the store may have taken for settled what has run since.
+    const bool mayBeOutdated = record.revision != 0 && era != record.era;
+    const auto isNeeded = [&](const ServerEntry& entry) {
+        const std::vector<const LapsedServer*> lapsed = directory.lapsed(service);
+        return std::any_of(lapsed.begin(), lapsed.end(), [&](const LapsedServer* known) {
+            return processOf(known->entry) == processOf(entry) && !known->settledAt;
+        });
+    };
     record.era = era;
     record.revision = item.revision;
     record.servers = std::move(servers);
@@ -166,7 +177,8 @@
     if (coordinator && record.ownWrite && record.ownWrite->value == item.value)
         return;
     for (const Replica& replica : record.servers)
-        directory.addLapsed(replica.entry, now, replica.ended);
+        directory.addLapsed(
+            replica.entry, now, replica.ended, replica.settled && !(mayBeOutdated && isNeeded(replica.entry)));
 }
 
 std::vector<StoreWrite> ReplicaRecords::due(const std::map<std::string, StoreItem>& items,
--- a/src/replica_record.h
+++ b/src/replica_record.h
@@ -6,11 +6,12 @@
 
 namespace plantainwall {
 
-/// Encodes the servers of a service that may hold acknowledged commits as the value of an item of the store.
+/// Encodes the servers of a service that may hold acknowledged commits, or may run again, as the value of an item of
+/// the store.
 std::string encodeReplicaRecord(gsl::span<const Replica>);
 
 /// Returns the servers of an encoded record, in order of their ids and starts. A server without the field `ended` is
-/// taken as running. Throws std::exception if the record is malformed.
+/// taken as running, one without `settled` as needed. Throws std::exception if the record is malformed.
 std::vector<Replica> decodeReplicaRecord(const std::string& service, const std::string& value);
 
 /// Compares the recorded servers of each service with the known ones: decides which items are written, and which lapsed
--- a/src/revocation_exchange.cpp
+++ b/src/revocation_exchange.cpp
@@ -15,6 +15,9 @@
     constexpr std::string_view noticeWord = "revoke? ";
     constexpr std::string_view acknowledgementWord = "revoke! ";
 
+    /// Ages beyond this are as good as unknown; larger numbers would overflow.
+    constexpr uint64_t maxReportedAgeMs = 1'000'000'000;
+
     constexpr uint64_t lastScope = static_cast<uint64_t>(RevocationScope::Count) - 1;
     constexpr std::string_view scopeNames[] = { "new_commits", "all_commits" };
     static_assert(
@@ -30,6 +33,7 @@
     , m_clock(std::move(clock))
     , m_gateway(gateway)
     , m_number(firstPeerRequest(incarnation))
+    , m_departedAt(m_clock())
 {
 }
 
@@ -39,7 +43,8 @@
     const auto it = m_notices.find(service);
     if (it == m_notices.end() ? !revocation : it->second.revocation == revocation)
         return;
-    m_notices[service] = { revocation, token, ++m_number, m_clock(), std::nullopt };
+    m_notices[service] = { revocation, token, ++m_number, m_clock(), std::nullopt, {} };
+    m_reportsChanged = true;
     apply(service, revocation, token, m_host);
 }
 
@@ -49,6 +54,18 @@
     return it == m_notices.end() || !it->second.revocation ? std::nullopt : it->second.inForceSince;
 }
 
+NewestAcknowledged RevocationExchange::newestAcknowledged(const std::string& service) const
+{
+    const auto it = m_notices.find(service);
+    return it == m_notices.end() ? NewestAcknowledged() : it->second.newestAcknowledged;
+}
+
+void RevocationExchange::noteDeparture()
+{
+    m_departedAt = m_clock();
+    m_reportsChanged = true;
+}
+
 void RevocationExchange::reset()
 {
     m_notices.clear();
@@ -91,7 +108,11 @@
 {
     const Instant now = m_clock();
     for (auto& [service, notice] : m_notices) {
-        if (!notice.revocation || notice.inForceSince)
+        if (!notice.revocation)
+            continue;
+        if (m_reportsChanged)
+            notice.newestAcknowledged = collectAcknowledged(service, notice, targets);
+        if (notice.inForceSince)
             continue;
         const auto pending = std::count_if(targets.begin(), targets.end(),
             [&, number = notice.number](const auto& it) { return it.reachable && !hasAcknowledged(it, number); });
@@ -103,6 +124,31 @@
                 { "unacknowledged", pending },
                 { "ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - notice.changedAt).count() } });
     }
+    m_reportsChanged = false;
+}
+
+const AcknowledgedCommits* RevocationExchange::reportOf(
+    const RevocationTarget& target, const std::string& service, uint64_t number) const
+{
+    if (!hasAcknowledged(target, number))
+        return nullptr;
+    const std::map<std::string, AcknowledgedCommits>& commits = m_acknowledgements.at(target.host).commits;
+    const auto it = commits.find(service);
+    return it == commits.end() ? nullptr : &it->second;
+}
+
+NewestAcknowledged RevocationExchange::collectAcknowledged(
+    const std::string& service, const Notice& notice, const std::vector<RevocationTarget>& targets) const
+{
+    std::vector<AcknowledgedCommits> reports { m_gateway.acknowledgedCommits(service) };
+    bool complete = notice.revocation->scope == RevocationScope::AllCommits;
+    for (const RevocationTarget& target : targets) {
+        const AcknowledgedCommits* const report = reportOf(target, service, notice.number);
+        if (report != nullptr)
+            reports.push_back(*report);
+        complete = complete && (report != nullptr || !target.mayRun);
+    }
+    return plantainwall::newestAcknowledged(reports, complete, m_departedAt);
 }
 
 std::string RevocationExchange::message() const
@@ -157,14 +203,7 @@
     const std::string& text, const std::function<std::string(const std::string& host)>& addressOf)
 {
     if (boost::algorithm::starts_with(text, acknowledgementWord)) {
-        const value reply = value::parse(text.substr(acknowledgementWord.size()));
-        const auto it = m_acknowledgements.find(reply.at("h").as_string());
-        if (it == m_acknowledgements.end())
-            return true;
-        const uint64_t incarnation = unsignedFrom(reply.at("i"));
-        const uint64_t number = unsignedFrom(reply.at("n"));
-        it->second.number = it->second.incarnation == incarnation ? std::max(it->second.number, number) : number;
-        it->second.incarnation = incarnation;
+        acknowledged(text);
         return true;
     }
     if (!boost::algorithm::starts_with(text, noticeWord))
@@ -175,23 +214,84 @@
     if (address.empty())
         return true;
     const uint64_t number = unsignedFrom(notice.at("n"));
+    std::vector<std::string> withheld;
     for (const value& entry : notice.at("s").as_array()) {
         const std::string service = entry.at(0).as_string();
         const PrimaryRevocation revocation { unsignedFrom(entry.at(1), maxLogNumber),
             static_cast<RevocationScope>(unsignedFrom(entry.at(2), lastScope)) };
         const uint64_t token = unsignedFrom(entry.at(3));
+        if (revocation.term != 0 && revocation.scope == RevocationScope::AllCommits)
+            withheld.push_back(service);
         if (isOutdated(service, token, number))
             continue;
         m_gateway.directory().noteReportedPrimary(
             service, entry.at(4).as_string(), unsignedFrom(entry.at(5), maxLogNumber));
         apply(service, revocation.term != 0 ? std::make_optional(revocation) : std::nullopt, token, coordinator);
     }
+    acknowledge(address, number, withheld);
+    return true;
+}
+
+void RevocationExchange::acknowledge(
+    const std::string& address, uint64_t number, const std::vector<std::string>& services)
+{
+    const Instant now = m_clock();
+    std::vector<value> commits;
+    for (const std::string& service : services) {
+        const AcknowledgedCommits known = m_gateway.acknowledgedCommits(service);
+        std::vector<value> entry { value::string(service), value::number(known.earliest.term),
+            value::number(known.earliest.position), value::number(known.latest.term),
+            value::number(known.latest.position) };
+        if (known.observed) {
+            const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - known.observed->requestedAt);
+            entry.push_back(value::number(known.observed->position.term));
+            entry.push_back(value::number(known.observed->position.position));
+            entry.push_back(value::number(static_cast<uint64_t>(std::max<int64_t>(age.count(), 0) + 1)));
+        }
+        commits.push_back(value::array(std::move(entry)));
+    }
     value reply = value::object();
     reply["h"] = value::string(m_host);
     reply["i"] = value::number(m_incarnation);
-    reply["n"] = notice.at("n");
+    reply["n"] = value::number(number);
+    if (!commits.empty())
+        reply["c"] = value::array(std::move(commits));
     m_channel.send(address, std::string(acknowledgementWord) + reply.serialize());
-    return true;
+}
+
+void RevocationExchange::acknowledged(const std::string& datagram)
+{
+    const value reply = value::parse(datagram.substr(acknowledgementWord.size()));
+    const auto it = m_acknowledgements.find(reply.at("h").as_string());
+    if (it == m_acknowledgements.end())
+        return;
+    const uint64_t incarnation = unsignedFrom(reply.at("i"));
+    const uint64_t number = unsignedFrom(reply.at("n"));
+    Acknowledgement& known = it->second;
+    if (known.incarnation == incarnation && number < known.number)
+        return;
+    std::map<std::string, AcknowledgedCommits> commits;
+    if (reply.has_field("c")) {
+        for (const value& entry : reply.at("c").as_array()) {
+            AcknowledgedCommits& reported = commits[entry.at(0).as_string()];
+            reported.earliest = { unsignedFrom(entry.at(1), maxLogNumber), unsignedFrom(entry.at(2), maxLogNumber) };
+            reported.latest = { unsignedFrom(entry.at(3), maxLogNumber), unsignedFrom(entry.at(4), maxLogNumber) };
+            if (entry.size() <= 5)
+                continue;
+            // The age counts from when the host answered, which was later than the notice was sent.
+            const auto notice = std::find_if(m_notices.begin(), m_notices.end(),
+                [&](const auto& sent) { return sent.first == entry.at(0).as_string(); });
+            if (notice == m_notices.end())
+                continue;
+            const std::chrono::milliseconds age(unsignedFrom(entry.at(7), maxReportedAgeMs));
+            reported.observed = { { unsignedFrom(entry.at(5), maxLogNumber), unsignedFrom(entry.at(6), maxLogNumber) },
+                notice->second.changedAt - age };
+        }
+    }
+    known.incarnation = incarnation;
+    known.number = number;
+    known.commits = std::move(commits);
+    m_reportsChanged = true;
 }
 
 } // namespace plantainwall
--- a/src/revocation_exchange.h
+++ b/src/revocation_exchange.h
@@ -11,6 +11,7 @@
     std::string address;
     uint64_t incarnation = 0;
     bool reachable = true; ///< Its reports arrive, so its acknowledgement is waited for.
+    bool mayRun = true; ///< Its registration has not ended, or its reports arrive.
 };
 
 /// Tells all entry hosts which primaries are being replaced, as the coordinator, and takes the word of the coordinator
@@ -45,6 +46,13 @@
     /// Returns since when all hosts have known the revocation of a service, or nothing if some may not.
     std::optional<Instant> inForceSince(const std::string& service) const;
 
+    /// Returns what hosts have told callers of, as far as they have reported it. The latest position is known once
+    /// every host that may run has acknowledged a revocation of scope AllCommits.
+    NewestAcknowledged newestAcknowledged(const std::string& service) const;
+
+    /// Records that another host's process has ended, or may have.
+    void noteDeparture();
+
     /// Stops sending when this host is no longer the coordinator. Revocations in force stay until they end.
     void reset();
 
@@ -65,12 +73,14 @@
         uint64_t number = 0; ///< Of the message in which it was sent first.
         Instant changedAt;
         std::optional<Instant> inForceSince;
+        NewestAcknowledged newestAcknowledged;
     };
     /// What a host has acknowledged.
     struct Acknowledgement {
         uint64_t incarnation = 0;
         uint64_t number = 0;
         Instant sentAt; ///< Of the last message to it.
+        std::map<std::string, AcknowledgedCommits> commits; ///< By service, as reported with it.
     };
 
     bool isOutdated(const std::string& service, uint64_t token, uint64_t number);
@@ -78,6 +88,12 @@
     void apply(const std::string& service, const std::optional<PrimaryRevocation>&, uint64_t token,
         const std::string& coordinator);
     void updateInForce(const std::vector<RevocationTarget>&);
+    /// Returns what a host reported when it acknowledged a message of at least the number; null if it has not.
+    const AcknowledgedCommits* reportOf(const RevocationTarget&, const std::string& service, uint64_t number) const;
+    NewestAcknowledged collectAcknowledged(
+        const std::string& service, const Notice&, const std::vector<RevocationTarget>&) const;
+    void acknowledged(const std::string& datagram);
+    void acknowledge(const std::string& address, uint64_t number, const std::vector<std::string>& services);
     std::string message() const;
 
     std::string m_host;
@@ -90,6 +106,8 @@
     std::map<std::string, std::pair<uint64_t, uint64_t>> m_heard; ///< By service: token and number of the last notice.
     std::map<std::string, Notice> m_notices; ///< By service.
     std::map<std::string, Acknowledgement> m_acknowledgements; ///< By host.
+    bool m_reportsChanged = false; ///< Notice::newestAcknowledged has to be determined anew.
+    Instant m_departedAt; ///< When a host was last found to have ended; the start of this process at the latest.
 };
 
 } // namespace plantainwall
--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -203,7 +203,7 @@
     return result;
 }
 
-void ServerDirectory::addLapsed(const ServerEntry& entry, Instant now, bool ended)
+void ServerDirectory::addLapsed(const ServerEntry& entry, Instant now, bool ended, bool settled)
 {
     const auto registered = m_servers.find(entry.id);
     const uint64_t registeredStart = registered == m_servers.end() ? 0 : registered->second.entry.startedUnixMs;
@@ -212,12 +212,18 @@
     const auto lapsed = m_lapsed.find({ entry.id, entry.startedUnixMs });
     if (lapsed != m_lapsed.end()) {
         lapsed->second.ended = lapsed->second.ended || ended;
+        if (!settled)
+            lapsed->second.settledAt.reset();
+        else if (!lapsed->second.settledAt)
+            lapsed->second.settledAt = now;
         return;
     }
     ended = ended || registered != m_servers.end() || (mayBeCopy(now) && runningStart(entry.id) != 0);
     if (!ended)
         markEnded(entry.id);
     lapse(entry, now, ended);
+    if (settled)
+        noteSettled(entry.id, entry.startedUnixMs, now);
 }
 
 void ServerDirectory::markEnded(const std::string& id)
@@ -238,11 +244,9 @@
 {
     std::map<std::string, std::vector<Replica>> result;
     for (const auto& [id, known] : m_servers)
-        result[known.entry.service].push_back({ known.entry, false });
-    for (const auto& [process, server] : m_lapsed) {
-        if (!server.settledAt)
-            result[server.entry.service].push_back({ server.entry, server.ended });
-    }
+        result[known.entry.service].push_back({ known.entry, false, false });
+    for (const auto& [process, server] : m_lapsed)
+        result[server.entry.service].push_back({ server.entry, server.ended, server.settledAt.has_value() });
     for (auto& [service, servers] : result)
         std::sort(servers.begin(), servers.end(), [](const Replica& a, const Replica& b) {
             return std::tie(a.entry.id, a.entry.startedUnixMs) < std::tie(b.entry.id, b.entry.startedUnixMs);
--- a/src/server_directory.h
+++ b/src/server_directory.h
@@ -33,10 +33,11 @@
     std::optional<Instant> settledAt; ///< Since when it has been known to be down and not needed.
 };
 
-/// A server that may hold acknowledged commits.
+/// A server that may hold acknowledged commits, or may run again.
 struct Replica {
     ServerEntry entry;
     bool ended = false; ///< As in LapsedServer.
+    bool settled = false; ///< Down and not needed, as the coordinator found; it may run again.
 };
 
 /// Lists the servers of each service and determines its primary, from the servers' registrations and their replies. A
@@ -80,16 +81,18 @@
     /// Returns all lapsed servers. The pointers are valid until the next change of this directory.
     std::vector<const LapsedServer*> lapsed() const;
 
-    /// Returns the servers of each service that may hold acknowledged commits, in order of id and start: those that are
-    /// registered or in their grace time, and lapsed ones that are not settled.
+    /// Returns the servers of each service that may hold acknowledged commits, or may run again and then confirm some,
+    /// in order of id and start: those that are registered or in their grace time, and lapsed ones.
     std::map<std::string, std::vector<Replica>> replicas() const;
 
     /// Adds a lapsed server that is known from another source than its registration. Ignored if its process, or
     /// one with the id and an unknown start, is registered or in its grace time. Only one process of an id runs: the
     /// registered one, else the one that was added last without having ended, or the one before after a restore of the
-    /// store. Start times do not tell, because clocks may go back.
+    /// store. Start times do not tell, because clocks may go back. A settled server that the source does not take for
+    /// settled is needed again: the source has seen it run.
     /// @param ended Whether the source knows that another process has the id now; also applied to a known process.
-    void addLapsed(const ServerEntry&, Instant now, bool ended = false);
+    /// @param settled Whether the source takes it for settled; also applied to a known process.
+    void addLapsed(const ServerEntry&, Instant now, bool ended = false, bool settled = false);
 
     /// Records which lapsed servers of a service (id and start, Unix milliseconds) are down and not needed. Servers
     /// that have been settled for forgetAfter, and processes that have ended, are dropped. Returns what was dropped.
--- a/tests/support_replicated_service.cpp
+++ b/tests/support_replicated_service.cpp
@@ -16,6 +16,7 @@
     constexpr Duration resendInterval = std::chrono::milliseconds(20);
     /// A replica that was rolled back answers no commands for this long.
     constexpr Duration rollbackTime = std::chrono::milliseconds(100);
+    constexpr Duration positionInterval = std::chrono::milliseconds(200); ///< Of hosts' reads of the primary position.
     constexpr size_t receiveBatch = 20; ///< Commits that a replica can receive in one step while it catches up.
     constexpr uint64_t firstStartUnixMs = 1'700'000'000'000;
 
@@ -111,9 +112,10 @@
 };
 
 struct ReplicatedService::Host final : BackendConnector, PromotionService, PeerChannel {
-    Host(ReplicatedService& service, size_t index)
+    Host(ReplicatedService& service, size_t index, uint64_t incarnation)
         : service(service)
         , index(index)
+        , incarnation(incarnation)
         , gateway(
               GatewaySettings(), unused, quota, [&service] { return service.now; }, metrics, index + 1)
     {
@@ -121,7 +123,7 @@
         const auto clock = [&service] { return service.now; };
         prober = std::make_unique<ServerProber>(gateway, matched, clock, std::to_string(index));
         probes = std::make_unique<ProbeExchange>(std::to_string(index), *this, clock, *prober);
-        revocations = std::make_unique<RevocationExchange>(std::to_string(index), 1, *this, clock, gateway);
+        revocations = std::make_unique<RevocationExchange>(std::to_string(index), incarnation, *this, clock, gateway);
     }
 
     std::unique_ptr<BackendLink> open(const ServerEntry& entry, const std::string&, BackendObserver& observer) override
@@ -168,9 +170,12 @@
     void send(const std::string& address, const std::string& text) override
     {
         const size_t to = std::stoul(address);
-        if (cutOff || service.m_hosts[to]->cutOff)
+        if (cutOff || service.m_hosts[to]->cutOff || !service.m_hosts[to]->running)
             return;
-        service.timers.add(service.now + service.m_timing.peerDelay, [owner = &service, to, text] {
+        const uint64_t receiver = service.m_hosts[to]->incarnation;
+        service.timers.add(service.now + service.m_timing.peerDelay, [owner = &service, to, receiver, text] {
+            if (owner->m_hosts[to]->incarnation != receiver)
+                return;
             const auto addressOf = [](const std::string& host) { return host; };
             if (!owner->m_hosts[to]->probes->datagram(text, addressOf))
                 owner->m_hosts[to]->revocations->datagram(text, addressOf);
@@ -183,7 +188,7 @@
         for (const std::unique_ptr<Host>& host : service.m_hosts) {
             const std::string name = std::to_string(host->index);
             if (host.get() != this)
-                targets.push_back({ name, name, 1, !cutOff && !host->cutOff });
+                targets.push_back({ name, name, host->incarnation, !cutOff && !host->cutOff && host->running });
         }
         return targets;
     }
@@ -199,8 +204,17 @@
         return hosts;
     }
 
+    /// Ends the process.
+    void end()
+    {
+        running = false;
+        coordinator.reset();
+    }
+
     ReplicatedService& service;
     size_t index;
+    uint64_t incarnation; ///< Rises with each start of the process.
+    bool running = true;
     bool cutOff = false; ///< From the other hosts.
     FakeConnector unused; ///< Of the gateway, which serves no sessions.
     FakeQuota quota;
@@ -221,8 +235,9 @@
     , m_leader("p")
     , m_nextCommit(now)
 {
-    for (size_t i = 0; i < hosts; ++i)
-        m_hosts.push_back(std::make_unique<Host>(*this, i));
+    // The last one serves callers only.
+    for (size_t i = 0; i <= hosts; ++i)
+        m_hosts.push_back(std::make_unique<Host>(*this, i, 1));
     for (const char* id : { "p", "r1", "r2" })
         addServer(id, std::string("address of ") + id);
     activate(0);
@@ -275,11 +290,14 @@
         now += stepTime;
         timers.run(now);
         stepServers();
+        reportPositions();
         m_sinceHostTick += stepTime;
         if (m_sinceHostTick < hostTickInterval)
             continue;
         m_sinceHostTick = Duration(0);
         for (const std::unique_ptr<Host>& host : m_hosts) {
+            if (!host->running)
+                continue;
             host->gateway.tick();
             host->probes->tick([&host] { return host->probingHosts(); });
             if (host->coordinator)
@@ -299,8 +317,47 @@
 
 // Coordinators.
 
+size_t ReplicatedService::hosts() const { return m_hosts.size() - 1; }
+
+void ReplicatedService::killHost(size_t host, Duration down)
+{
+    if (!m_hosts[host]->running)
+        return;
+    note("host " + std::to_string(host) + " is killed");
+    const uint64_t next = m_hosts[host]->incarnation + 1;
+    const bool cutOff = m_hosts[host]->cutOff;
+    // Connections and messages of the old process refer to it.
+    m_killedHosts.push_back(std::move(m_hosts[host]));
+    m_killedHosts.back()->end();
+    m_hosts[host] = std::make_unique<Host>(*this, host, next);
+    m_hosts[host]->cutOff = cutOff;
+    m_hosts[host]->running = false;
+    timers.add(now + down, [this, host] {
+        Host& it = *m_hosts[host];
+        it.running = true;
+        note("host " + std::to_string(host) + " starts");
+        for (const auto& [id, server] : m_servers) {
+            if (server->published)
+                it.gateway.directory().registerServer(*server->published);
+        }
+        it.items = m_items;
+        it.itemsChanged = true;
+        it.gateway.serversChanged();
+        for (const std::unique_ptr<Host>& other : m_hosts) {
+            if (other.get() != &it)
+                other->revocations->noteDeparture();
+        }
+    });
+}
+
+bool ReplicatedService::hostRuns(size_t host) const { return m_hosts[host]->running; }
+
 void ReplicatedService::activate(size_t host)
 {
+    if (!m_hosts[host]->running)
+        return;
+    if (m_hosts[m_active]->coordinator)
+        m_hosts[m_active]->coordinator->setActive(false, 0);
     m_hosts[m_active]->coordinator.reset();
     m_active = host;
     ++m_token;
@@ -687,9 +744,18 @@
     if (term != m_term || leader == nullptr || !leader->running || leader->dark || find(replica)->dark
         || size <= m_acknowledged)
         return;
-    if (!anyHost(*leader, [this](PrimaryRevocations& revocations) {
-            return !revocations.withholdsCommits(serviceName, m_term, now);
-        }))
+    // Each host has callers, of whose commits some are the newest.
+    bool acknowledged = false;
+    for (Host* const host : hostsAt(*leader)) {
+        if (host->gateway.revocations().withholdsCommits(serviceName, m_term, now))
+            continue;
+        const std::optional<PrimaryPositions::Observation> seen
+            = host->gateway.acknowledgedCommits(serviceName).observed;
+        const bool before = seen && seen->requestedAt < m_committedAt[size - 1];
+        host->gateway.commitAcknowledged(serviceName, before ? seen->position : LogPosition(), positionOf(leader->log));
+        acknowledged = true;
+    }
+    if (!acknowledged)
         return;
     m_acknowledged = size;
     m_lastAcknowledgement = now;
@@ -697,21 +763,29 @@
 
 bool ReplicatedService::receivesWrites(const Server& leader) const
 {
-    return anyHost(
-        leader, [this](PrimaryRevocations& revocations) { return !revocations.isRevoked(serviceName, m_term, now); });
+    const std::vector<Host*> hosts = hostsAt(leader);
+    return std::any_of(hosts.begin(), hosts.end(),
+        [this](Host* host) { return !host->gateway.revocations().isRevoked(serviceName, m_term, now); });
 }
 
-bool ReplicatedService::anyHost(const Server& leader, const std::function<bool(PrimaryRevocations&)>& condition) const
+std::vector<ReplicatedService::Host*> ReplicatedService::hostsAt(const Server& leader) const
 {
-    bool reached = false;
+    std::vector<Host*> result;
     for (const std::unique_ptr<Host>& host : m_hosts) {
-        if (leader.hostCuts.count(host->index) != 0 || leader.refusedHosts.count(host->index) != 0)
-            continue;
-        reached = true;
-        if (condition(host->gateway.revocations()))
-            return true;
+        if (host->running && leader.hostCuts.count(host->index) == 0 && leader.refusedHosts.count(host->index) == 0)
+            result.push_back(host.get());
     }
-    return !reached;
+    return result;
+}
+
+void ReplicatedService::reportPositions()
+{
+    const Server* const leader = m_leader.empty() ? nullptr : find(m_leader);
+    if (leader == nullptr || !leader->running || leader->dark || now < m_reportPositionsAt)
+        return;
+    m_reportPositionsAt = now + positionInterval;
+    for (Host* const host : hostsAt(*leader))
+        host->gateway.positionReceived(serviceName, { positionOf(leader->log), now });
 }
 
 // Promotions.
--- a/tests/support_replicated_service.h
+++ b/tests/support_replicated_service.h
@@ -27,9 +27,9 @@
 };
 
 /// A service of one primary "p" and two replicas "r1" and "r2" in virtual time, with the hosts that coordinate its
-/// promotions. The primary commits continuously and confirms a commit once one replica has received it. Hosts stop to
-/// send writes to a revoked primary, and its commits are acknowledged to callers unless every host that reaches it
-/// withholds them; a primary that no simulated host reaches serves callers of others.
+/// promotions, and one more that only serves callers and reaches every server that is not dark. The primary commits
+/// continuously and confirms a commit once one replica has received it. Hosts stop to send writes to a revoked primary,
+/// and its commits are acknowledged to callers unless every host that reaches it withholds them.
 class ReplicatedService {
 public:
     explicit ReplicatedService(size_t hosts = 1, const ReplicatedServiceTiming& = {});
@@ -47,7 +47,11 @@
     /// Makes a host the coordinator, with a new PromotionCoordinator and a greater token.
     void activate(size_t host);
     size_t coordinator() const { return m_active; }
-    size_t hosts() const { return m_hosts.size(); }
+    size_t hosts() const; ///< Those that coordinate.
+    /// Ends a host's process without any notice, and starts it again without what it knew.
+    /// @param down time until it runs again.
+    void killHost(size_t host, Duration down);
+    bool hostRuns(size_t host) const;
     /// Returns whether the coordinator's host failed to reach the servers involved in a change.
     bool coordinatorUnreachable() const;
 
@@ -140,8 +144,10 @@
     void start(Server&);
     void confirm(const std::string& replica, uint64_t term, size_t size);
     bool receivesWrites(const Server& leader) const;
-    /// Returns whether the condition holds on any host that reaches the primary, or no simulated host does.
-    bool anyHost(const Server& leader, const std::function<bool(PrimaryRevocations&)>& condition) const;
+    /// Returns the hosts that run and reach the primary.
+    std::vector<Host*> hostsAt(const Server& leader) const;
+    /// Tells hosts that reach the primary its position, as their reads do.
+    void reportPositions();
     void orderPromotion(const std::string& id, uint64_t token, size_t host, std::function<void(PromotionOutcome)>);
     void takeEffect(const std::string& id);
     void checkLosses(const Server& target);
@@ -162,6 +168,8 @@
     std::map<std::string, std::unique_ptr<Server>> m_servers; ///< By id, including the ones that have left.
     std::vector<std::string> m_serverIds; ///< In the order in which they were added.
     std::vector<std::unique_ptr<Host>> m_hosts;
+    std::vector<std::unique_ptr<Host>> m_killedHosts; ///< Their processes have ended.
+    Instant m_reportPositionsAt;
     std::vector<std::weak_ptr<Connection>> m_connections;
     std::map<std::string, StoreItem> m_items; ///< Of the store.
     uint64_t m_revision = 0;
--- a/tests/unit_failover_plan.cpp
+++ b/tests/unit_failover_plan.cpp
@@ -409,7 +409,7 @@
     fleet.get("p").refused = true;
     bool permitted = false;
     bool demoted = true;
-    const FailoverPlan::PermitPromotion permit = [&](const std::string&, uint64_t, bool wasDemoted) {
+    const PermitPromotion permit = [&](const std::string&, uint64_t, bool wasDemoted) {
         demoted = wasDemoted;
         return permitted;
     };
@@ -417,7 +417,7 @@
         fleet.now += std::chrono::milliseconds(50);
         for (const char* id : { "r1", "r2" })
             fleet.answer(id);
-        FailoverPlan::Step step = fleet.plan.step(fleet.now, "p", fleet.members, fleet.term, permit);
+        FailoverPlan::Step step = fleet.plan.step(fleet.now, "p", fleet.members, fleet.term, { permit });
         if (step.action == FailoverAction::StopReceiving) {
             for (const std::string& id : step.servers)
                 fleet.stop(id, step.term);
@@ -443,7 +443,7 @@
     fleet.silence("p");
     BOOST_TEST(!fleet.plan.revocation().has_value());
     std::optional<Instant> revokedSince;
-    const auto step = [&] { return fleet.plan.step(fleet.now, "p", fleet.members, fleet.term, {}, revokedSince); };
+    const auto step = [&] { return fleet.plan.step(fleet.now, "p", fleet.members, fleet.term, { {}, revokedSince }); };
     FailoverPlan::Step stop;
     for (int i = 0; i < 100 && stop.action == FailoverAction::None; ++i) {
         fleet.now += std::chrono::milliseconds(50);
@@ -521,7 +521,7 @@
         fleet.now += std::chrono::milliseconds(50);
         for (const char* id : { "p", "r1", "r2" })
             fleet.answer(id);
-        return fleet.plan.step(fleet.now, "p", fleet.members, fleet.term, {}, revokedSince).action;
+        return fleet.plan.step(fleet.now, "p", fleet.members, fleet.term, { {}, revokedSince }).action;
     };
     for (int i = 0; i < 5; ++i) {
         ++fleet.get("p").status->received.position;
--- /dev/null
+++ b/tests/unit_promotion_handover.cpp
@@ -0,0 +1,191 @@
+#include "support_random_faults.h"
+#include <boost/test/unit_test.hpp>
+
+// Changes of the primary that pass from one coordinator to the next, in virtual time: what the first one learned must
+// not be lost with it, however it ends, and the service recovers when what was missing returns.
+
+using namespace plantainwall;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Delay of the replica that does not confirm the newest commits.
+constexpr Duration lag = milliseconds(600);
+/// Until a server that crashed is no longer registered and no coordinator needs its log: three heartbeats, the grace
+/// time of the registration, and polls.
+constexpr Duration settleTime = seconds(7);
+/// Time in which a host takes the role of a coordinator that ended without resigning: its lease and a claim.
+constexpr Duration electionTime = milliseconds(2500);
+/// Time within which commits must be acknowledged once the server with the missing log answers again.
+constexpr Duration returnRecoveryTime = seconds(6);
+
+/// How a coordinator ends.
+enum class End : uint8_t { HandsOver, Killed, Count };
+
+/// A service whose replica r1 lags behind, and whose replica r2 was down until no coordinator needed its log.
+struct SettledReplica {
+    explicit SettledReplica(const ReplicatedServiceTiming& timing = {})
+        : service(2, timing)
+    {
+        setLogLevel(std::getenv("COORDINATOR_LOG") != nullptr ? std::getenv("COORDINATOR_LOG") : "error");
+        service.pass(warmUp);
+        BOOST_REQUIRE(acknowledges(service));
+        service.setReceiveDelay("r1", lag);
+        service.crash("r2");
+        service.pass(settleTime);
+        BOOST_REQUIRE(!service.isRegistered("r2"));
+    }
+
+    /// r2 runs again with its log and confirms commits, but does not reach the store.
+    void returnWithoutStore()
+    {
+        service.setStoreCut("r2", true);
+        service.restart("r2");
+    }
+
+    void endCoordinator(End end)
+    {
+        const size_t next = (service.coordinator() + 1) % service.hosts();
+        if (end == End::HandsOver) {
+            service.activate(next);
+            return;
+        }
+        service.killHost(service.coordinator(), milliseconds(700));
+        service.timers.add(service.now + electionTime, [this, next] { service.activate(next); });
+    }
+
+    /// Passes time and lets the next host coordinate whenever the present one does not reach servers.
+    void passWithHandOvers(
+        Duration duration, const std::function<bool()>& done = [] { return false; })
+    {
+        const Instant end = service.now + duration;
+        while (service.now < end && !done()) {
+            service.passUntil(end - service.now, [&] { return done() || service.coordinatorUnreachable(); });
+            if (done() || !service.coordinatorUnreachable())
+                return;
+            service.pass(milliseconds(300));
+            service.activate((service.coordinator() + 1) % service.hosts());
+        }
+    }
+
+    void checkNoLoss() const
+    {
+        for (const std::string& loss : service.losses())
+            BOOST_ERROR(loss);
+        if (!service.losses().empty())
+            BOOST_TEST_MESSAGE(service.trace());
+    }
+
+    /// Returns after how many milliseconds commits are acknowledged again.
+    int64_t recover(Duration limit)
+    {
+        const Instant since = service.now;
+        const auto recovered = [&] { return service.lastAcknowledgement() > since; };
+        passWithHandOvers(limit, recovered);
+        BOOST_TEST(recovered(), "no commit is acknowledged after " << limit / milliseconds(1) << " ms");
+        if (!recovered())
+            BOOST_TEST_MESSAGE(service.trace());
+        return (service.now - since) / milliseconds(1);
+    }
+
+    ReplicatedService service;
+};
+
+} // namespace
+
+// Guards against the loss of commits that a replica confirmed after a coordinator had found it down and not needed,
+// when the next coordinator still takes it for such a one.
+BOOST_AUTO_TEST_CASE(returned_replica_is_waited_for_by_the_next_coordinator)
+{
+    for (const bool restartChangesStart : { false, true }) {
+        ReplicatedServiceTiming timing;
+        timing.restartChangesStart = restartChangesStart;
+        SettledReplica it(timing);
+        it.returnWithoutStore();
+        it.service.pass(milliseconds(4500));
+        it.service.crash("p");
+        it.service.crash("r2");
+        it.passWithHandOvers(seconds(25));
+        BOOST_TEST(it.service.promotions() == 0U);
+        it.checkNoLoss();
+        it.service.setStoreCut("r2", false);
+        it.service.restart("r2");
+        const int64_t ms = it.recover(returnRecoveryTime);
+        BOOST_TEST_MESSAGE("commits are acknowledged " << ms << " ms after the return of r2");
+        it.checkNoLoss();
+        BOOST_TEST(it.service.leader() == "r2");
+    }
+}
+
+// The same for every moment at which the replica is back, the coordinator ends, by handing over or killed, and both
+// servers crash, also while nobody coordinates.
+BOOST_AUTO_TEST_CASE(returned_replica_is_needed_whenever_the_coordinator_ends)
+{
+    unsigned promotions = 0;
+    for (const End end : { End::HandsOver, End::Killed }) {
+        for (int ends = -1800; ends <= 1800; ends += 300) {
+            for (int crash = 400; crash <= 3000; crash += 200) {
+                SettledReplica it;
+                it.service.pass(seconds(2));
+                const Instant returns = it.service.now + seconds(2);
+                it.service.timers.add(returns, [&] { it.returnWithoutStore(); });
+                it.service.timers.add(returns + milliseconds(ends), [&] { it.endCoordinator(end); });
+                it.service.timers.add(returns + milliseconds(crash), [&] {
+                    it.service.crash("p");
+                    it.service.crash("r2");
+                });
+                it.service.pass(seconds(9));
+                it.passWithHandOvers(seconds(2));
+                it.checkNoLoss();
+                promotions += it.service.promotions();
+                it.service.setStoreCut("r2", false);
+                it.service.restart("r2");
+                it.recover(returnRecoveryTime);
+                it.checkNoLoss();
+                if (!it.service.losses().empty()) {
+                    BOOST_TEST_MESSAGE("coordinator ends after " << ends << " ms, crash after " << crash << " ms");
+                    return;
+                }
+            }
+        }
+    }
+    BOOST_TEST_MESSAGE(promotions << " promotions without the returned replica");
+}
+
+// A replica that is back with its whole log, under a new start, is known to be complete by what callers were told.
+BOOST_AUTO_TEST_CASE(replica_that_restarted_with_its_log_is_promoted)
+{
+    for (const int down : { 1000, 2000, 3000, 7000 }) {
+        ReplicatedServiceTiming timing;
+        timing.restartChangesStart = true;
+        SettledReplica it(timing);
+        it.returnWithoutStore();
+        it.service.pass(milliseconds(4500));
+        it.service.crash("p");
+        it.service.crash("r2");
+        it.passWithHandOvers(milliseconds(down));
+        it.service.setStoreCut("r2", false);
+        it.service.restart("r2");
+        const int64_t ms = it.recover(returnRecoveryTime);
+        BOOST_TEST_MESSAGE("down for " << down << " ms: acknowledged again after " << ms << " ms");
+        it.checkNoLoss();
+    }
+}
+
+// A server that is gone for good was not needed: the service does not wait for it without end.
+BOOST_AUTO_TEST_CASE(settled_server_that_is_gone_does_not_block_the_next_coordinator)
+{
+    for (const End end : { End::HandsOver, End::Killed }) {
+        SettledReplica it;
+        it.service.setReceiveDelay("r1", ReplicatedServiceTiming().receiveDelay);
+        it.service.addReplica("r3");
+        it.service.pass(seconds(2));
+        it.service.crash("p");
+        it.endCoordinator(end);
+        const int64_t ms = it.recover(seconds(14));
+        BOOST_TEST_MESSAGE("acknowledged again after " << ms << " ms");
+        it.checkNoLoss();
+        BOOST_TEST(it.service.promotions() == 1U);
+    }
+}
--- a/tests/unit_replica_record.cpp
+++ b/tests/unit_replica_record.cpp
@@ -281,6 +281,30 @@
     BOOST_TEST(lapsedIds(it.directory).empty());
 }
 
+// A host that starts learns that a settled server may run again, and that a server is needed once it has.
+BOOST_AUTO_TEST_CASE(settled_servers_stay_recorded_as_such)
+{
+    RecordsFixture it;
+    it.directory.registerServer(entryOf("a"));
+    it.directory.addLapsed(entryOf("b"), it.now);
+    it.directory.noteSettled("b", entryOf("b").startedUnixMs, it.now);
+    std::vector<StoreWrite> writes = it.due();
+    BOOST_REQUIRE(writes.size() == 1U);
+    BOOST_TEST(recordedIds(writes[0].value) == (Ids { "a", "b" }));
+    RecordsFixture other;
+    other.setItem(writes[0].value);
+    other.read(false);
+    BOOST_TEST(settledIds(other.directory) == Ids { "b" });
+    other.setItem(recordOf({ entryOf("a"), entryOf("b") }));
+    other.read(false);
+    BOOST_TEST(settledIds(other.directory).empty());
+    // A copy of the store from before then settles nothing.
+    ++other.era;
+    other.setItem(writes[0].value);
+    other.read(false);
+    BOOST_TEST(settledIds(other.directory).empty());
+}
+
 // A process that ended when its id was registered again stays recorded: its log may be needed.
 BOOST_AUTO_TEST_CASE(ended_process_of_a_registered_server_is_recorded)
 {
--- a/tests/unit_revocation_exchange.cpp
+++ b/tests/unit_revocation_exchange.cpp
@@ -263,3 +263,52 @@
     it.pass(milliseconds(100));
     BOOST_TEST(!it.inForce());
 }
+
+// The coordinator learns up to where callers were told of commits once every host that may run has said so.
+BOOST_AUTO_TEST_CASE(acknowledged_positions_are_collected_from_all_hosts)
+{
+    Hosts it(4);
+    it.pass(milliseconds(10));
+    for (size_t i = 0; i < 4; ++i) {
+        Gateway& gateway = it.all[i]->fixture.gateway;
+        gateway.commitAcknowledged("orders", { 1, 18 + i }, { 1, 20 + i });
+        gateway.positionReceived("orders", { { 1, 18 }, it.now });
+    }
+    const auto newest = [&] { return it.all[0]->exchange.newestAcknowledged("orders"); };
+    it.lost = { 3 };
+    it.all[0]->exchange.setRevocation("orders", revoked, token);
+    it.pass(milliseconds(300));
+    BOOST_TEST((newest().earliest == LogPosition { 1, 21 }));
+    BOOST_TEST(!newest().latest);
+    it.lost.clear();
+    it.pass(milliseconds(200));
+    BOOST_TEST((newest().earliest == LogPosition { 1, 22 }));
+    BOOST_TEST((newest().latest == LogPosition { 1, 23 }));
+    // What a host that ended meanwhile had acknowledged is in no report.
+    it.all[0]->exchange.noteDeparture();
+    it.pass(milliseconds(10));
+    BOOST_TEST((newest().earliest == LogPosition { 1, 22 }));
+    BOOST_TEST(!newest().latest);
+    // While commits are acknowledged there is no last one.
+    it.all[0]->exchange.setRevocation("orders", PrimaryRevocation { 2, RevocationScope::NewCommits }, token);
+    it.pass(milliseconds(200));
+    BOOST_TEST(!newest().latest);
+}
+
+// Hosts of an earlier version acknowledge without positions.
+BOOST_AUTO_TEST_CASE(acknowledgement_without_positions_leaves_them_unknown)
+{
+    Hosts it(2);
+    it.pass(milliseconds(10));
+    it.all[0]->fixture.gateway.positionReceived("orders", { { 1, 18 }, it.now });
+    it.all[0]->exchange.setRevocation("orders", revoked, token);
+    it.pass(milliseconds(30));
+    std::string text = it.lastTo(0);
+    it.lost = { 0 };
+    it.pass(milliseconds(30));
+    text.replace(text.find(R"("c":)"), 4, R"("x":)");
+    it.all[0]->exchange.datagram(text, [](const std::string& host) { return host; });
+    it.pass(milliseconds(10));
+    BOOST_TEST(it.inForce());
+    BOOST_TEST(!it.all[0]->exchange.newestAcknowledged("orders").latest);
+}
--- a/tests/unit_server_directory.cpp
+++ b/tests/unit_server_directory.cpp
@@ -253,6 +253,19 @@
     BOOST_TEST(std::count(ids.begin(), ids.end(), "needed") == 1);
 }
 
+// A coordinator has found a settled server running again, and the next one must not take its log for harmless.
+BOOST_AUTO_TEST_CASE(settled_server_that_is_listed_again_is_needed)
+{
+    ServerDirectory directory;
+    const Instant now { seconds(100) };
+    directory.addLapsed(entryOf("a"), now);
+    directory.noteSettled("a", 0, now + seconds(1));
+    directory.addLapsed(entryOf("a"), now + seconds(2), false, true);
+    BOOST_TEST(directory.lapsed().front()->settledAt.has_value());
+    directory.addLapsed(entryOf("a"), now + seconds(2));
+    BOOST_TEST(!directory.lapsed().front()->settledAt);
+}
+
 // An entry without a start, as another writer's may be, says nothing about the process that runs.
 BOOST_AUTO_TEST_CASE(entry_without_a_start_ends_no_process)
 {
