Acknowledge no commits on a host that would not hear of a replacement

Cause: before a promotion all hosts have to stop acknowledging commits of the old primary. A host that the coordinator did not hear was not waited for at all, one that it heard for 1 s, and nothing made such a host stop; a replica that was down and returned after the order then confirmed its writes.

Change: a host that has heard neither another host nor the store for 1.5 s refuses writes at once and acknowledges no commits (FleetContact); hearing no other host, it asks the store. The coordinator waits as long for each host that may run and has not acknowledged the revocation, which is in the store by then (RevocationRecords), if the store answers within 1 s. An attempt that waits for hosts only is not given up, or no primary would ever be promoted beside a host that is out of reach.

Tests changed: hosts that do not acknowledge are waited for longer (unit.revocation-exchange; the old bound was the fault). unit.restored-store checked that no refused host coordinates also after the refusal had ended, when any host may; it now asks whether the host is refused.

--- a/src/failover_plan.cpp
+++ b/src/failover_plan.cpp
@@ -332,7 +332,9 @@
     }
     const Instant lastProgress
         = std::max({ stageStart, m_demotedAt.value_or(stageStart), m_revokedSince.value_or(stageStart) });
-    if (m_allStoppingSince && now - lastProgress > m_settings.collectTimeout && !m_promotionOrdered) {
+    // Hosts are waited for no longer than until they have lost contact.
+    const bool waitsForHosts = target != nullptr && !commitsEnded;
+    if (m_allStoppingSince && now - lastProgress > m_settings.collectTimeout && !m_promotionOrdered && !waitsForHosts) {
         m_phase = Phase::Watching;
         // Another host can reach a server that does not answer this one, but cannot replace a lost log.
         if (std::any_of(missing.begin(), missing.end(), [](const auto& log) { return !log.lost; }))
--- a/src/fleet_member.cpp
+++ b/src/fleet_member.cpp
@@ -157,6 +157,7 @@
     m_claimAt = Instant();
     coordinationEnded();
     m_outdatedClaim.reset();
+    m_revocations.records().storeRestored();
     // Registrations of the copy may be incomplete.
     m_listedAt.reset();
     m_gateway.evacuations().storeRestored();
@@ -239,6 +240,7 @@
 void FleetMember::ownItemsChanged()
 {
     m_replicaItemsChanged = true;
+    m_revocationItemsChanged = true;
     std::set<std::string> registeredBefore;
     for (auto& [host, peer] : m_peers) {
         if (peer.registered)
@@ -393,7 +395,7 @@
     tickLeases();
     m_probeExchange.tick([this] { return probingHosts(); });
     tickCoordinator();
-    m_revocations.tick([this] { return revocationTargets(); });
+    tickRevocations();
 }
 
 bool FleetMember::largeFleet() const
--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -214,10 +214,20 @@
         Count
     }; ///< ReplyRequested: the receiver sends a report back at once.
     std::string report(ReportKind, const Primaries&) const;
+    /// Returns whether the datagram is one that a known host may have sent. Throws std::exception if it is malformed.
+    bool takeDatagram(const std::string&);
+    bool takeReport(const std::string&);
+    /// Returns the earliest time at which a datagram that arrives now may have been sent, apart from its passage.
+    Instant earliestSent() const;
 
     // fleet_member_replicas.cpp
     void tickReplicaRecords();
     std::vector<ProbingHost> probingHosts() const;
+
+    // fleet_member_revocations.cpp
+    void tickRevocations();
+    void readRevocations();
+    void writeRevocations();
     std::vector<RevocationTarget> revocationTargets() const;
 
     // fleet_member_leases.cpp
@@ -279,6 +289,7 @@
     Instant m_recordPushAt;
     /// Since when a server has led without interruption although the record names another one; by service.
     std::map<std::string, Instant> m_unrecordedSince;
+    bool m_revocationItemsChanged = false; ///< The own items have changed since the last tick.
     bool m_replicaItemsChanged = false; ///< The own items or the configured services have changed since the last tick.
     std::map<std::string, Peer> m_peers; ///< Registered hosts other than this one, by name.
     /// Results of lenders(), because ranking a large fleet for each statement would cost more than the statement.
--- a/src/fleet_member_replicas.cpp
+++ b/src/fleet_member_replicas.cpp
@@ -39,14 +39,4 @@
     return hosts;
 }
 
-std::vector<RevocationTarget> FleetMember::revocationTargets() const
-{
-    std::vector<RevocationTarget> targets;
-    targets.reserve(m_peers.size());
-    for (const auto& [host, peer] : m_peers)
-        targets.push_back({ host, peer.address, peer.incarnation, peer.registered && !isUnreachable(peer),
-            peer.registered || !peer.silent });
-    return targets;
-}
-
 } // namespace plantainwall
--- a/src/fleet_member_reports.cpp
+++ b/src/fleet_member_reports.cpp
@@ -220,77 +220,96 @@
 
 void FleetMember::peerDatagram(const std::string& datagram)
 {
-    if (m_quota.datagram(datagram))
-        return;
     try {
-        const auto addressOf = [this](const std::string& host) {
-            const auto it = m_peers.find(host);
-            return it == m_peers.end() ? std::string() : it->second.address;
-        };
-        if (m_positionExchange.datagram(datagram, addressOf))
-            return;
-        if (m_probeExchange.datagram(datagram, addressOf) || leaseDatagram(datagram)
-            || m_revocations.datagram(datagram, addressOf))
-            return;
-        std::optional<StoreEvents> changes;
-        if (m_changeExchange.datagram(datagram, addressOf, changes)) {
-            if (changes && changes->from == 0)
-                m_follower.applyRelayedListing(*changes);
-            else if (changes)
-                m_follower.applyRelayed(*changes);
-            return;
-        }
-        if (passOn(datagram))
-            return;
-        if (isStoreEvents(datagram)) {
-            m_follower.applyRelayed(decodeStoreEvents(datagram));
-            return;
-        }
-        const web::json::value value = web::json::value::parse(datagram);
-        const std::string host = value.at("h").as_string();
-        const auto incarnation = unsignedFrom(value.at("i"));
+        if (m_quota.datagram(datagram) || takeDatagram(datagram))
+            m_gateway.fleetContact().heard(earliestSent());
+    } catch (const std::exception& error) {
+        logEvent(LogEvent::BadRequest, { { "from", "peer" }, { "reason", error.what() } });
+    }
+}
+
+// Datagrams wait in the socket while this host does not run.
+Instant FleetMember::earliestSent() const
+{
+    const Instant now = m_clock();
+    if (now - m_tickedAt > m_settings.maxTickGap)
+        return m_tickedAt;
+    return now - m_lateTickAt < m_settings.lateDatagramTime ? now - m_lateBy : now;
+}
+
+bool FleetMember::takeDatagram(const std::string& datagram)
+{
+    const auto addressOf = [this](const std::string& host) {
         const auto it = m_peers.find(host);
-        if (it == m_peers.end() || it->second.endedIncarnations.count(incarnation) != 0)
-            return;
-        if (value.has_field("e")) {
-            // A notice of an earlier process may arrive late.
-            if (incarnation == it->second.incarnation) {
-                m_gateway.forgetReports(host);
-                m_revocations.noteDeparture();
-                m_peers.erase(it);
-                m_fleetChanged = true;
-            }
-            return;
+        return it == m_peers.end() ? std::string() : it->second.address;
+    };
+    if (m_positionExchange.datagram(datagram, addressOf))
+        return true;
+    if (m_probeExchange.datagram(datagram, addressOf) || leaseDatagram(datagram)
+        || m_revocations.datagram(datagram, addressOf))
+        return true;
+    std::optional<StoreEvents> changes;
+    if (m_changeExchange.datagram(datagram, addressOf, changes)) {
+        if (changes && changes->from == 0)
+            m_follower.applyRelayedListing(*changes);
+        else if (changes)
+            m_follower.applyRelayed(*changes);
+        return true;
+    }
+    if (passOn(datagram))
+        return true;
+    if (isStoreEvents(datagram)) {
+        m_follower.applyRelayed(decodeStoreEvents(datagram));
+        return true;
+    }
+    return takeReport(datagram);
+}
+
+bool FleetMember::takeReport(const std::string& datagram)
+{
+    const web::json::value value = web::json::value::parse(datagram);
+    const std::string host = value.at("h").as_string();
+    const auto incarnation = unsignedFrom(value.at("i"));
+    const auto it = m_peers.find(host);
+    if (it == m_peers.end() || it->second.endedIncarnations.count(incarnation) != 0)
+        return false;
+    if (value.has_field("e")) {
+        // A notice of an earlier process may arrive late.
+        if (incarnation == it->second.incarnation) {
+            m_gateway.forgetReports(host);
+            m_revocations.noteDeparture();
+            m_peers.erase(it);
+            m_fleetChanged = true;
         }
-        Peer& peer = it->second;
-        peer.lastSeen = m_clock();
-        m_quota.heard(host);
-        peer.storeReachable = value.at("s").as_bool();
-        if (value.has_field("l"))
-            m_gateway.loadReported(host, value.at("l").as_string());
-        if (value.has_field("p")) {
-            for (const auto& [service, entry] : value.at("p").as_object()) {
-                const std::string id = entry.at(0).as_string();
-                const auto term = unsignedFrom(entry.at(1), maxLogNumber);
-                if (!m_gateway.directory().noteReportedPrimary(service, id, term))
-                    continue;
-                // The source reports it to all hosts; this host need not repeat it.
-                m_reportedPrimaries[service] = { id, term };
-                logEvent(LogEvent::PrimaryChanged,
-                    { { "service", service }, { "server", id }, { "term", term }, { "source", host } });
-            }
+        return true;
+    }
+    Peer& peer = it->second;
+    peer.lastSeen = m_clock();
+    m_quota.heard(host);
+    peer.storeReachable = value.at("s").as_bool();
+    if (value.has_field("l"))
+        m_gateway.loadReported(host, value.at("l").as_string());
+    if (value.has_field("p")) {
+        for (const auto& [service, entry] : value.at("p").as_object()) {
+            const std::string id = entry.at(0).as_string();
+            const auto term = unsignedFrom(entry.at(1), maxLogNumber);
+            if (!m_gateway.directory().noteReportedPrimary(service, id, term))
+                continue;
+            // The source reports it to all hosts; this host need not repeat it.
+            m_reportedPrimaries[service] = { id, term };
+            logEvent(LogEvent::PrimaryChanged,
+                { { "service", service }, { "server", id }, { "term", term }, { "source", host } });
         }
-        if (value.has_field("q") || peer.silent)
-            m_channel.send(peer.address, report(ReportKind::Plain, {}));
-        if (!peer.silent)
-            return;
-        peer.silent = false;
-        peer.probeFailed = false;
-        m_fleetChanged = true;
-        logEvent(LogEvent::PeerHeard, { { "peer", host }, { "incarnation", incarnation } });
-    } catch (const std::exception& error) {
-        logEvent(LogEvent::BadRequest, { { "from", "peer" }, { "reason", error.what() } });
     }
+    if (value.has_field("q") || peer.silent)
+        m_channel.send(peer.address, report(ReportKind::Plain, {}));
+    if (!peer.silent)
+        return true;
+    peer.silent = false;
+    peer.probeFailed = false;
+    m_fleetChanged = true;
+    logEvent(LogEvent::PeerHeard, { { "peer", host }, { "incarnation", incarnation } });
+    return true;
 }
 
 } // namespace plantainwall
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -190,6 +190,7 @@
     if (m_directory.registerDeferred(m_clock()) || before != m_directory.size())
         serversChanged();
     updateAdmission();
+    checkContact();
     checkTimeouts();
     checkConnections();
     checkSessions();
@@ -197,6 +198,17 @@
     dispatchQueued();
 }
 
+void Gateway::checkContact()
+{
+    const bool lost = m_fleetContact.isLost(m_clock());
+    if (lost == m_contactLost)
+        return;
+    m_contactLost = lost;
+    logEvent(lost ? LogEvent::FleetContactLost : LogEvent::FleetContactRegained, {});
+    if (lost)
+        refuseQueuedUnplaceable();
+}
+
 void Gateway::checkTimeouts()
 {
     const Instant now = m_clock();
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -2,6 +2,7 @@
 
 #include "acknowledged_commits.h"
 #include "evacuations.h"
+#include "fleet_contact.h"
 #include "gateway_connection.h"
 #include "gateway_settings.h"
 #include "home_regions.h"
@@ -73,6 +74,10 @@
 
     Instant startedAt() const { return m_started; }
 
+    /// Whether this host would know if a primary were being replaced. While not, it sends no writes and acknowledges no
+    /// commits.
+    FleetContact& fleetContact() { return m_fleetContact; }
+
     /// Returns what this host knows of the commits of a service.
     AcknowledgedCommits acknowledgedCommits(const std::string& service) const;
 
@@ -256,6 +261,9 @@
     void noteLocation(GatewayServer&, const ServerEntry&) const;
     void noteWarmup(GatewayServer&, const ServerEntry&);
     void noteSent(GatewayServer&);
+    /// Refuses a job that writes while this host may not know that the primary is being replaced. Returns false
+    /// otherwise.
+    bool refuseOutOfContact(Job&);
     /// Refuses a job that no server may run. Returns false if there may be one.
     bool refuseUnplaceable(Job&);
     /// The same for every job that waits, after what decides where jobs may run has changed.
@@ -337,6 +345,8 @@
     void reportLoads();
     double connectionLimit(const std::string& server) const;
 
+    /// Refuses waiting writes once contact with the fleet has been lost.
+    void checkContact();
     void checkTimeouts();
     void noteOverdueReplies(uint64_t job);
     void checkSessions();
@@ -357,6 +367,8 @@
     ServerDirectory m_directory;
     PrimaryLeases m_primaryLeases;
     PrimaryRevocations m_revocations;
+    FleetContact m_fleetContact;
+    bool m_contactLost = false; ///< At the last tick.
     QuotaGate& m_quota;
     size_t m_hosts = 1;
     std::vector<std::string> m_otherHosts;
--- a/src/gateway_backend.cpp
+++ b/src/gateway_backend.cpp
@@ -419,12 +419,13 @@
         if (!job.inTransaction || commit) {
             const std::string& service = connection.server.service;
             const bool revoked = m_revocations.withholdsCommits(service, reply.position.term, now);
-            if (revoked || m_primaryLeases.until(service, connection.server.id) < now) {
+            const bool outOfContact = m_fleetContact.isLost(now);
+            if (revoked || outOfContact || m_primaryLeases.until(service, connection.server.id) < now) {
                 // Another server may lead since, or soon, whose log lacks this commit.
                 logEvent(LogEvent::CommitNotConfirmed,
                     { { "request", job.statement.id }, { "service", service }, { "server", connection.server.id },
                         { "term", reply.position.term }, { "position", reply.position.position },
-                        { "revoked", revoked } });
+                        { "revoked", revoked }, { "out_of_contact", outOfContact } });
                 connectionClosed(connection, BackendCloseReason::Lost);
                 return;
             }
--- a/src/gateway_eligibility.cpp
+++ b/src/gateway_eligibility.cpp
@@ -130,8 +130,18 @@
         server.warmup.noteSent(m_clock());
 }
 
+bool Gateway::refuseOutOfContact(Job& job)
+{
+    if (!jobWrites(job) || !m_fleetContact.isLost(m_clock()))
+        return false;
+    refuseJob(job, ResultCode::NoPrimary, "this host reaches neither the other hosts nor the store", defaultRetryAfter);
+    return true;
+}
+
 bool Gateway::refuseUnplaceable(Job& job)
 {
+    if (refuseOutOfContact(job))
+        return true;
     if (m_evacuations.empty() && !m_regionsRestricted)
         return false;
     const HomeRegions homes = homesOf(job);
--- a/src/gateway_session.cpp
+++ b/src/gateway_session.cpp
@@ -415,6 +415,11 @@
     if (session.pinned != nullptr) {
         GatewayConnection& connection = *session.pinned;
         const bool commits = job.statement.kind == StatementKind::Commit && session.wrote;
+        if ((job.writes || commits) && m_fleetContact.isLost(m_clock())) {
+            failTransaction(session, job, ResultCode::TransactionAborted,
+                "this host reaches neither the other hosts nor the store");
+            return;
+        }
         if ((job.writes || commits) && isRevoked(connection.server.service, connection.server.id)) {
             failTransaction(session, job, ResultCode::TransactionAborted, "the primary is being replaced");
             return;
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -87,6 +87,8 @@
     ConnectionEndedForRoom,
     MessageUnreadable,
     CallerMessageUnreadable,
+    FleetContactLost,
+    FleetContactRegained,
     Count
 };
 
--- a/src/log_event_table.cpp
+++ b/src/log_event_table.cpp
@@ -86,8 +86,9 @@
         { 60, "primary_record_changed", LogLevel::Info,
             "The record of the servers that may lead has changed; leases on the word of other servers have ended." },
         { 61, "commit_not_confirmed", LogLevel::Warn,
-            "A server reported a commit while no lease on its word was held or while it was being replaced, so the "
-            "caller was told that the outcome is unknown." },
+            "A server reported a commit while no lease on its word was held, while it was being replaced, or while "
+            "this "
+            "host was out of contact with the fleet, so the caller was told that the outcome is unknown." },
         { 62, "changes_dropped", LogLevel::Warn,
             "This host no longer keeps a change of the store for others; hosts that lack it read the store." },
         { 63, "primary_revoked", LogLevel::Warn,
@@ -126,6 +127,12 @@
         { 75, "caller_message_unreadable", LogLevel::Info,
             "A message of a caller could not be read; the fields tell why, its length, and how many CR and LF it "
             "holds." },
+        { 76, "fleet_contact_lost", LogLevel::Warn,
+            "This host has heard neither another host nor the store, so it may not know that a primary is being "
+            "replaced: "
+            "it refuses writes and acknowledges no commits." },
+        { 77, "fleet_contact_regained", LogLevel::Warn,
+            "This host hears another host or the store again and serves writes." },
     };
     static_assert(sizeof(logEvents) / sizeof(logEvents[0]) == static_cast<size_t>(LogEvent::Count),
         "one entry for each LogEvent");
--- a/src/primary_revocation.cpp
+++ b/src/primary_revocation.cpp
@@ -1,27 +1,49 @@
 #include "primary_revocation.h"
+#include <algorithm>
+#include <tuple>
 
 namespace plantainwall {
 
-bool PrimaryRevocations::revoke(
-    const std::string& service, const PrimaryRevocation& revocation, uint64_t token, Instant now, Duration lifetime)
+bool PrimaryRevocations::revoke(const std::string& service, const PrimaryRevocation& revocation, uint64_t token,
+    Instant now, Duration lifetime, uint64_t number)
 {
     Entry& known = m_revocations[service];
     if (token < known.token && now < known.until)
         return false;
     const bool added = !(known.revocation == revocation);
-    known = { revocation, token, now + lifetime };
+    known = { revocation, token, number, now + lifetime };
     return added;
 }
 
-bool PrimaryRevocations::withdraw(const std::string& service, uint64_t token)
+bool PrimaryRevocations::revokeAsRecorded(const std::string& service, const PrimaryRevocation& revocation,
+    uint64_t token, uint64_t number, Instant now, Duration lifetime)
+{
+    Entry& known = m_revocations[service];
+    if (std::tie(known.token, known.number) < std::tie(token, number))
+        return revoke(service, revocation, token, now, lifetime, number);
+    if (token == known.token && known.revocation.term != 0)
+        known.until = std::max(known.until, now + lifetime);
+    return false;
+}
+
+bool PrimaryRevocations::withdraw(const std::string& service, uint64_t token, uint64_t number)
 {
     const auto it = m_revocations.find(service);
     if (it == m_revocations.end() || it->second.revocation.term == 0 || token < it->second.token)
         return false;
     it->second.revocation.term = 0;
+    it->second.token = token;
+    it->second.number = number;
     return true;
 }
 
+void PrimaryRevocations::withdrawAsRecorded(const std::string& service, uint64_t token, uint64_t number)
+{
+    const auto it = m_revocations.find(service);
+    if (it != m_revocations.end() && it->second.token == token && it->second.number <= number)
+        it->second.revocation.term = 0;
+}
+
 bool PrimaryRevocations::isRevoked(const std::string& service, uint64_t term, Instant now) const
 {
     const auto it = m_revocations.find(service);
--- a/src/primary_revocation.h
+++ b/src/primary_revocation.h
@@ -35,12 +35,24 @@
     /// Records a revocation.
     /// @param token Fencing token of the coordinator; ignored while a revocation of a greater one lasts.
     /// @param lifetime Time after which the revocation ends unless it is renewed.
+    /// @param number Rises with each change that the coordinator makes.
     /// @return Whether it was not in force before.
-    bool revoke(const std::string& service, const PrimaryRevocation&, uint64_t token, Instant now, Duration lifetime);
+    bool revoke(const std::string& service, const PrimaryRevocation&, uint64_t token, Instant now, Duration lifetime,
+        uint64_t number = 0);
+
+    /// Records or prolongs a revocation that was read from the store, where it may be older than what the coordinator
+    /// has sent since.
+    /// @return Whether it was not in force before.
+    bool revokeAsRecorded(const std::string& service, const PrimaryRevocation&, uint64_t token, uint64_t number,
+        Instant now, Duration lifetime);
 
     /// Ends the revocation of a service, unless it is one of a greater token.
     /// @return Whether one was recorded.
-    bool withdraw(const std::string& service, uint64_t token);
+    bool withdraw(const std::string& service, uint64_t token, uint64_t number = 0);
+
+    /// Ends the revocation of a service, as the store no longer holds it. Ignored if the coordinator has changed it
+    /// since.
+    void withdrawAsRecorded(const std::string& service, uint64_t token, uint64_t number);
 
     /// Returns whether writes and commits must not be sent to a primary of a term.
     bool isRevoked(const std::string& service, uint64_t term, Instant now) const;
@@ -52,6 +64,7 @@
     struct Entry {
         PrimaryRevocation revocation; ///< Term 0: withdrawn.
         uint64_t token = 0;
+        uint64_t number = 0; ///< Of the coordinator's last change that this host knows of.
         Instant until;
     };
 
--- a/src/revocation_exchange.cpp
+++ b/src/revocation_exchange.cpp
@@ -43,9 +43,26 @@
     const auto it = m_notices.find(service);
     if (it == m_notices.end() ? !revocation : it->second.revocation == revocation)
         return;
-    m_notices[service] = { revocation, token, ++m_number, m_clock(), std::nullopt, {} };
+    const bool wasRecorded = it != m_notices.end() && it->second.recorded;
+    Notice& notice = m_notices[service];
+    notice = { revocation, token, ++m_number, m_clock(), std::nullopt, {}, false };
     m_reportsChanged = true;
-    apply(service, revocation, token, m_host);
+    if (wasRecorded && revocation)
+        record(service, notice);
+    else if (wasRecorded)
+        m_records.set(service, std::nullopt);
+    apply(service, revocation, token, m_number, m_host);
+}
+
+void RevocationExchange::record(const std::string& service, Notice& notice)
+{
+    notice.recorded = true;
+    m_records.set(service, RecordedRevocation { *notice.revocation, notice.token, notice.number });
+}
+
+void RevocationExchange::itemsRead(const std::map<std::string, StoreItem>& items)
+{
+    m_records.itemsRead(items, m_gateway.revocations(), m_clock(), m_settings.lifetime);
 }
 
 std::optional<Instant> RevocationExchange::inForceSince(const std::string& service) const
@@ -70,14 +87,16 @@
 {
     m_notices.clear();
     m_acknowledgements.clear();
+    m_records.reset();
 }
 
 void RevocationExchange::apply(const std::string& service, const std::optional<PrimaryRevocation>& revocation,
-    uint64_t token, const std::string& coordinator)
+    uint64_t token, uint64_t number, const std::string& coordinator)
 {
     PrimaryRevocations& revocations = m_gateway.revocations();
-    const bool changed = revocation ? revocations.revoke(service, *revocation, token, m_clock(), m_settings.lifetime)
-                                    : revocations.withdraw(service, token);
+    const bool changed = revocation
+        ? revocations.revoke(service, *revocation, token, m_clock(), m_settings.lifetime, number)
+        : revocations.withdraw(service, token, number);
     if (!changed)
         return;
     logEvent(LogEvent::PrimaryRevoked,
@@ -104,6 +123,16 @@
         && it->second.number >= number;
 }
 
+bool RevocationExchange::hostsHaveLostContact(const std::string& service, const Notice& notice) const
+{
+    const Instant now = m_clock();
+    const std::optional<Instant> recordedAt = m_records.recordedAt(service);
+    if (!recordedAt && m_storeReachable && now - notice.changedAt < m_settings.recordTimeout)
+        return false;
+    const Instant since = recordedAt ? std::max(*recordedAt, notice.changedAt) : notice.changedAt;
+    return now - since >= m_contact.timeout + m_settings.contactMargin;
+}
+
 void RevocationExchange::updateInForce(const std::vector<RevocationTarget>& targets)
 {
     const Instant now = m_clock();
@@ -114,9 +143,16 @@
             notice.newestAcknowledged = collectAcknowledged(service, notice, targets);
         if (notice.inForceSince)
             continue;
-        const auto pending = std::count_if(targets.begin(), targets.end(),
-            [&, number = notice.number](const auto& it) { return it.reachable && !hasAcknowledged(it, number); });
-        if (pending != 0 && now - notice.changedAt < m_settings.acknowledgementTimeout)
+        const bool withholds = notice.revocation->scope == RevocationScope::AllCommits;
+        const auto pending = std::count_if(targets.begin(), targets.end(), [&, number = notice.number](const auto& it) {
+            return (withholds ? it.mayRun : it.reachable) && !hasAcknowledged(it, number);
+        });
+        // One lost datagram is not worth a call.
+        if (withholds && pending != 0 && !notice.recorded && now - notice.changedAt >= m_settings.repeatInterval)
+            record(service, notice);
+        const bool waits = withholds ? !hostsHaveLostContact(service, notice)
+                                     : now - notice.changedAt < m_settings.acknowledgementTimeout;
+        if (pending != 0 && waits)
             continue;
         notice.inForceSince = now;
         logEvent(LogEvent::RevocationInForce,
@@ -195,7 +231,7 @@
     }
     for (const auto& [service, notice] : m_notices) {
         if (notice.revocation)
-            apply(service, notice.revocation, notice.token, m_host);
+            apply(service, notice.revocation, notice.token, notice.number, m_host);
     }
 }
 
@@ -226,7 +262,8 @@
             continue;
         m_gateway.directory().noteReportedPrimary(
             service, entry.at(4).as_string(), unsignedFrom(entry.at(5), maxLogNumber));
-        apply(service, revocation.term != 0 ? std::make_optional(revocation) : std::nullopt, token, coordinator);
+        apply(
+            service, revocation.term != 0 ? std::make_optional(revocation) : std::nullopt, token, number, coordinator);
     }
     acknowledge(address, number, withheld);
     return true;
--- a/src/revocation_exchange.h
+++ b/src/revocation_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway.h"
+#include "revocation_record.h"
 #include <optional>
 
 namespace plantainwall {
@@ -17,8 +18,9 @@
 /// Tells all entry hosts which primaries are being replaced, as the coordinator, and takes the word of the coordinator
 /// on the others. See PrimaryRevocations.
 ///
-/// A host that the coordinator does not reach is not waited for beyond a limit: it cannot be told from one that has
-/// ended.
+/// Before a primary is replaced that may still confirm commits, every host has acknowledged the revocation, or has had
+/// the time after which a host that hears nothing acknowledges no commits (see FleetContact). For hosts that do not
+/// acknowledge it at once the store holds the revocation, too, if it answers.
 class RevocationExchange {
 public:
     struct Settings {
@@ -30,7 +32,13 @@
         Duration lifetime = std::chrono::milliseconds(6000);
         /// A host that has not acknowledged within this time counts as gone: several round trips between regions, and
         /// time for busy hosts.
+        /// Does not apply to RevocationScope::AllCommits.
         Duration acknowledgementTimeout = std::chrono::milliseconds(1000);
+        /// Added to the time after which a host counts as having lost contact: this host's tick and the passage of its
+        /// last datagram before the revocation.
+        Duration contactMargin = std::chrono::milliseconds(150);
+        /// A revocation that the store has not taken for this long is in force without it.
+        Duration recordTimeout = std::chrono::milliseconds(1000);
         Duration withdrawalTime = std::chrono::milliseconds(2000); ///< For this long a withdrawal is repeated.
     };
     /// Returns the other hosts of the fleet.
@@ -53,6 +61,15 @@
     /// Records that another host's process has ended, or may have.
     void noteDeparture();
 
+    /// Revocations in the store. itemsRead() must be called with its items, the returned writes be made.
+    RevocationRecords& records() { return m_records; }
+
+    /// Applies the revocations that the store holds.
+    void itemsRead(const std::map<std::string, StoreItem>& items);
+
+    /// Sets whether this host reaches the store, so that it can hold the revocations.
+    void setStoreReachable(bool reachable) { m_storeReachable = reachable; }
+
     /// Stops sending when this host is no longer the coordinator. Revocations in force stay until they end.
     void reset();
 
@@ -74,6 +91,7 @@
         Instant changedAt;
         std::optional<Instant> inForceSince;
         NewestAcknowledged newestAcknowledged;
+        bool recorded = false; ///< It is to be in the store.
     };
     /// What a host has acknowledged.
     struct Acknowledgement {
@@ -85,9 +103,13 @@
 
     bool isOutdated(const std::string& service, uint64_t token, uint64_t number);
     bool hasAcknowledged(const RevocationTarget&, uint64_t number) const;
-    void apply(const std::string& service, const std::optional<PrimaryRevocation>&, uint64_t token,
+    void apply(const std::string& service, const std::optional<PrimaryRevocation>&, uint64_t token, uint64_t number,
         const std::string& coordinator);
     void updateInForce(const std::vector<RevocationTarget>&);
+    /// Puts a notice into the store.
+    void record(const std::string& service, Notice&);
+    /// Returns whether no host tells callers of commits that a notice revokes, though some have not acknowledged it.
+    bool hostsHaveLostContact(const std::string& service, const Notice&) const;
     /// Returns what a host reported when it acknowledged a message of at least the number; null if it has not.
     const AcknowledgedCommits* reportOf(const RevocationTarget&, const std::string& service, uint64_t number) const;
     NewestAcknowledged collectAcknowledged(
@@ -106,6 +128,9 @@
     std::map<std::string, std::pair<uint64_t, uint64_t>> m_heard; ///< By service: token and number of the last notice.
     std::map<std::string, Notice> m_notices; ///< By service.
     std::map<std::string, Acknowledgement> m_acknowledgements; ///< By host.
+    RevocationRecords m_records;
+    FleetContactSettings m_contact;
+    bool m_storeReachable = false;
     bool m_reportsChanged = false; ///< Notice::newestAcknowledged has to be determined anew.
     Instant m_departedAt; ///< When a host was last found to have ended; the start of this process at the latest.
 };
--- a/tests/support_replicated_service.cpp
+++ b/tests/support_replicated_service.cpp
@@ -216,6 +216,7 @@
     uint64_t incarnation; ///< Rises with each start of the process.
     bool running = true;
     bool cutOff = false; ///< From the other hosts.
+    bool storeCut = false;
     FakeConnector unused; ///< Of the gateway, which serves no sessions.
     FakeQuota quota;
     Metrics metrics;
@@ -302,6 +303,7 @@
             host->probes->tick([&host] { return host->probingHosts(); });
             if (host->coordinator)
                 host->coordinator->tick(true);
+            stepContact(*host);
             host->revocations->tick([&host] { return host->revocationTargets(); });
             stepRecords(*host);
         }
@@ -326,11 +328,13 @@
     note("host " + std::to_string(host) + " is killed");
     const uint64_t next = m_hosts[host]->incarnation + 1;
     const bool cutOff = m_hosts[host]->cutOff;
+    const bool storeCut = m_hosts[host]->storeCut;
     // Connections and messages of the old process refer to it.
     m_killedHosts.push_back(std::move(m_hosts[host]));
     m_killedHosts.back()->end();
     m_hosts[host] = std::make_unique<Host>(*this, host, next);
     m_hosts[host]->cutOff = cutOff;
+    m_hosts[host]->storeCut = storeCut;
     m_hosts[host]->running = false;
     timers.add(now + down, [this, host] {
         Host& it = *m_hosts[host];
@@ -340,8 +344,7 @@
             if (server->published)
                 it.gateway.directory().registerServer(*server->published);
         }
-        it.items = m_items;
-        it.itemsChanged = true;
+        readItems(it);
         it.gateway.serversChanged();
         for (const std::unique_ptr<Host>& other : m_hosts) {
             if (other.get() != &it)
@@ -352,6 +355,14 @@
 
 bool ReplicatedService::hostRuns(size_t host) const { return m_hosts[host]->running; }
 
+bool ReplicatedService::acknowledgesAt(size_t host) const { return acknowledges(*m_hosts[host]); }
+
+bool ReplicatedService::acknowledges(Host& host) const
+{
+    return !host.gateway.revocations().withholdsCommits(serviceName, m_term, now)
+        && !host.gateway.fleetContact().isLost(now);
+}
+
 void ReplicatedService::activate(size_t host)
 {
     if (!m_hosts[host]->running)
@@ -481,6 +492,16 @@
     current = cut;
 }
 
+void ReplicatedService::setHostStoreCut(size_t host, bool cut)
+{
+    Host& it = *m_hosts[host];
+    if (it.storeCut == cut)
+        return;
+    note("host " + std::to_string(host) + (cut ? " loses" : " reaches") + " the store");
+    it.storeCut = cut;
+    readItems(it);
+}
+
 void ReplicatedService::setReplicationCut(const std::string& id, bool cut)
 {
     bool& current = find(id)->replicationCut;
@@ -636,6 +657,29 @@
         });
 }
 
+void ReplicatedService::stepContact(Host& host)
+{
+    FleetContact& contact = host.gateway.fleetContact();
+    contact.setOthers(true);
+    const bool hears = !host.cutOff && std::any_of(m_hosts.begin(), m_hosts.end(), [&](const auto& other) {
+        return other.get() != &host && other->running && !other->cutOff;
+    });
+    if (hears || host.coordinator)
+        contact.heard(now);
+    if (contact.takeReadDue(now) && !host.storeCut) {
+        host.revocations->itemsRead(m_items);
+        contact.storeRead(now);
+    }
+}
+
+void ReplicatedService::readItems(Host& host)
+{
+    if (host.storeCut || !host.running)
+        return;
+    host.items = m_items;
+    host.itemsChanged = true;
+}
+
 void ReplicatedService::stepRecords(Host& host)
 {
     ServerDirectory& directory = host.gateway.directory();
@@ -644,10 +688,18 @@
     if (host.itemsChanged) {
         host.itemsChanged = false;
         host.records.itemsRead(host.items, 0, configuration, active, directory, now);
+        host.revocations->itemsRead(host.items);
     }
+    host.revocations->setStoreReachable(!host.storeCut);
     host.records.forgetUnlisted(configuration, active, directory, now);
-    if (!active)
+    if (!active || host.storeCut)
         return;
+    for (const StoreWrite& write : host.revocations->records().due(host.items, now))
+        timers.add(now + m_timing.registrationDelay, [this, it = &host, write] {
+            const bool done = writeItem(write);
+            it->revocations->records().written(
+                write.key, { done ? StoreOutcome::Ok : StoreOutcome::Conflict, m_revision, 0 }, now);
+        });
     for (const StoreWrite& write : host.records.due(host.items, configuration, directory, now))
         timers.add(now + m_timing.registrationDelay, [this, it = &host, write] {
             it->records.written(write.key, writeItem(write) ? StoreOutcome::Ok : StoreOutcome::Conflict, now);
@@ -656,17 +708,16 @@
 
 bool ReplicatedService::writeItem(const StoreWrite& write)
 {
-    StoreItem& item = m_items[write.key];
-    if (item.revision != write.expectedRevision)
+    const auto known = m_items.find(write.key);
+    if ((known == m_items.end() ? 0 : known->second.revision) != write.expectedRevision)
         return false;
-    item.key = write.key;
-    item.value = write.value;
-    item.revision = ++m_revision;
+    ++m_revision;
+    if (write.removes)
+        m_items.erase(write.key);
+    else
+        m_items[write.key] = { write.key, write.value, m_revision };
     for (const std::unique_ptr<Host>& host : m_hosts)
-        timers.add(now + m_timing.registrationDelay, [it = host.get(), item] {
-            it->items[item.key] = item;
-            it->itemsChanged = true;
-        });
+        timers.add(now + m_timing.registrationDelay, [this, it = host.get()] { readItems(*it); });
     return true;
 }
 
@@ -747,7 +798,7 @@
     // Each host has callers, of whose commits some are the newest.
     bool acknowledged = false;
     for (Host* const host : hostsAt(*leader)) {
-        if (host->gateway.revocations().withholdsCommits(serviceName, m_term, now))
+        if (!acknowledges(*host))
             continue;
         const std::optional<PrimaryPositions::Observation> seen
             = host->gateway.acknowledgedCommits(serviceName).observed;
@@ -764,8 +815,10 @@
 bool ReplicatedService::receivesWrites(const Server& leader) const
 {
     const std::vector<Host*> hosts = hostsAt(leader);
-    return std::any_of(hosts.begin(), hosts.end(),
-        [this](Host* host) { return !host->gateway.revocations().isRevoked(serviceName, m_term, now); });
+    return std::any_of(hosts.begin(), hosts.end(), [this](Host* host) {
+        return !host->gateway.revocations().isRevoked(serviceName, m_term, now)
+            && !host->gateway.fleetContact().isLost(now);
+    });
 }
 
 std::vector<ReplicatedService::Host*> ReplicatedService::hostsAt(const Server& leader) const
--- a/tests/support_replicated_service.h
+++ b/tests/support_replicated_service.h
@@ -52,6 +52,8 @@
     /// @param down time until it runs again.
     void killHost(size_t host, Duration down);
     bool hostRuns(size_t host) const;
+    /// Returns whether a host tells callers of commits of the present primary.
+    bool acknowledgesAt(size_t host) const;
     /// Returns whether the coordinator's host failed to reach the servers involved in a change.
     bool coordinatorUnreachable() const;
 
@@ -71,6 +73,8 @@
     void setHostRefused(const std::string& id, size_t host, bool refused);
     /// Disconnects a host from the other hosts.
     void setPeersCut(size_t host, bool cut);
+    /// Disconnects a host from the store.
+    void setHostStoreCut(size_t host, bool cut);
     /// Disconnects a replica from the primary only.
     void setReplicationCut(const std::string& id, bool cut);
     void setReceiveDelay(const std::string& id, Duration delay);
@@ -136,14 +140,18 @@
     void stepRegistration(Server&);
     void publish(Server&);
     void withdraw(Server&);
-    /// Lets a host read and write the record of the servers in the store.
+    /// Lets a host read and write its items in the store.
     void stepRecords(Host&);
+    void readItems(Host&);
+    /// Lets a host note whether it hears others, or ask the store.
+    void stepContact(Host&);
     /// Writes an item of the store. Returns whether it had the expected revision.
     bool writeItem(const StoreWrite&);
     void end(Server&, bool leaves);
     void start(Server&);
     void confirm(const std::string& replica, uint64_t term, size_t size);
     bool receivesWrites(const Server& leader) const;
+    bool acknowledges(Host&) const;
     /// Returns the hosts that run and reach the primary.
     std::vector<Host*> hostsAt(const Server& leader) const;
     /// Tells hosts that reach the primary its position, as their reads do.
--- a/tests/unit_failover_plan.cpp
+++ b/tests/unit_failover_plan.cpp
@@ -56,6 +56,14 @@
         answer(id);
     }
 
+    static FailoverKnowledge knowing(const PermitPromotion& permit, std::optional<Instant> revokedSince = Instant())
+    {
+        FailoverKnowledge knowledge;
+        knowledge.permit = permit;
+        knowledge.revokedSince = revokedSince;
+        return knowledge;
+    }
+
     FailoverPlan::Step step(const std::string& primary) { return plan.step(now, primary, members, term); }
 
     /// r2 stops answering, the primary and r1 answer half a second later, and then the primary stops answering too.
@@ -417,7 +425,7 @@
         fleet.now += std::chrono::milliseconds(50);
         for (const char* id : { "r1", "r2" })
             fleet.answer(id);
-        FailoverPlan::Step step = fleet.plan.step(fleet.now, "p", fleet.members, fleet.term, { permit });
+        FailoverPlan::Step step = fleet.plan.step(fleet.now, "p", fleet.members, fleet.term, fleet.knowing(permit));
         if (step.action == FailoverAction::StopReceiving) {
             for (const std::string& id : step.servers)
                 fleet.stop(id, step.term);
@@ -443,7 +451,8 @@
     fleet.silence("p");
     BOOST_TEST(!fleet.plan.revocation().has_value());
     std::optional<Instant> revokedSince;
-    const auto step = [&] { return fleet.plan.step(fleet.now, "p", fleet.members, fleet.term, { {}, revokedSince }); };
+    const auto step
+        = [&] { return fleet.plan.step(fleet.now, "p", fleet.members, fleet.term, fleet.knowing({}, revokedSince)); };
     FailoverPlan::Step stop;
     for (int i = 0; i < 100 && stop.action == FailoverAction::None; ++i) {
         fleet.now += std::chrono::milliseconds(50);
@@ -521,7 +530,7 @@
         fleet.now += std::chrono::milliseconds(50);
         for (const char* id : { "p", "r1", "r2" })
             fleet.answer(id);
-        return fleet.plan.step(fleet.now, "p", fleet.members, fleet.term, { {}, revokedSince }).action;
+        return fleet.plan.step(fleet.now, "p", fleet.members, fleet.term, fleet.knowing({}, revokedSince)).action;
     };
     for (int i = 0; i < 5; ++i) {
         ++fleet.get("p").status->received.position;
--- a/tests/unit_gateway.cpp
+++ b/tests/unit_gateway.cpp
@@ -747,6 +747,59 @@
     BOOST_TEST((writer.answers[0].code == ResultCode::Ok));
 }
 
+// Guards against lost commits: a host that hears nobody would not know that the primary is being replaced. What it
+// can't serve it refuses at once, also what was waiting, and reads go on.
+BOOST_FIXTURE_TEST_CASE(host_out_of_contact_serves_no_writes, GatewayFixture)
+{
+    provePrimary({ 1, 5 });
+    FakeCaller writer;
+    FakeCaller waiting;
+    FakeCaller late;
+    FakeCaller reader;
+    FleetContact& contact = gateway.fleetContact();
+    contact.setOthers(true);
+    contact.heard(now);
+    const uint64_t session = open(writer, "primary");
+    execute(session, StatementKind::Write, "WRITE a b");
+    connector.acceptAll();
+    connector.answerOwnCommands({ 1, 5 });
+    BOOST_REQUIRE(connector.statementLink() < connector.links.size());
+    gateway.revocations().revoke("orders", PrimaryRevocation { 2 }, 7, now, revocationTime);
+    execute(open(waiting, "primary"), StatementKind::Write, "WRITE c d", "2");
+    gateway.revocations().withdraw("orders", 7);
+    BOOST_TEST(waiting.answers.empty());
+    now += FleetContactSettings().timeout;
+    connector.reply(connector.statementLink(), okReply("", { 1, 6 }));
+    BOOST_REQUIRE(writer.answers.size() == 1U);
+    BOOST_TEST((writer.answers[0].code == ResultCode::OutcomeUnknown));
+    pass(std::chrono::milliseconds(10));
+    BOOST_REQUIRE(waiting.answers.size() == 1U);
+    BOOST_TEST((waiting.answers[0].code == ResultCode::NoPrimary));
+    execute(open(late, "primary"), StatementKind::Write, "WRITE e f", "3");
+    BOOST_REQUIRE(late.answers.size() == 1U);
+    BOOST_TEST((late.answers[0].code == ResultCode::NoPrimary));
+    execute(open(reader, "primary"), StatementKind::Read, "READ a", "4");
+    pass(std::chrono::milliseconds(300));
+    connector.acceptAll();
+    connector.answerOwnCommands({ 1, 6 });
+    const size_t read = connector.statementLink();
+    BOOST_REQUIRE(read < connector.links.size());
+    BOOST_TEST(connector.links[read].commands.front().id == "4");
+    connector.reply(read, okReply("row", { 1, 6 }, TransactionState::Open));
+    BOOST_TEST(reader.answers.size() == 1U);
+    contact.heard(now);
+    FakeCaller again;
+    execute(open(again, "primary"), StatementKind::Write, "WRITE g h", "5");
+    connector.acceptAll();
+    connector.answerOwnCommands({ 1, 6 });
+    const size_t write = connector.statementLink();
+    BOOST_REQUIRE(write < connector.links.size());
+    connector.reply(write, okReply("", { 1, 7 }));
+    BOOST_REQUIRE(again.answers.size() == 1U);
+    BOOST_TEST((again.answers[0].code == ResultCode::Ok));
+    BOOST_TEST((gateway.acknowledgedCommits("orders").latest == LogPosition { 1, 7 }));
+}
+
 // A transaction that wrote on a revoked primary is rolled back instead of committed, so its caller may repeat it.
 BOOST_FIXTURE_TEST_CASE(transaction_on_a_revoked_primary_is_aborted_before_its_commit, GatewayFixture)
 {
--- a/tests/unit_restored_store.cpp
+++ b/tests/unit_restored_store.cpp
@@ -247,7 +247,7 @@
         pass(configurationTime);
         BOOST_TEST(hostsThatKnow(server.substr(2)) == 0U);
         for (size_t i = 0; i < hosts.size(); ++i)
-            BOOST_TEST(!(isRefused(i) && hosts[i]->coordinator.isActive()));
+            BOOST_TEST(!(hosts[i]->store.*refusal && hosts[i]->coordinator.isActive()));
     }
 
     Refusal refusal;
--- a/tests/unit_revocation_exchange.cpp
+++ b/tests/unit_revocation_exchange.cpp
@@ -103,7 +103,8 @@
         BOOST_TEST(host->revoked(1));
 }
 
-// Lost datagrams delay a revocation; a host that cannot be reached is waited for no longer than a second.
+// Lost datagrams delay a revocation; a host that cannot be reached is waited for until it has lost contact, whether or
+// not its reports arrive.
 BOOST_AUTO_TEST_CASE(hosts_that_do_not_acknowledge_delay_a_revocation)
 {
     Hosts it(3);
@@ -115,20 +116,62 @@
     it.pass(milliseconds(200));
     BOOST_TEST(it.inForce());
 
-    Hosts cut(3);
-    cut.lost = { 2 };
-    cut.all[0]->exchange.setRevocation("orders", revoked, token);
-    cut.pass(milliseconds(900));
-    BOOST_TEST(!cut.inForce());
-    cut.pass(milliseconds(200));
-    BOOST_TEST(cut.inForce());
+    for (const bool reachable : { true, false }) {
+        Hosts cut(3);
+        cut.lost = { 2 };
+        cut.targets[2].reachable = reachable;
+        cut.all[0]->exchange.setRevocation("orders", revoked, token);
+        cut.pass(FleetContactSettings().timeout);
+        BOOST_TEST(!cut.inForce());
+        cut.pass(milliseconds(200));
+        BOOST_TEST(cut.inForce());
+    }
+
+    Hosts ended(3);
+    ended.lost = { 2 };
+    ended.targets[2].reachable = false;
+    ended.targets[2].mayRun = false;
+    ended.all[0]->exchange.setRevocation("orders", revoked, token);
+    ended.pass(milliseconds(100));
+    BOOST_TEST(ended.inForce());
+
+    // Commits of a primary that is demoted first are not withheld, so nothing depends on hosts that do not answer.
+    Hosts leaving(3);
+    leaving.lost = { 2 };
+    leaving.targets[2].reachable = false;
+    leaving.all[0]->exchange.setRevocation("orders", PrimaryRevocation { 2, RevocationScope::NewCommits }, token);
+    leaving.pass(milliseconds(100));
+    BOOST_TEST(leaving.inForce());
+}
 
-    Hosts silent(3);
-    silent.lost = { 2 };
-    silent.targets[2].reachable = false;
-    silent.all[0]->exchange.setRevocation("orders", revoked, token);
-    silent.pass(milliseconds(100));
-    BOOST_TEST(silent.inForce());
+// A host that reaches the store alone learns of a revocation there, so its time begins when the store has it.
+BOOST_AUTO_TEST_CASE(revocation_is_recorded_before_hosts_out_of_reach_are_given_up)
+{
+    for (const bool storeAnswers : { true, false }) {
+        Hosts it(2);
+        it.lost = { 1 };
+        RevocationExchange& exchange = it.all[0]->exchange;
+        exchange.setStoreReachable(true);
+        exchange.setRevocation("orders", revoked, token);
+        it.pass(milliseconds(500));
+        const std::vector<StoreWrite> writes = exchange.records().due({}, it.now);
+        BOOST_REQUIRE(writes.size() == 1U);
+        if (storeAnswers) {
+            exchange.records().written(writes[0].key, { StoreOutcome::Ok, 11, 1 }, it.now);
+            Gateway& other = it.all[1]->fixture.gateway;
+            BOOST_TEST(!it.all[1]->revoked(1));
+            it.all[1]->exchange.itemsRead({ { writes[0].key, { writes[0].key, writes[0].value, 11 } } });
+            BOOST_TEST(it.all[1]->revoked(1));
+            BOOST_TEST(other.revocations().isRevoked("orders", 1, it.now));
+        }
+        it.pass(FleetContactSettings().timeout - milliseconds(500));
+        BOOST_TEST(!it.inForce());
+        // A primary is replaced without an answer of the store, too.
+        it.pass(milliseconds(400));
+        BOOST_TEST(it.inForce() == !storeAnswers);
+        it.pass(milliseconds(500));
+        BOOST_TEST(it.inForce());
+    }
 }
 
 // A host that restarts has forgotten the revocation and receives it again at once.
