Ask a server that is down again once commits are withheld

Cause: a server counted as down by a refused connection since the start of the attempt. It could run after that, confirm commits while hosts still passed them on, and end again before the order. Now only an attempt to reach it after the revocation was in force counts, as for logs. unit.failover-plan, server_that_is_down_is_asked_again_once_commits_are_withheld, fails without the change.

--- a/src/failover_plan.cpp
+++ b/src/failover_plan.cpp
@@ -299,9 +299,11 @@
     noteDemoted(leader, members, term);
     updateRevocation(leader, members, term, knowledge.revokedSince, now);
     const Stopped stopped = stoppedReplicas(primary, members, term);
+    // A server may run between an attempt to reach it and the end of all commits, and confirm some.
+    const Instant commitsEndedAt = commitsWithheld() ? std::max(m_startedAt, *m_revokedSince) : m_startedAt;
     const std::optional<Instant> unansweredSince = leader != nullptr
         ? std::nullopt
-        : std::optional<Instant>(m_demotedAt ? std::max(m_startedAt, *m_demotedAt) : m_startedAt);
+        : std::optional<Instant>(std::max(commitsEndedAt, m_demotedAt.value_or(commitsEndedAt)));
     std::vector<ReplicaLogs::Missing> missing = m_logs.missing(stopped.ids, stopped.longestButDemoted, unansweredSince);
     const bool needsEnd = leader == nullptr && checkAcknowledged(now, stopped, members, term, knowledge, missing);
     const FailoverMember* const target = chooseTarget(now, stopped, members, term, missing, needsEnd);
--- a/tests/unit_failover_plan.cpp
+++ b/tests/unit_failover_plan.cpp
@@ -490,6 +490,34 @@
     BOOST_TEST(!fleet.plan.revocation().has_value());
 }
 
+// Guards against lost commits of a replica that was down when it was asked, ran while commits were still acknowledged,
+// and is down again: only an attempt to reach it after that shows that it confirms no more.
+BOOST_AUTO_TEST_CASE(server_that_is_down_is_asked_again_once_commits_are_withheld)
+{
+    Fleet fleet;
+    fleet.loseReplicaThenPrimary(true);
+    fleet.get("p").refused = true;
+    std::optional<Instant> revokedSince;
+    const auto step = [&] {
+        fleet.now += std::chrono::milliseconds(50);
+        return fleet.plan.step(fleet.now, "p", fleet.members, fleet.term, fleet.knowing({}, revokedSince));
+    };
+    FailoverPlan::Step stop;
+    for (int i = 0; i < 100 && stop.action == FailoverAction::None; ++i)
+        stop = step();
+    BOOST_REQUIRE((stop.action == FailoverAction::StopReceiving));
+    fleet.stop("r1", stop.term);
+    fleet.get("r2").failedAt = fleet.now;
+    BOOST_TEST((step().action != FailoverAction::Promote));
+    revokedSince = fleet.now;
+    step();
+    fleet.stop("r1", stop.term);
+    BOOST_TEST((step().action != FailoverAction::Promote));
+    fleet.get("r2").failedAt = fleet.now;
+    fleet.stop("r1", stop.term);
+    BOOST_TEST((step().action == FailoverAction::Promote));
+}
+
 // Guards against lost commits in a planned replacement: a new replica that the coordinator does not know yet has
 // confirmed commits, which otherwise only the demoted primary has.
 BOOST_AUTO_TEST_CASE(successor_of_a_leaving_primary_has_its_whole_log)
