Withdraw revocations of the store only by items that are followed

Callers of a host that had lost its contact could be told of commits that a change of the primary had revoked. Such a host reads the store's revocations on its own, beside the followed items, and what such a read did not hold was withdrawn. An answer that had been on its way longer than a newer one so took a revocation back; two reads at once made this likely.

A single read now only adds revocations, and one read is under way at a time. What the followed items no longer hold is withdrawn, as these arrive in the order of their changes. A revocation from the store is logged with its source.

unit.revocation-record (items_revoke_until_they_are_removed) reads an older answer in between and expects that the revocation stays; before the change the call for such a read did not exist and the items withdrew it.

--- a/src/fleet_member.h
+++ b/src/fleet_member.h
@@ -289,6 +289,7 @@
     Instant m_recordPushAt;
     /// Since when a server has led without interruption although the record names another one; by service.
     std::map<std::string, Instant> m_unrecordedSince;
+    bool m_readingRevocations = false;
     bool m_revocationItemsChanged = false; ///< The own items have changed since the last tick.
     bool m_replicaItemsChanged = false; ///< The own items or the configured services have changed since the last tick.
     std::map<std::string, Peer> m_peers; ///< Registered hosts other than this one, by name.
--- a/src/fleet_member_revocations.cpp
+++ b/src/fleet_member_revocations.cpp
@@ -12,11 +12,11 @@
     // Nobody else orders promotions while this host may.
     if (m_coordinator.isActive() && mayCoordinate())
         contact.heard(now);
-    if (m_gateway.configuration() != nullptr && contact.takeReadDue(now))
+    if (m_gateway.configuration() != nullptr && !m_readingRevocations && contact.takeReadDue(now))
         readRevocations();
     if (m_revocationItemsChanged) {
         m_revocationItemsChanged = false;
-        m_revocations.itemsRead(m_follower.items());
+        m_revocations.itemsRead(m_follower.items(), true);
     }
     m_revocations.setStoreReachable(m_follower.reachable());
     if (m_coordinator.isActive() && now < m_coordinatorUntil && m_follower.reachable() && m_follower.listedFromStore())
@@ -27,14 +27,16 @@
 void FleetMember::readRevocations()
 {
     const Instant sentAt = m_clock();
+    m_readingRevocations = true;
     m_store.list(RevocationRecords::prefix, std::string(), [this, sentAt](const StoreItems& listed) {
+        m_readingRevocations = false;
         m_follower.noteEra(listed.era, "list");
         if (listed.outcome != StoreOutcome::Ok || (listed.era != 0 && listed.era != m_follower.era()))
             return;
         std::map<std::string, StoreItem> items;
         for (const StoreItem& item : listed.items)
             items[item.key] = item;
-        m_revocations.itemsRead(items);
+        m_revocations.itemsRead(items, false);
         m_gateway.fleetContact().storeRead(sentAt);
     });
 }
--- a/src/primary_revocation.cpp
+++ b/src/primary_revocation.cpp
@@ -4,6 +4,16 @@
 
 namespace plantainwall {
 
+namespace {
+
+    constexpr std::string_view scopeNames[] = { "new_commits", "all_commits" };
+    static_assert(
+        std::size(scopeNames) == static_cast<size_t>(RevocationScope::Count), "one entry for each RevocationScope");
+
+} // namespace
+
+std::string_view revocationScopeName(RevocationScope scope) { return scopeNames[static_cast<size_t>(scope)]; }
+
 bool PrimaryRevocations::revoke(const std::string& service, const PrimaryRevocation& revocation, uint64_t token,
     Instant now, Duration lifetime, uint64_t number)
 {
--- a/src/primary_revocation.h
+++ b/src/primary_revocation.h
@@ -15,6 +15,9 @@
     Count
 };
 
+/// Returns a stable lower-case name for logs.
+std::string_view revocationScopeName(RevocationScope);
+
 /// A primary that is being replaced: of a service, and of any term below the given one.
 struct PrimaryRevocation {
     uint64_t term = 0;
--- a/src/revocation_exchange.cpp
+++ b/src/revocation_exchange.cpp
@@ -19,9 +19,6 @@
     constexpr uint64_t maxReportedAgeMs = 1'000'000'000;
 
     constexpr uint64_t lastScope = static_cast<uint64_t>(RevocationScope::Count) - 1;
-    constexpr std::string_view scopeNames[] = { "new_commits", "all_commits" };
-    static_assert(
-        std::size(scopeNames) == static_cast<size_t>(RevocationScope::Count), "one entry for each RevocationScope");
 
 } // namespace
 
@@ -92,9 +89,9 @@
     apply(service, std::nullopt, token, m_number, m_host);
 }
 
-void RevocationExchange::itemsRead(const std::map<std::string, StoreItem>& items)
+void RevocationExchange::itemsRead(const std::map<std::string, StoreItem>& items, bool followed)
 {
-    m_records.itemsRead(items, m_gateway.revocations(), m_clock(), m_settings.lifetime);
+    m_records.itemsRead(items, followed, m_gateway.revocations(), m_clock(), m_settings.lifetime);
 }
 
 std::optional<Instant> RevocationExchange::inForceSince(const std::string& service) const
@@ -132,7 +129,7 @@
     if (!changed)
         return;
     logEvent(LogEvent::PrimaryRevoked,
-        { { "service", service }, { "scope", revocation ? scopeNames[static_cast<size_t>(revocation->scope)] : "none" },
+        { { "service", service }, { "scope", revocation ? revocationScopeName(revocation->scope) : "none" },
             { "below_term", revocation ? revocation->term : 0 }, { "token", token }, { "coordinator", coordinator } });
     if (!revocation)
         m_gateway.serversChanged();
--- a/src/revocation_exchange.h
+++ b/src/revocation_exchange.h
@@ -74,8 +74,8 @@
     /// Revocations in the store. itemsRead() must be called with its items, the returned writes be made.
     RevocationRecords& records() { return m_records; }
 
-    /// Applies the revocations that the store holds.
-    void itemsRead(const std::map<std::string, StoreItem>& items);
+    /// Applies the revocations that the store holds. Parameters as in RevocationRecords::itemsRead.
+    void itemsRead(const std::map<std::string, StoreItem>& items, bool followed);
 
     /// Sets whether this host reaches the store, so that it can hold the revocations.
     void setStoreReachable(bool reachable) { m_storeReachable = reachable; }
--- a/src/revocation_record.cpp
+++ b/src/revocation_record.cpp
@@ -60,8 +60,8 @@
     }
 }
 
-void RevocationRecords::itemsRead(
-    const std::map<std::string, StoreItem>& items, PrimaryRevocations& revocations, Instant now, Duration lifetime)
+void RevocationRecords::itemsRead(const std::map<std::string, StoreItem>& items, bool followed,
+    PrimaryRevocations& revocations, Instant now, Duration lifetime)
 {
     std::map<std::string, RecordedRevocation> read;
     for (auto it = items.lower_bound(prefix); it != items.end() && it->first.rfind(prefix, 0) == 0; ++it) {
@@ -79,10 +79,18 @@
     }
     for (const auto& [service, recorded] : m_applied) {
         if (read.count(service) == 0)
+    for (const auto& [service, recorded] : read) {
+        const PrimaryRevocation& revocation = recorded.revocation;
+        if (revocations.revokeAsRecorded(service, revocation, recorded.token, recorded.number, now, lifetime))
+            logEvent(LogEvent::PrimaryRevoked,
+                { { "service", service }, { "scope", revocationScopeName(revocation.scope) },
+                    { "below_term", revocation.term }, { "token", recorded.token }, { "coordinator", "" },
+                    { "source", "store" } });
+    }
+    if (!followed)
+        return;
             revocations.withdrawAsRecorded(service, recorded.token, recorded.number);
     }
-    for (const auto& [service, recorded] : read)
-        revocations.revokeAsRecorded(service, recorded.revocation, recorded.token, recorded.number, now, lifetime);
     m_applied = std::move(read);
 }
 
--- a/src/revocation_record.h
+++ b/src/revocation_record.h
@@ -52,9 +52,12 @@
 
     /// Applies the items to what this host knows, and withdraws what an item no longer holds. Malformed items are
     /// logged and ignored.
+    /// @param followed The items are read in the order of their changes, and what an item no longer holds is withdrawn.
+    ///     A single read may be older or newer than these.
     /// @param items All own items of the hosts, or those with the prefix, by key.
     /// @param lifetime Time after which a revocation ends unless an item or a coordinator renews it.
-    void itemsRead(const std::map<std::string, StoreItem>& items, PrimaryRevocations&, Instant now, Duration lifetime);
+    void itemsRead(const std::map<std::string, StoreItem>& items, bool followed, PrimaryRevocations&, Instant now,
+        Duration lifetime);
 
     /// Returns the items to write now. written() must be called with the outcome of each.
     std::vector<StoreWrite> due(const std::map<std::string, StoreItem>& items, Instant now);
@@ -77,7 +80,7 @@
 
     Settings m_settings;
     std::map<std::string, Record> m_records; ///< By service.
-    std::map<std::string, RecordedRevocation> m_applied; ///< Of the items that were read last, by service.
+    std::map<std::string, RecordedRevocation> m_applied; ///< Of the items that were followed last, by service.
     std::map<std::string, uint64_t> m_rejected; ///< Revisions of malformed items, by key.
     size_t m_writesUnderWay = 0;
 };
--- a/tests/support_replicated_service.cpp
+++ b/tests/support_replicated_service.cpp
@@ -667,7 +667,7 @@
     if (hears || host.coordinator)
         contact.heard(now);
     if (contact.takeReadDue(now) && !host.storeCut) {
-        host.revocations->itemsRead(m_items);
+        host.revocations->itemsRead(m_items, false);
         contact.storeRead(now);
     }
 }
@@ -688,7 +688,7 @@
     if (host.itemsChanged) {
         host.itemsChanged = false;
         host.records.itemsRead(host.items, 0, configuration, active, directory, now);
-        host.revocations->itemsRead(host.items);
+        host.revocations->itemsRead(host.items, true);
     }
     host.revocations->setStoreReachable(!host.storeCut);
     host.records.forgetUnlisted(configuration, active, directory, now);
--- a/tests/unit_revocation_exchange.cpp
+++ b/tests/unit_revocation_exchange.cpp
@@ -162,7 +162,7 @@
             exchange.records().written(writes[0].key, { StoreOutcome::Ok, 11, 1 }, it.now);
             Gateway& other = it.all[1]->fixture.gateway;
             BOOST_TEST(!it.all[1]->revoked(1));
-            it.all[1]->exchange.itemsRead({ { writes[0].key, { writes[0].key, writes[0].value, 11 } } });
+            it.all[1]->exchange.itemsRead({ { writes[0].key, { writes[0].key, writes[0].value, 11 } } }, true);
             BOOST_TEST(it.all[1]->revoked(1));
             BOOST_TEST(other.revocations().isRevoked("orders", "p", 1, it.now));
         }
@@ -391,7 +391,7 @@
         const std::map<std::string, StoreItem> items { { writes[0].key, { writes[0].key, writes[0].value, 11 } } };
         if (fromStore) {
             it.all[1] = std::make_unique<Hosts::Host>(it, 1, 2);
-            it.all[1]->exchange.itemsRead(items);
+            it.all[1]->exchange.itemsRead(items, true);
         } else
             it.pass(milliseconds(100));
         RevocationExchange& heir = it.all[1]->exchange;
--- a/tests/unit_revocation_record.cpp
+++ b/tests/unit_revocation_record.cpp
@@ -110,23 +110,26 @@
 {
     PrimaryRevocations revocations;
     items[key] = { key, encodeRevocation(recorded), 21 };
-    records.itemsRead(items, revocations, now, lifetime);
+    records.itemsRead(items, true, revocations, now, lifetime);
     BOOST_TEST(revocations.withholdsCommits("orders", "p", 1, now));
     BOOST_TEST(!revocations.withholdsCommits("orders", "p", 1, now + lifetime));
-    records.itemsRead({}, revocations, now, lifetime);
+    // A read beside those that are followed may be an older one.
+    records.itemsRead({}, false, revocations, now, lifetime);
+    BOOST_TEST(revocations.isRevoked("orders", "p", 1, now));
+    records.itemsRead({}, true, revocations, now, lifetime);
     BOOST_TEST(!revocations.isRevoked("orders", "p", 1, now));
     // The coordinator has withdrawn it by a message, and the item is read once more before its removal.
     revocations.revoke("orders", recorded.revocation, 7, now, lifetime, 12);
     revocations.withdraw("orders", 7, 13);
-    records.itemsRead(items, revocations, now, lifetime);
+    records.itemsRead(items, true, revocations, now, lifetime);
     BOOST_TEST(!revocations.isRevoked("orders", "p", 1, now));
     // It has revoked again before the removal is read.
     revocations.revoke("orders", recorded.revocation, 7, now, lifetime, 14);
-    records.itemsRead({}, revocations, now, lifetime);
+    records.itemsRead({}, true, revocations, now, lifetime);
     BOOST_TEST(revocations.isRevoked("orders", "p", 1, now));
     // An item of an earlier coordinator changes nothing.
     items[key].value = encodeRevocation({ { 9, RevocationScope::AllCommits, "" }, 6, 99 });
-    records.itemsRead(items, revocations, now, lifetime);
+    records.itemsRead(items, true, revocations, now, lifetime);
     BOOST_REQUIRE(revocations.unfinished("orders", 8, now).has_value());
     BOOST_TEST(revocations.unfinished("orders", 8, now)->term == 2U);
 }
@@ -137,10 +140,10 @@
     PrimaryRevocations revocations;
     items[key] = { key, encodeRevocation(recorded), 21 };
     items[RevocationRecords::prefix + "a"] = { RevocationRecords::prefix + "a", "{", 22 };
-    records.itemsRead(items, revocations, now, lifetime);
+    records.itemsRead(items, true, revocations, now, lifetime);
     BOOST_TEST(revocations.isRevoked("orders", "p", 1, now));
     BOOST_TEST(!revocations.isRevoked("a", "p", 1, now));
     records.storeRestored();
-    records.itemsRead({}, revocations, now, lifetime);
+    records.itemsRead({}, true, revocations, now, lifetime);
     BOOST_TEST(revocations.isRevoked("orders", "p", 1, now));
 }
