Finish a change of an earlier coordinator only if an order may be on its way

Callers saw writes refused for the length of a change of the primary although the primary was well: after a coordinator had begun a change, given it up and handed its role over, the next one took what the hosts still knew of it for an unfinished change and demoted the primary.

Cause: a revocation did not say whether a server had been ordered to lead, and the withdrawal of one was lost when the role passed on, since reset() cleared the notices before the repetition would have sent it.

A revocation now says whether an order may be on its way: in the datagrams, and in the item of the store, which is written before the first order. Only such a change is finished by the next coordinator. A coordinator that resigns sends what it has withdrawn once more to the hosts that have not acknowledged it.

--- a/src/failover_plan.cpp
+++ b/src/failover_plan.cpp
@@ -249,8 +249,10 @@
     const bool demoted = m_demotedAt && !isSuperseded(members);
     // A demotion ends the commits of a primary that answers, but an order that was given before may take effect first.
     const bool confirms = m_unfinished || (!demoted && (leader == nullptr || m_promotionOrdered));
-    const PrimaryRevocation revocation { term + 1, confirms ? RevocationScope::AllCommits : RevocationScope::NewCommits,
-        std::string() };
+    PrimaryRevocation revocation;
+    revocation.term = term + 1;
+    revocation.scope = confirms ? RevocationScope::AllCommits : RevocationScope::NewCommits;
+    revocation.ordered = m_promotionOrdered || m_unfinished;
     const bool inForce = revokedSince && (m_revocation == revocation || *revokedSince == Instant());
     m_revocation = revocation;
     if (inForce && !m_revokedSince && confirms)
@@ -316,6 +318,7 @@
             return step;
         m_target = target->id;
         m_revocation->successor = m_target;
+        m_revocation->ordered = true;
         m_phase = Phase::Promoting;
         m_failedAttempts = 0;
         m_promotionOrdered = true;
--- a/src/primary_revocation.cpp
+++ b/src/primary_revocation.cpp
@@ -32,6 +32,7 @@
     if (std::tie(known.token, known.number) < std::tie(token, number))
         return revoke(service, revocation, token, now, lifetime, number);
     if (token == known.token && known.revocation.term != 0) {
+        known.revocation.ordered = known.revocation.ordered || revocation.ordered;
         known.until = std::max(known.until, now + lifetime);
         known.heardAt = now;
     }
@@ -78,8 +79,8 @@
     const std::string& service, uint64_t token, Instant now) const
 {
     const auto it = m_revocations.find(service);
-    const bool known = it != m_revocations.end() && it->second.revocation.term != 0 && it->second.token < token
-        && now - it->second.heardAt < lateOrderTime;
+    const bool known = it != m_revocations.end() && it->second.revocation.term != 0 && it->second.revocation.ordered
+        && it->second.token < token && now - it->second.heardAt < lateOrderTime;
     return known ? std::make_optional(it->second.revocation) : std::nullopt;
 }
 
--- a/src/primary_revocation.h
+++ b/src/primary_revocation.h
@@ -25,10 +25,11 @@
     /// With AllCommits, the only server that may lead the term or a later one; empty: none may yet. An order of an
     /// earlier coordinator, or an earlier one of this, may let another server lead first.
     std::string successor;
+    bool ordered = false; ///< An order to promote a server may be on its way.
 
     bool operator==(const PrimaryRevocation& other) const
     {
-        return term == other.term && scope == other.scope && successor == other.successor;
+        return term == other.term && scope == other.scope && successor == other.successor && ordered == other.ordered;
     }
 };
 
@@ -74,8 +75,8 @@
     /// Returns whether commits that a server confirms as primary of a term must not be acknowledged.
     bool withholdsCommits(const std::string& service, std::string_view server, uint64_t term, Instant now) const;
 
-    /// Returns the revocation of an earlier coordinator that was neither withdrawn nor replaced: its orders may still
-    /// be carried out. Nothing if there is none, or it was last heard of too long ago for that.
+    /// Returns the revocation of an earlier coordinator whose orders may still be carried out: it was neither withdrawn
+    /// nor replaced. Nothing if there is none, no order was sent, or it was last heard of too long ago.
     /// @param token Fencing token of the present coordinator.
     std::optional<PrimaryRevocation> unfinished(const std::string& service, uint64_t token, Instant now) const;
 
--- a/src/revocation_exchange.cpp
+++ b/src/revocation_exchange.cpp
@@ -44,26 +44,30 @@
     // A successor is named in the same change.
     const bool sameChange = wasRecorded && revocation && it->second.revocation
         && it->second.revocation->term == revocation->term && it->second.revocation->scope == revocation->scope;
-    const std::optional<Instant> recordDueAt = sameChange ? it->second.recordDueAt : std::nullopt;
-    ++m_number;
-    const uint64_t recordNumber = sameChange ? it->second.recordNumber : m_number;
+    Notice next { revocation, token, ++m_number, m_clock(), std::nullopt, {}, false, false, m_number, std::nullopt };
+    if (sameChange) {
+        next.recordNumber = it->second.recordNumber;
+        next.recordedAsOrdered = it->second.recordedAsOrdered;
+        next.orderDueAt = it->second.orderDueAt;
+    }
     Notice& notice = m_notices[service];
-    notice = { revocation, token, m_number, m_clock(), std::nullopt, {}, false, recordNumber, recordDueAt };
+    notice = std::move(next);
     m_reportsChanged = true;
     if (wasRecorded && revocation)
-        record(service, notice);
+        record(service, notice, notice.recordedAsOrdered);
     else if (wasRecorded)
         m_records.set(service, std::nullopt);
     apply(service, revocation, token, m_number, m_host);
 }
 
-void RevocationExchange::record(const std::string& service, Notice& notice)
+void RevocationExchange::record(const std::string& service, Notice& notice, bool ordered)
 {
     notice.recorded = true;
-    if (!notice.recordDueAt)
-        notice.recordDueAt = m_clock();
+    notice.recordedAsOrdered = ordered;
     // The store does not name the successor: naming it would be a second call for each change.
-    const PrimaryRevocation revocation { notice.revocation->term, notice.revocation->scope, std::string() };
+    PrimaryRevocation revocation = *notice.revocation;
+    revocation.successor.clear();
+    revocation.ordered = ordered;
     m_records.set(service, RecordedRevocation { revocation, notice.token, notice.recordNumber });
 }
 
@@ -72,9 +76,12 @@
     const auto it = m_notices.find(service);
     if (it == m_notices.end() || !it->second.revocation || !m_storeReachable)
         return true;
-    if (!it->second.recorded)
-        record(service, it->second);
-    return m_records.recordedAt(service) || m_clock() - *it->second.recordDueAt >= m_settings.recordTimeout;
+    Notice& notice = it->second;
+    if (!notice.recordedAsOrdered) {
+        notice.orderDueAt = m_clock();
+        record(service, notice, true);
+    }
+    return m_records.recordedAt(service) || m_clock() - *notice.orderDueAt >= m_settings.recordTimeout;
 }
 
 std::optional<PrimaryRevocation> RevocationExchange::unfinished(const std::string& service, uint64_t token) const
@@ -84,7 +91,8 @@
 
 void RevocationExchange::dismiss(const std::string& service, uint64_t token)
 {
-    m_notices[service] = { std::nullopt, token, ++m_number, m_clock(), std::nullopt, {}, false, 0, std::nullopt };
+    m_notices[service]
+        = { std::nullopt, token, ++m_number, m_clock(), std::nullopt, {}, false, false, 0, std::nullopt };
     m_records.set(service, std::nullopt);
     apply(service, std::nullopt, token, m_number, m_host);
 }
@@ -114,6 +122,14 @@
 
 void RevocationExchange::reset()
 {
+    // What was withdrawn last would otherwise last until its end on the other hosts.
+    const bool withdrawn
+        = std::any_of(m_notices.begin(), m_notices.end(), [](const auto& notice) { return !notice.second.revocation; });
+    const std::string text = withdrawn ? message() : std::string();
+    for (const auto& [host, last] : m_acknowledgements) {
+        if (withdrawn && last.number < m_number && !last.address.empty())
+            m_channel.send(last.address, text);
+    }
     m_notices.clear();
     m_acknowledgements.clear();
     m_records.reset();
@@ -178,7 +194,7 @@
         });
         // One lost datagram is not worth a call.
         if (withholds && pending != 0 && !notice.recorded && now - notice.changedAt >= m_settings.repeatInterval)
-            record(service, notice);
+            record(service, notice, false);
         const bool waits = withholds ? !hostsHaveLostContact(service, notice)
                                      : now - notice.changedAt < m_settings.acknowledgementTimeout;
         if (pending != 0 && waits)
@@ -224,7 +240,8 @@
         const PrimaryRevocation revocation = notice.revocation.value_or(PrimaryRevocation());
         entries.push_back(value::array({ value::string(service), value::number(revocation.term),
             value::number(static_cast<uint64_t>(revocation.scope)), value::number(notice.token),
-            value::string(primary.first), value::number(primary.second), value::string(revocation.successor) }));
+            value::string(primary.first), value::number(primary.second), value::string(revocation.successor),
+            value::boolean(revocation.ordered) }));
     }
     value text = value::object();
     text["h"] = value::string(m_host);
@@ -256,6 +273,7 @@
         if (text.empty())
             text = message();
         last.sentAt = now;
+        last.address = target.address;
         m_channel.send(target.address, text);
     }
     for (const auto& [service, notice] : m_notices) {
@@ -282,9 +300,13 @@
     std::vector<std::string> withheld;
     for (const value& entry : notice.at("s").as_array()) {
         const std::string service = entry.at(0).as_string();
-        const PrimaryRevocation revocation { unsignedFrom(entry.at(1), maxLogNumber),
-            static_cast<RevocationScope>(unsignedFrom(entry.at(2), lastScope)),
-            entry.size() > 6 ? entry.at(6).as_string() : std::string() };
+        PrimaryRevocation revocation;
+        revocation.term = unsignedFrom(entry.at(1), maxLogNumber);
+        revocation.scope = static_cast<RevocationScope>(unsignedFrom(entry.at(2), lastScope));
+        if (entry.size() > 6) {
+            revocation.successor = entry.at(6).as_string();
+            revocation.ordered = entry.at(7).as_bool();
+        }
         const uint64_t token = unsignedFrom(entry.at(3));
         if (revocation.term != 0 && revocation.scope == RevocationScope::AllCommits)
             withheld.push_back(service);
--- a/src/revocation_exchange.h
+++ b/src/revocation_exchange.h
@@ -80,7 +80,8 @@
     /// Sets whether this host reaches the store, so that it can hold the revocations.
     void setStoreReachable(bool reachable) { m_storeReachable = reachable; }
 
-    /// Stops sending when this host is no longer the coordinator. Revocations in force stay until they end.
+    /// Stops sending when this host is no longer the coordinator, after one more message if some were withdrawn.
+    /// Revocations in force stay until they end.
     void reset();
 
     /// Sends revocations and withdrawals that are due. Must be called every few milliseconds. targets is called only
@@ -102,14 +103,16 @@
         std::optional<Instant> inForceSince;
         NewestAcknowledged newestAcknowledged;
         bool recorded = false; ///< It is to be in the store.
+        bool recordedAsOrdered = false; ///< With the mark that an order may be on its way.
         uint64_t recordNumber = 0; ///< Number of the first message of the change, as recorded.
-        std::optional<Instant> recordDueAt; ///< When it was to be in the store first.
+        std::optional<Instant> orderDueAt; ///< When an order was to be sent that the record is waited for.
     };
     /// What a host has acknowledged.
     struct Acknowledgement {
         uint64_t incarnation = 0;
         uint64_t number = 0;
         Instant sentAt; ///< Of the last message to it.
+        std::string address;
         std::map<std::string, AcknowledgedCommits> commits; ///< By service, as reported with it.
     };
 
@@ -119,7 +122,7 @@
         const std::string& coordinator);
     void updateInForce(const std::vector<RevocationTarget>&);
     /// Puts a notice into the store.
-    void record(const std::string& service, Notice&);
+    void record(const std::string& service, Notice&, bool ordered);
     /// Returns whether no host tells callers of commits that a notice revokes, though some have not acknowledged it.
     bool hostsHaveLostContact(const std::string& service, const Notice&) const;
     /// Returns what a host reported when it acknowledged a message of at least the number; null if it has not.
--- a/src/revocation_record.cpp
+++ b/src/revocation_record.cpp
@@ -24,6 +24,7 @@
     json["number"] = Json::number(recorded.number);
     json["below_term"] = Json::number(recorded.revocation.term);
     json["scope"] = Json::number(static_cast<uint64_t>(recorded.revocation.scope));
+    json["ordered"] = Json::boolean(recorded.revocation.ordered);
     return json.serialize();
 }
 
@@ -35,6 +36,7 @@
     recorded.number = unsignedFrom(json.at("number"));
     recorded.revocation.term = unsignedFrom(json.at("below_term"), maxLogNumber);
     recorded.revocation.scope = static_cast<RevocationScope>(unsignedFrom(json.at("scope"), lastScope));
+    recorded.revocation.ordered = json.at("ordered").as_bool();
     if (recorded.revocation.term == 0)
         throw std::invalid_argument("a revocation of no term");
     return recorded;
@@ -77,8 +79,6 @@
             revision = it->second.revision;
         }
     }
-    for (const auto& [service, recorded] : m_applied) {
-        if (read.count(service) == 0)
     for (const auto& [service, recorded] : read) {
         const PrimaryRevocation& revocation = recorded.revocation;
         if (revocations.revokeAsRecorded(service, revocation, recorded.token, recorded.number, now, lifetime))
@@ -89,6 +89,8 @@
     }
     if (!followed)
         return;
+    for (const auto& [service, recorded] : m_applied) {
+        if (read.count(service) == 0)
             revocations.withdrawAsRecorded(service, recorded.token, recorded.number);
     }
     m_applied = std::move(read);
--- a/src/revocation_record.h
+++ b/src/revocation_record.h
@@ -50,11 +50,10 @@
     /// Forgets the revisions of this host's writes, after an older copy has replaced the store, and writes anew.
     void storeRestored();
 
-    /// Applies the items to what this host knows, and withdraws what an item no longer holds. Malformed items are
-    /// logged and ignored.
+    /// Applies the items to what this host knows. Malformed items are logged and ignored.
+    /// @param items All own items of the hosts, or those with the prefix, by key.
     /// @param followed The items are read in the order of their changes, and what an item no longer holds is withdrawn.
     ///     A single read may be older or newer than these.
-    /// @param items All own items of the hosts, or those with the prefix, by key.
     /// @param lifetime Time after which a revocation ends unless an item or a coordinator renews it.
     void itemsRead(const std::map<std::string, StoreItem>& items, bool followed, PrimaryRevocations&, Instant now,
         Duration lifetime);
--- a/tests/unit_failover_plan.cpp
+++ b/tests/unit_failover_plan.cpp
@@ -459,7 +459,7 @@
         stop = step();
     }
     BOOST_REQUIRE((stop.action == FailoverAction::StopReceiving));
-    BOOST_TEST((fleet.plan.revocation() == PrimaryRevocation { 2, RevocationScope::AllCommits, "" }));
+    BOOST_TEST((fleet.plan.revocation() == PrimaryRevocation { 2, RevocationScope::AllCommits, "", false }));
     for (const char* id : { "r1", "r2" })
         fleet.stop(id, stop.term);
     fleet.now += std::chrono::milliseconds(50);
@@ -563,7 +563,7 @@
     for (int i = 0; i < 5; ++i) {
         ++fleet.get("p").status->received.position;
         BOOST_TEST((step() == FailoverAction::None));
-        BOOST_TEST((fleet.plan.revocation() == PrimaryRevocation { 2, RevocationScope::NewCommits, "" }));
+        BOOST_TEST((fleet.plan.revocation() == PrimaryRevocation { 2, RevocationScope::NewCommits, "", false }));
     }
     revokedSince = fleet.now;
     BOOST_TEST((step() == FailoverAction::None));
--- a/tests/unit_gateway.cpp
+++ b/tests/unit_gateway.cpp
@@ -704,7 +704,8 @@
     connector.acceptAll();
     connector.answerOwnCommands({ 1, 5 });
     BOOST_REQUIRE(connector.statementLink() < connector.links.size());
-    gateway.revocations().revoke("orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "" }, 7, now, revocationTime);
+    gateway.revocations().revoke(
+        "orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "", false }, 7, now, revocationTime);
     connector.reply(connector.statementLink(), okReply("", { 1, 6 }));
     BOOST_REQUIRE(caller.answers.size() == 1U);
     BOOST_TEST((caller.answers[0].code == ResultCode::OutcomeUnknown));
@@ -716,7 +717,7 @@
 {
     provePrimary({ 1, 5 });
     gateway.revocations().revoke(
-        "orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "r1" }, 7, now, revocationTime);
+        "orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "r1", false }, 7, now, revocationTime);
     FakeCaller writer;
     FakeCaller reader;
     execute(open(writer, "primary"), StatementKind::Write, "WRITE a b");
@@ -765,7 +766,8 @@
     connector.acceptAll();
     connector.answerOwnCommands({ 1, 5 });
     BOOST_REQUIRE(connector.statementLink() < connector.links.size());
-    gateway.revocations().revoke("orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "" }, 7, now, revocationTime);
+    gateway.revocations().revoke(
+        "orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "", false }, 7, now, revocationTime);
     execute(open(waiting, "primary"), StatementKind::Write, "WRITE c d", "2");
     gateway.revocations().withdraw("orders", 7);
     BOOST_TEST(waiting.answers.empty());
@@ -808,7 +810,8 @@
     FakeCaller caller;
     const uint64_t session = open(caller, "primary");
     const size_t link = writeInTransaction(*this, session);
-    gateway.revocations().revoke("orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "" }, 7, now, revocationTime);
+    gateway.revocations().revoke(
+        "orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "", false }, 7, now, revocationTime);
     execute(session, StatementKind::Commit, "COMMIT", "3");
     BOOST_REQUIRE(caller.answers.size() == 3U);
     BOOST_TEST((caller.answers[2].code == ResultCode::TransactionAborted));
@@ -824,9 +827,9 @@
     PrimaryRevocations revocations;
     BOOST_TEST(!revocations.isRevoked("orders", "r1", 1, now));
     BOOST_TEST(revocations.revoke(
-        "orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "r1" }, 7, now, revocationTime));
+        "orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "r1", false }, 7, now, revocationTime));
     BOOST_TEST(!revocations.revoke(
-        "orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "r1" }, 7, now, revocationTime));
+        "orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "r1", false }, 7, now, revocationTime));
     BOOST_TEST(revocations.isRevoked("orders", "r1", 1, now));
     BOOST_TEST(revocations.withholdsCommits("orders", "r1", 1, now));
     BOOST_TEST(!revocations.isRevoked("orders", "r1", 2, now));
@@ -835,18 +838,19 @@
     // Of a coordinator that has been replaced.
     BOOST_TEST(!revocations.withdraw("orders", 6));
     BOOST_TEST(!revocations.revoke(
-        "orders", PrimaryRevocation { 9, RevocationScope::AllCommits, "r1" }, 6, now, revocationTime));
+        "orders", PrimaryRevocation { 9, RevocationScope::AllCommits, "r1", false }, 6, now, revocationTime));
     BOOST_TEST(revocations.isRevoked("orders", "r1", 1, now));
     // An odd token does not keep out the coordinator for good.
     PrimaryRevocations odd;
-    odd.revoke("orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "r1" }, UINT64_MAX, now, revocationTime);
-    BOOST_TEST(
-        !odd.revoke("orders", PrimaryRevocation { 3, RevocationScope::AllCommits, "r1" }, 7, now, revocationTime));
-    BOOST_TEST(odd.revoke(
-        "orders", PrimaryRevocation { 3, RevocationScope::AllCommits, "r1" }, 7, now + revocationTime, revocationTime));
+    odd.revoke(
+        "orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "r1", false }, UINT64_MAX, now, revocationTime);
+    BOOST_TEST(!odd.revoke(
+        "orders", PrimaryRevocation { 3, RevocationScope::AllCommits, "r1", false }, 7, now, revocationTime));
+    BOOST_TEST(odd.revoke("orders", PrimaryRevocation { 3, RevocationScope::AllCommits, "r1", false }, 7,
+        now + revocationTime, revocationTime));
     BOOST_TEST(revocations.withdraw("orders", 7));
     BOOST_TEST(!revocations.isRevoked("orders", "r1", 1, now));
-    const PrimaryRevocation leaving { 2, RevocationScope::NewCommits, "" };
+    const PrimaryRevocation leaving { 2, RevocationScope::NewCommits, "", false };
     BOOST_TEST(revocations.revoke("orders", leaving, 7, now, revocationTime));
     BOOST_TEST(revocations.isRevoked("orders", "r1", 1, now));
     BOOST_TEST(!revocations.withholdsCommits("orders", "r1", 1, now));
@@ -862,7 +866,7 @@
     connector.acceptAll();
     connector.answerOwnCommands({ 1, 5 });
     BOOST_REQUIRE(connector.statementLink() < connector.links.size());
-    const PrimaryRevocation leaving { 2, RevocationScope::NewCommits, "" };
+    const PrimaryRevocation leaving { 2, RevocationScope::NewCommits, "", false };
     gateway.revocations().revoke("orders", leaving, 7, now, revocationTime);
     connector.reply(connector.statementLink(), okReply("", { 1, 6 }));
     BOOST_REQUIRE(caller.answers.size() == 1U);
--- a/tests/unit_odd_datagrams.cpp
+++ b/tests/unit_odd_datagrams.cpp
@@ -187,7 +187,7 @@
     const std::vector<std::string> names = oddNames(3);
     for (size_t i = 0; i < names.size(); ++i) {
         if (i % 2 == 0)
-            a.setRevocation(names[i], PrimaryRevocation { i + 2, RevocationScope::AllCommits, names[i] }, 7);
+            a.setRevocation(names[i], PrimaryRevocation { i + 2, RevocationScope::AllCommits, names[i], false }, 7);
     }
     a.tick([] { return std::vector<RevocationTarget> { { "b", "b", 1, true } }; });
     BOOST_REQUIRE(fromCoordinator.sent.size() == 1U);
--- a/tests/unit_revocation_exchange.cpp
+++ b/tests/unit_revocation_exchange.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr uint64_t token = 7;
-const PrimaryRevocation revoked { 2, RevocationScope::AllCommits, "r1" };
+const PrimaryRevocation revoked { 2, RevocationScope::AllCommits, "r1", true };
 
 /// A coordinator "0" and other hosts, whose datagrams arrive 20 ms after they were sent.
 struct Hosts {
@@ -141,7 +141,8 @@
     Hosts leaving(3);
     leaving.lost = { 2 };
     leaving.targets[2].reachable = false;
-    leaving.all[0]->exchange.setRevocation("orders", PrimaryRevocation { 2, RevocationScope::NewCommits, "" }, token);
+    leaving.all[0]->exchange.setRevocation(
+        "orders", PrimaryRevocation { 2, RevocationScope::NewCommits, "", false }, token);
     leaving.pass(milliseconds(100));
     BOOST_TEST(leaving.inForce());
 }
@@ -215,7 +216,8 @@
     it.all[0]->exchange.setRevocation("orders", revoked, token);
     it.pass(milliseconds(200));
     it.all[0]->exchange.reset();
-    it.all[0]->exchange.setRevocation("orders", PrimaryRevocation { 3, RevocationScope::AllCommits, "r1" }, token - 1);
+    it.all[0]->exchange.setRevocation(
+        "orders", PrimaryRevocation { 3, RevocationScope::AllCommits, "r1", false }, token - 1);
     it.pass(milliseconds(200));
     for (const std::unique_ptr<Hosts::Host>& host : it.all) {
         BOOST_TEST(host->revoked(1));
@@ -235,7 +237,7 @@
     BOOST_TEST(!it.all[1]->exchange.datagram("other", addressOf));
     for (const char* text : { "revoke? ", "revoke? {}", R"(revoke? {"h":"0","n":1,"s":[["orders",-2,1,7,"",0]]})",
              R"(revoke? {"h":"0","n":1,"s":[["orders"]]})", R"(revoke? {"h":"0","n":1,"s":[["orders",2,2,7,"",0]]})",
-             R"(revoke? {"h":"0","n":1,"s":[["orders",2,1,7,"",0,5]]})", R"(revoke! {"h":5})" })
+             R"(revoke? {"h":"0","n":1,"s":[["orders",2,1,7,"",0,5,true]]})", R"(revoke! {"h":5})" })
         BOOST_CHECK_THROW(it.all[1]->exchange.datagram(text, addressOf), std::exception);
     BOOST_TEST(!it.all[1]->revoked(1));
     const auto unknown = [](const std::string&) { return std::string(); };
@@ -335,7 +337,7 @@
     BOOST_TEST((newest().earliest == LogPosition { 1, 22 }));
     BOOST_TEST(!newest().latest);
     // While commits are acknowledged there is no last one.
-    it.all[0]->exchange.setRevocation("orders", PrimaryRevocation { 2, RevocationScope::NewCommits, "" }, token);
+    it.all[0]->exchange.setRevocation("orders", PrimaryRevocation { 2, RevocationScope::NewCommits, "", false }, token);
     it.pass(milliseconds(200));
     BOOST_TEST(!newest().latest);
 }
@@ -362,12 +364,13 @@
 BOOST_AUTO_TEST_CASE(only_the_ordered_server_may_lead)
 {
     Hosts it(2);
-    it.all[0]->exchange.setRevocation("orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "" }, token);
+    it.all[0]->exchange.setRevocation("orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "", false }, token);
     it.pass(milliseconds(200));
     PrimaryRevocations& held = it.all[1]->fixture.gateway.revocations();
     for (const char* server : { "r1", "r2" })
         BOOST_TEST(held.withholdsCommits("orders", server, 2, it.now));
-    it.all[0]->exchange.setRevocation("orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "r1" }, token);
+    it.all[0]->exchange.setRevocation(
+        "orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "r1", false }, token);
     it.pass(milliseconds(200));
     BOOST_TEST(!held.withholdsCommits("orders", "r1", 2, it.now));
     BOOST_TEST(held.withholdsCommits("orders", "r1", 1, it.now));
@@ -409,3 +412,27 @@
         BOOST_TEST(removals[0].expectedRevision == 11U);
     }
 }
+
+// Guards against a coordinator that replaces a healthy primary after the one before has given a change up.
+BOOST_AUTO_TEST_CASE(change_without_an_order_leaves_nothing_unfinished)
+{
+    Hosts it(3);
+    it.lost.insert(2);
+    RevocationExchange& first = it.all[0]->exchange;
+    first.setStoreReachable(true);
+    first.setRevocation("orders", PrimaryRevocation { 2, RevocationScope::AllCommits, "", false }, token);
+    it.pass(milliseconds(200));
+    const std::vector<StoreWrite> writes = first.records().due({}, it.now);
+    BOOST_REQUIRE(writes.size() == 1U);
+    it.all[2]->exchange.itemsRead({ { writes[0].key, { writes[0].key, writes[0].value, 11 } } }, true);
+    for (size_t i : { 1, 2 }) {
+        BOOST_TEST(it.all[i]->revoked(1));
+        BOOST_TEST(!it.all[i]->exchange.unfinished("orders", token + 1).has_value());
+    }
+    // The role passes on before a repetition would tell the hosts.
+    it.lost.clear();
+    first.setRevocation("orders", std::nullopt, token);
+    first.reset();
+    it.pass(milliseconds(50));
+    BOOST_TEST(!it.all[1]->revoked(1));
+}
--- a/tests/unit_revocation_record.cpp
+++ b/tests/unit_revocation_record.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr Duration lifetime = seconds(6);
-const RecordedRevocation recorded { { 2, RevocationScope::AllCommits, "" }, 7, 11 };
+const RecordedRevocation recorded { { 2, RevocationScope::AllCommits, "", true }, 7, 11 };
 
 /// A store and the records of a coordinator.
 struct RecordsFixture {
@@ -48,11 +48,12 @@
 BOOST_AUTO_TEST_CASE(encoded_revocation_is_decoded)
 {
     BOOST_TEST((decodeRevocation(encodeRevocation(recorded)) == recorded));
-    const RecordedRevocation greatest { { maxLogNumber, RevocationScope::NewCommits, "" }, UINT64_MAX, UINT64_MAX };
+    const RecordedRevocation greatest { { maxLogNumber, RevocationScope::NewCommits, "", false }, UINT64_MAX,
+        UINT64_MAX };
     BOOST_TEST((decodeRevocation(encodeRevocation(greatest)) == greatest));
-    for (const char* text : { "", "{}", R"({"token":1,"number":1,"below_term":0,"scope":0})",
-             R"({"token":1,"number":1,"below_term":2,"scope":2})",
-             R"({"token":-1,"number":1,"below_term":2,"scope":0})", R"([["token"]])" })
+    for (const char* text : { "", "{}", R"({"token":1,"number":1,"below_term":0,"scope":0,"ordered":true})",
+             R"({"token":1,"number":1,"below_term":2,"scope":2,"ordered":true})",
+             R"({"token":-1,"number":1,"below_term":2,"scope":0,"ordered":true})", R"([["token"]])" })
         BOOST_CHECK_THROW(decodeRevocation(text), std::exception);
 }
 
@@ -128,7 +129,7 @@
     records.itemsRead({}, true, revocations, now, lifetime);
     BOOST_TEST(revocations.isRevoked("orders", "p", 1, now));
     // An item of an earlier coordinator changes nothing.
-    items[key].value = encodeRevocation({ { 9, RevocationScope::AllCommits, "" }, 6, 99 });
+    items[key].value = encodeRevocation({ { 9, RevocationScope::AllCommits, "", false }, 6, 99 });
     records.itemsRead(items, true, revocations, now, lifetime);
     BOOST_REQUIRE(revocations.unfinished("orders", 8, now).has_value());
     BOOST_TEST(revocations.unfinished("orders", 8, now)->term == 2U);
