Tell the server that was ordered last from one that leads by an earlier order

Cause: the second coordinator's order was on its way when a late order of the first one took effect. The third coordinator took that server's lead for the end of the change and withdrew the revocation, and hosts acknowledged its commits until the second order took effect.

A change of an earlier coordinator now ends only when the server leads that was ordered last, as the hosts know it (PrimaryRevocation::successor). While it is not known, or another one leads, the coordinator replaces the leader itself, as before under the conditions of any change.

--- a/src/failover_plan.cpp
+++ b/src/failover_plan.cpp
@@ -280,6 +280,14 @@
     return true;
 }
 
+bool FailoverPlan::endsChange(const FailoverMember& member) const
+{
+    if (member.ended || !member.status || !member.status->primary || member.status->term < m_term)
+        return false;
+    // While orders of an earlier coordinator may be on their way, another one may replace any other server.
+    return !m_unfinished || member.id == (m_promotionOrdered ? m_target : m_earlierSuccessor);
+}
+
 FailoverPlan::Step FailoverPlan::collect(Instant now, const std::string& primary,
     const std::vector<FailoverMember>& members, uint64_t term, const FailoverKnowledge& knowledge)
 {
@@ -288,7 +296,7 @@
     step.reason = m_reason;
     const FailoverMember* leader = nullptr;
     for (const FailoverMember& member : members) {
-        if (!member.ended && member.status && member.status->primary && member.status->term >= m_term) {
+        if (endsChange(member)) {
             // Another host's promotion took effect first.
             m_phase = Phase::Resuming;
             m_target = member.id;
@@ -409,6 +417,7 @@
         m_term = term + 1;
         m_promotionOrdered = false;
         m_unfinished = knowledge.unfinished;
+        m_earlierSuccessor = knowledge.successor;
         return collect(now, primary, members, term, knowledge);
     }
     case Phase::Collecting:
--- a/src/failover_plan.h
+++ b/src/failover_plan.h
@@ -76,6 +76,7 @@
     /// An earlier coordinator's change has not ended. Only an order of this coordinator keeps the platform from
     /// carrying out orders of that one, and until it takes effect another server may lead.
     bool unfinished = false;
+    std::string successor; ///< Of an unfinished change: the server that was ordered last; empty: not known.
     /// Returns whether the next coordinator would learn that an order may be on its way; empty: it would.
     std::function<bool()> isRecorded;
     /// When this host last learned a position from a primary, or when its process started.
@@ -186,6 +187,8 @@
     void chooseStage(Instant, const FailoverMember* leader, const std::string& primary,
         const std::vector<FailoverMember>&, uint64_t term);
     void restartAttempt(Instant);
+    /// Returns whether a server leads by the last order that may be on its way.
+    bool endsChange(const FailoverMember&) const;
     FailoverReason findReason(Instant, const std::string& primary, const std::vector<FailoverMember>&, uint64_t term);
     Step collect(Instant, const std::string& primary, const std::vector<FailoverMember>&, uint64_t term,
         const FailoverKnowledge&);
@@ -208,6 +211,7 @@
     std::optional<Instant> m_revokedSince; ///< Since when all hosts have known m_revocation.
     bool m_promotionOrdered = false; ///< In this attempt; the order may still take effect.
     bool m_unfinished = false; ///< The same for orders of an earlier coordinator.
+    std::string m_earlierSuccessor; ///< Server that the earlier coordinator ordered last; empty: not known.
     bool m_waitingForAnswer = false;
     unsigned m_failedAttempts = 0;
     ReplicaLogs m_logs;
--- a/src/promotion_coordinator.cpp
+++ b/src/promotion_coordinator.cpp
@@ -218,7 +218,10 @@
         knowledge.revokedSince = m_revocations->inForceSince(service);
         knowledge.acknowledged = m_revocations->newestAcknowledged(service);
         knowledge.isRecorded = [this, &service] { return m_revocations->requireRecord(service); };
-        knowledge.unfinished = plan.watching() && isUnfinished(service, reports);
+        const std::optional<PrimaryRevocation> unfinished
+            = plan.watching() ? unfinishedChange(service, reports) : std::nullopt;
+        knowledge.unfinished = unfinished.has_value();
+        knowledge.successor = unfinished ? unfinished->successor : std::string();
     }
     const std::optional<PrimaryPositions::Observation> seen = m_gateway.acknowledgedCommits(service).observed;
     knowledge.primarySeenAt = seen ? seen->requestedAt : m_gateway.startedAt();
@@ -231,18 +234,21 @@
                 { "reason", "does not run, and no commit is missing from the other servers" } });
 }
 
-bool PromotionCoordinator::isUnfinished(const std::string& service, const std::vector<FailoverMember>& reports)
+std::optional<PrimaryRevocation> PromotionCoordinator::unfinishedChange(
+    const std::string& service, const std::vector<FailoverMember>& reports)
 {
     const std::optional<PrimaryRevocation> revocation = m_revocations->unfinished(service, m_token);
     if (!revocation)
-        return false;
+        return std::nullopt;
+    // Any other server may lead by an order before the last one.
     const bool ended = std::any_of(reports.begin(), reports.end(), [&](const FailoverMember& member) {
-        return !member.ended && member.status && !member.silentSince && member.status->primary
-            && member.status->term >= revocation->term;
+        return member.id == revocation->successor && !member.ended && member.status && !member.silentSince
+            && member.status->primary && member.status->term >= revocation->term;
     });
-    if (ended)
-        m_revocations->dismiss(service, m_token);
-    return !ended;
+    if (!ended)
+        return revocation;
+    m_revocations->dismiss(service, m_token);
+    return std::nullopt;
 }
 
 void PromotionCoordinator::pollServers(const std::string& service, Instant now)
--- a/src/promotion_coordinator.h
+++ b/src/promotion_coordinator.h
@@ -56,9 +56,9 @@
     Member& pollServer(const ServerEntry&, const std::string& customer, Instant now);
     void planService(const std::string& service, Instant now);
     void confirmPrimary(const std::string& service);
-    /// Returns whether an earlier coordinator's change of a primary has not ended, and withdraws its revocation if it
-    /// has.
-    bool isUnfinished(const std::string& service, const std::vector<FailoverMember>&);
+    /// Returns the revocation of an earlier coordinator's change of a primary that has not ended, and withdraws it if
+    /// the change has.
+    std::optional<PrimaryRevocation> unfinishedChange(const std::string& service, const std::vector<FailoverMember>&);
     void probeIndirectly(const ServerEntry&, Member&);
     void carryOut(const std::string& service, const FailoverPlan::Step&);
     void promote(const std::string& service, const FailoverPlan::Step&);
--- a/tests/unit_promotion_handover.cpp
+++ b/tests/unit_promotion_handover.cpp
@@ -237,3 +237,45 @@
     BOOST_TEST_MESSAGE("two servers led in turn in " << lateEffects << " schedules");
     BOOST_TEST(lateEffects > 0U);
 }
+
+// Guards against the loss of commits of that server when the role passes on once more, and the next coordinator takes
+// the late order's server for the one that was ordered last.
+BOOST_AUTO_TEST_CASE(late_order_is_not_taken_for_the_newest_one)
+{
+    unsigned handedOver = 0;
+    unsigned lateEffects = 0;
+    for (int lateness = 400; lateness <= 3000; lateness += 50) {
+        for (const int delay : { 20, 100, 200, 300, 400 }) {
+            ReplicatedService service(2);
+            setLogLevel("error");
+            service.setReceiveDelay("p", milliseconds(60));
+            service.pass(warmUp);
+            BOOST_REQUIRE(acknowledges(service));
+            service.setPromotionLateness(milliseconds(lateness));
+            service.crash("p");
+            service.timers.add(service.now + milliseconds(700), [&] { service.restart("p"); });
+            service.pass(milliseconds(1200));
+            service.setPromotionLateness(Duration(0));
+            service.activate(1 - service.coordinator());
+            // The order of the second coordinator comes after the late one.
+            for (int i = 0; i < 300 && service.orders() < 2; ++i)
+                service.pass(milliseconds(10));
+            service.pass(milliseconds(delay));
+            handedOver += service.orders() == 2 && service.promotions() < 2 ? 1 : 0;
+            service.activate(1 - service.coordinator());
+            service.pass(seconds(16));
+            lateEffects += service.promotions() > 1 ? 1 : 0;
+            for (const std::string& loss : service.losses())
+                BOOST_ERROR(loss);
+            BOOST_TEST(acknowledges(service), "no commit is acknowledged after the changes");
+            if (!service.losses().empty() || !acknowledges(service)) {
+                BOOST_TEST_MESSAGE("late by " << lateness << " ms, handed over after " << delay << " ms");
+                BOOST_TEST_MESSAGE(service.trace());
+                return;
+            }
+        }
+    }
+    BOOST_TEST_MESSAGE(handedOver << " changes were handed over, two servers led in turn in " << lateEffects);
+    BOOST_TEST(handedOver > 0U);
+    BOOST_TEST(lateEffects > 0U);
+}
