End the process only when the last answers have left for their callers

Cause: sessions without a statement are closed 2.2 s after the signal, and their connections send the rest of the answer afterwards. The end of the process waited for sessions and statements, not for these connections.

It now also waits until no connection has unsent output, for seven eighths of the grace at most. Connections without a session are not waited for, so that they do not delay the end of an idle process.

--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -87,6 +87,10 @@
     /// Returns the part of the shutdown grace in which open transactions and lent connections continue. The rest is for
     /// closing connections and sending leave notices.
     Duration drainGrace() const { return shutdownGrace * 5 / 8; }
+
+    /// Returns the part of the shutdown grace in which answers go on leaving for callers that receive slowly. The rest
+    /// is for leave notices.
+    Duration answerGrace() const { return shutdownGrace * 7 / 8; }
 };
 
 } // namespace plantainwall
--- a/tests/support_line_group.cpp
+++ b/tests/support_line_group.cpp
@@ -342,7 +342,7 @@
             // The row tells the log that the read ran on.
             std::string row = std::to_string(server().applied);
             row.resize(std::max(row.size(), m_group.m_rowBytes), ' ');
-            std::vector<std::string> rows { row };
+            std::vector<std::string> rows(m_group.m_rowRepeats, row);
             while (odd())
                 rows.push_back(m_group.m_odd.lastField());
             if (m_group.m_oddPerThousand != 0 && m_group.m_odd.chance(OddTexts::longPerThousand))
--- a/tests/support_line_group.h
+++ b/tests/support_line_group.h
@@ -132,6 +132,9 @@
     /// Makes the rows of reads this long, in bytes; 0: as long as their content.
     void setRowBytes(size_t bytes) { m_rowBytes = bytes; }
 
+    /// Sets how many times each row of an answer is sent.
+    void setRowRepeats(size_t n) { m_rowRepeats = n; }
+
     /// Makes so many of a thousand answers to reads have odd rows, and as many errors an odd text; as many messages of
     /// the servers arrive in two segments.
     void setOddTexts(unsigned perThousand, uint64_t seed)
@@ -208,6 +211,7 @@
     RepeatRule m_repeats;
     BusyRule m_busyRule;
     size_t m_rowBytes = 0;
+    size_t m_rowRepeats = 1;
     unsigned m_oddPerThousand = 0;
     OddTexts m_odd { 1 };
     uint64_t m_repeated = 0;
--- a/tests/unit_caller_port.cpp
+++ b/tests/unit_caller_port.cpp
@@ -286,6 +286,7 @@
     pass(std::chrono::seconds(3));
     BOOST_REQUIRE(gateway.sessions() == 0U);
     BOOST_TEST(port.connections() == 1U);
+    BOOST_TEST(port.answering() == 1U);
     send("QUERY 2 READ a\r\n");
     for (int i = 0; i < 100; ++i)
         loop.poll();
@@ -298,6 +299,16 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(ec ? 1 : 0));
     }
     BOOST_TEST(port.connections() == 0U);
+    BOOST_TEST(port.answering() == 0U);
+    // One without a session is owed nothing.
+    tcp::socket other(loop);
+    other.connect({ boost::asio::ip::make_address("127.0.0.1"), portNumber });
+    for (int i = 0; i < 1000 && port.connections() == 0; ++i) {
+        loop.poll();
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    BOOST_TEST(port.connections() == 1U);
+    BOOST_TEST(port.answering() == 0U);
 }
 
 // Load pattern: more connections without a session than the host has room for, and an ordinary caller.
