Forget shapes prepared within a transaction beyond their limit

Cause: the shapes that are prepared on a connection to a server are remembered until it is reset, and it is not reset within a transaction.

Beyond the same limit, 256 KiB, they are now forgotten within a transaction, and a shape that is executed again is prepared again under a new name.

integration.unruly-callers.prepared-shapes-in-one-transaction failed before: a host of 64 MiB held 118,339 KiB. Now it holds 23,871 KiB, and all statements run.

--- a/src/gateway_backend.cpp
+++ b/src/gateway_backend.cpp
@@ -33,7 +33,8 @@
     /// Repeats of a failed read before the caller receives the error.
     constexpr unsigned maxFailedRuns = 2;
 
-    /// A connection is reset before its next use when its prepared statements hold more than this, in bytes.
+    /// A connection is reset before its next use when its prepared statements hold more than this, in bytes. Within a
+    /// transaction, which forbids that, this host forgets them.
     constexpr size_t maxPreparedBytes = 256 * 1024;
 
     bool contains(const std::map<std::string, std::string>& all, const std::map<std::string, std::string>& subset)
@@ -111,6 +112,9 @@
     const auto it = session.prepared.find(job.statement.name);
     if (it == session.prepared.end() || connection.prepared.find(it->second))
         return;
+    // Within a transaction the connection cannot be reset.
+    if (connection.prepared.heldBytes() > maxPreparedBytes)
+        connection.prepared.forget();
     BackendCommand prepare;
     prepare.kind = BackendCommandKind::Prepare;
     prepare.name = connection.prepared.add(it->second);
--- a/src/prepared_names.h
+++ b/src/prepared_names.h
@@ -28,14 +28,19 @@
     {
         m_numbers[{ shape.writes, shape.shape }] = ++m_last;
         m_bytes += shape.shape.size() + entryBytes;
+        m_heldBytes += shape.shape.size() + entryBytes;
         return nameOf(m_last);
     }
 
     /// Returns a new name that stays unknown to the server.
     std::string unknown() { return nameOf(++m_last); }
 
-    /// Must be called when the server may have dropped names.
-    void forget() { m_numbers.clear(); }
+    /// Must be called when the server may have dropped names. Those that it has not stay prepared there, unused.
+    void forget()
+    {
+        m_numbers.clear();
+        m_heldBytes = 0;
+    }
 
     /// Must be called when the server drops all names.
     void reset()
@@ -47,6 +52,9 @@
     /// Returns the memory of all that was prepared since the last reset(), in bytes.
     size_t bytes() const { return m_bytes; }
 
+    /// Returns the memory of the shapes that are known here, in bytes.
+    size_t heldBytes() const { return m_heldBytes; }
+
 private:
     /// Memory of a prepared name beside its shape, in bytes.
     static constexpr size_t entryBytes = 64;
@@ -56,6 +64,7 @@
     std::map<std::pair<bool, std::string>, uint32_t> m_numbers; ///< By whether the statement writes, and shape.
     uint32_t m_last = 0;
     size_t m_bytes = 0;
+    size_t m_heldBytes = 0;
 };
 
 } // namespace plantainwall
--- a/tests/integration_unruly_callers.cpp
+++ b/tests/integration_unruly_callers.cpp
@@ -450,6 +450,42 @@
     });
 }
 
+// Guards against shapes that a host keeps for a transaction after the session has dropped them.
+BOOST_AUTO_TEST_CASE(prepared_shapes_in_one_transaction)
+{
+    constexpr size_t connections = 4;
+    constexpr size_t shapes = 80;
+    constexpr size_t shapeBytes = 300 * kibibyte; // All together, more than the machine has.
+    SmallHost host;
+    const auto shapeOf = [](size_t connection, size_t i) {
+        return "q" + std::to_string(connection) + "-" + std::to_string(i) + "-" + std::string(shapeBytes, 'q');
+    };
+    const auto nameOf
+        = [](size_t connection, size_t i) { return "shape" + std::to_string(connection) + "-" + std::to_string(i); };
+    for (size_t i = 0; i < connections; ++i) {
+        for (size_t j = 0; j < shapes; ++j)
+            host.fleet.ledger.ask(nameOf(i, j), { "customer0", "EXECUTE s item", i + 1, {}, "READ " + shapeOf(i, j) });
+    }
+    host.bear(host.options.callers, connections, { mebibyte, 64 * kibibyte },
+        [&](size_t connection, size_t round) -> std::string {
+            if (round == 0)
+                return opening;
+            if (round == 1)
+                return "QUERY b BEGIN READ\r\n";
+            const size_t i = (round - 2) / 3;
+            if (i >= shapes)
+                return {};
+            const std::string texts[] = { "QUERY p PREPARE s READ " + shapeOf(connection, i),
+                "QUERY " + nameOf(connection, i) + " EXECUTE s item", "QUERY d DEALLOC s" };
+            return texts[(round - 2) % 3] + "\r\n";
+        });
+    const size_t ran = host.fleet.ledger.signatures.size();
+    BOOST_TEST_MESSAGE(ran << " statements ran");
+    BOOST_TEST(ran > connections * shapes * 9 / 10);
+    for (const std::string& violation : host.fleet.ledger.violations)
+        BOOST_ERROR(violation.substr(0, 200));
+}
+
 BOOST_AUTO_TEST_CASE(session_values_without_end)
 {
     SmallHost host;
