End the body of a withdrawn call in place of an exception

Cause: the body of a call that expires before it was read threw an exception into a thread of the client library, which does not catch it there.

The body now ends at once, and the library fails the call as one that is too short. It is still not sent.

--- a/src/http_caller.cpp
+++ b/src/http_caller.cpp
@@ -18,12 +18,11 @@
     /// Records whether the connection has started to read a request body. Safe to use from any thread.
     class BodyRecord {
     public:
-        /// Records that the body is being read. Throws std::runtime_error if the call has been withdrawn.
-        void beginRead()
+        /// Records that the body is being read. Returns false if the call has been withdrawn: nothing may be read.
+        bool beginRead()
         {
             int expected = unread;
-            if (!m_state.compare_exchange_strong(expected, wasRead) && expected == withdrawn)
-                throw std::runtime_error("the call has been withdrawn");
+            return m_state.compare_exchange_strong(expected, wasRead) || expected == wasRead;
         }
 
         /// Prevents later reads. Returns false if the body has already been read.
@@ -88,7 +87,9 @@
         }
         size_t _scopy(uint8_t* data, size_t count) override
         {
-            m_record->beginRead();
+            // The library ends a call whose body is too short. It does not catch exceptions here.
+            if (!m_record->beginRead())
+                return 0;
             const size_t n = std::min(count, in_avail());
             std::copy_n(m_body.data() + m_position, n, data);
             return n;
--- a/tests/unit_http_caller.cpp
+++ b/tests/unit_http_caller.cpp
@@ -285,3 +285,30 @@
     BOOST_TEST(caller->call(post()).get().status == 200); // On a new connection.
     BOOST_TEST(fake.accepted == 2);
 }
+
+// Guards against an exception on a thread of the client library when it reads the body of a call whose deadline has
+// passed: it ended the process.
+BOOST_AUTO_TEST_CASE(body_of_an_expired_call_is_not_read)
+{
+    TcpFake fake([](tcp::socket& socket, int) { return send(socket, okAnswer); });
+    const std::shared_ptr<HttpCaller> caller = makeHttpCaller(fake.address(), 8);
+    constexpr int calls = 3000;
+    std::vector<pplx::task<HttpReply>> running;
+    int notSent = 0;
+    for (int i = 0; i < calls; ++i) {
+        // From no time to that of a whole call, so that some expire while their head is written.
+        running.push_back(caller->call(post(std::chrono::microseconds(i % 600))));
+        if (running.size() < 8)
+            continue;
+        for (const pplx::task<HttpReply>& call : running)
+            notSent += call.get().sendState == SendState::NotSent ? 1 : 0;
+        running.clear();
+    }
+    BOOST_TEST_MESSAGE(notSent << " calls were not sent");
+    BOOST_TEST(notSent > 0);
+    BOOST_TEST(notSent < calls);
+    for (int i = 0; i < 8; ++i)
+        running.push_back(caller->call(post()));
+    for (const pplx::task<HttpReply>& call : running)
+        BOOST_TEST((call.get().sendState == SendState::Answered));
+}
