Read a log line with byte 0xff as unreadable wherever char is unsigned, too

Cause: the parser of the JSON library compares characters with the end of the text, which is this byte where char is signed.

explain now checks for the byte before it parses.

unit.log-explain checks each byte from 0x80 to 0xff.

--- a/src/log_explain.cpp
+++ b/src/log_explain.cpp
@@ -90,6 +90,10 @@
     /// Parses JSON. Returns null for text that is none.
     web::json::value parseJson(const std::string& text)
     {
+        // Where char is signed, the library takes this byte for the end of the text; elsewhere it would read it.
+        constexpr char endOfText = '\xff';
+        if (text.find(endOfText) != std::string::npos)
+            return web::json::value::null();
         std::error_code ec;
         try {
             web::json::value value = web::json::value::parse(text, ec);
--- a/tests/unit_log_explain.cpp
+++ b/tests/unit_log_explain.cpp
@@ -232,6 +232,19 @@
     BOOST_TEST(explainer.explain(R"("\ud800\u0041")").path.empty());
 }
 
+// Guards against a verdict on a byte that depends on the signedness of char, as that of the JSON library's parser does.
+BOOST_AUTO_TEST_CASE(bytes_of_no_character_have_one_verdict)
+{
+    for (int byte = 0x80; byte <= 0xff; ++byte) {
+        const std::string request = std::string("\"request\":\"r1\",\"n\":\"") + static_cast<char>(byte) + '"';
+        LogExplainer explainer;
+        std::istringstream in(line("20.000000", "a", LogEvent::StatementServed, request));
+        explainer.read(in);
+        BOOST_TEST(explainer.unreadable() == (byte == 0xff ? 1U : 0U), "byte " << byte);
+        BOOST_TEST(explainer.explain("r1").path.size() == (byte == 0xff ? 0U : 1U), "byte " << byte);
+    }
+}
+
 // A process that was killed within a line leaves it without an end; the next process starts its first line there.
 BOOST_AUTO_TEST_CASE(line_after_a_cut_line_is_read)
 {
