--- a/src/failover_plan.cpp
+++ b/src/failover_plan.cpp
@@ -288,6 +288,33 @@
     return !m_unfinished || member.id == (m_promotionOrdered ? m_target : m_earlierSuccessor);
 }
 
+FailoverPlan::Step FailoverPlan::order(const std::string& target)
+{
+    m_target = target;
+    m_revocation->successor = m_target;
+    m_revocation->ordered = true;
+    m_phase = Phase::Promoting;
+    m_failedAttempts = 0;
+    m_promotionOrdered = true;
+    m_waitingForAnswer = true;
+    Step step;
+    step.action = FailoverAction::Promote;
+    step.servers = { m_target };
+    step.term = m_term;
+    step.reason = m_reason;
+    return step;
+}
+
+FailoverPlan::Step FailoverPlan::giveUp(Instant now, const std::vector<FailoverMember>& members)
+{
+    m_phase = Phase::Watching;
+    m_noChangeBefore = now + m_settings.pauseAfterAbort;
+    m_since.clear();
+    m_revocation.reset();
+    m_revokedSince.reset();
+    return resumeStopped(members);
+}
+
 FailoverPlan::Step FailoverPlan::collect(Instant now, const std::string& primary,
     const std::vector<FailoverMember>& members, uint64_t term, const FailoverKnowledge& knowledge)
 {
@@ -324,16 +351,7 @@
             return step;
         if (knowledge.isRecorded && !knowledge.isRecorded())
             return step;
-        m_target = target->id;
-        m_revocation->successor = m_target;
-        m_revocation->ordered = true;
-        m_phase = Phase::Promoting;
-        m_failedAttempts = 0;
-        m_promotionOrdered = true;
-        m_waitingForAnswer = true;
-        step.action = FailoverAction::Promote;
-        step.servers = { m_target };
-        return step;
+        return order(target->id);
     }
     chooseStage(now, leader, primary, members, term);
     const Instant stageStart = m_allStoppingSince ? *m_allStoppingSince : m_startedAt;
@@ -358,15 +376,10 @@
     if (timedOut && m_unfinished && mayReachMore)
         ++m_failedAttempts;
     if (timedOut && !m_promotionOrdered && !m_unfinished) {
-        m_phase = Phase::Watching;
         // Another host can reach a server that does not answer this one, but cannot replace a lost log.
         if (mayReachMore)
             ++m_failedAttempts;
-        m_noChangeBefore = now + m_settings.pauseAfterAbort;
-        m_since.clear();
-        m_revocation.reset();
-        m_revokedSince.reset();
-        Step resume = resumeStopped(members);
+        Step resume = giveUp(now, members);
         resume.missing = std::move(missing);
         return resume;
     }
--- a/src/failover_plan.h
+++ b/src/failover_plan.h
@@ -197,6 +197,10 @@
     /// @return Whether only the log of the demoted primary holds all of it, so that its successor needs the whole log.
     bool checkAcknowledged(Instant, const Stopped&, const std::vector<FailoverMember>&, uint64_t term,
         const FailoverKnowledge&, std::vector<ReplicaLogs::Missing>&) const;
+    /// Orders the promotion of a server, which then is the only one whose commits hosts acknowledge.
+    Step order(const std::string& target);
+    /// Ends an attempt without an order. The primary leads on.
+    Step giveUp(Instant, const std::vector<FailoverMember>&);
     Step resumeStopped(const std::vector<FailoverMember>&);
 
     FailoverSettings m_settings;
--- a/src/revocation_exchange.cpp
+++ b/src/revocation_exchange.cpp
@@ -34,6 +34,18 @@
 {
 }
 
+RevocationExchange::Notice RevocationExchange::newNotice(
+    const std::optional<PrimaryRevocation>& revocation, uint64_t token)
+{
+    Notice notice;
+    notice.revocation = revocation;
+    notice.token = token;
+    notice.number = ++m_number;
+    notice.changedAt = m_clock();
+    notice.recordNumber = m_number;
+    return notice;
+}
+
 void RevocationExchange::setRevocation(
     const std::string& service, std::optional<PrimaryRevocation> revocation, uint64_t token)
 {
@@ -44,7 +56,7 @@
     // A successor is named in the same change.
     const bool sameChange = wasRecorded && revocation && it->second.revocation
         && it->second.revocation->term == revocation->term && it->second.revocation->scope == revocation->scope;
-    Notice next { revocation, token, ++m_number, m_clock(), std::nullopt, {}, false, false, m_number, std::nullopt };
+    Notice next = newNotice(revocation, token);
     if (sameChange) {
         next.recordNumber = it->second.recordNumber;
         next.recordedAsOrdered = it->second.recordedAsOrdered;
@@ -91,8 +103,7 @@
 
 void RevocationExchange::dismiss(const std::string& service, uint64_t token)
 {
-    m_notices[service]
-        = { std::nullopt, token, ++m_number, m_clock(), std::nullopt, {}, false, false, 0, std::nullopt };
+    m_notices[service] = newNotice(std::nullopt, token);
     m_records.set(service, std::nullopt);
     apply(service, std::nullopt, token, m_number, m_host);
 }
--- a/src/revocation_exchange.h
+++ b/src/revocation_exchange.h
@@ -121,6 +121,7 @@
     void apply(const std::string& service, const std::optional<PrimaryRevocation>&, uint64_t token, uint64_t number,
         const std::string& coordinator);
     void updateInForce(const std::vector<RevocationTarget>&);
+    Notice newNotice(const std::optional<PrimaryRevocation>&, uint64_t token);
     /// Puts a notice into the store.
     void record(const std::string& service, Notice&, bool ordered);
     /// Returns whether no host tells callers of commits that a notice revokes, though some have not acknowledged it.
