--- a/src/promotion_coordinator.cpp
+++ b/src/promotion_coordinator.cpp
@@ -237,7 +237,7 @@
 std::optional<PrimaryRevocation> PromotionCoordinator::unfinishedChange(
     const std::string& service, const std::vector<FailoverMember>& reports)
 {
-    const std::optional<PrimaryRevocation> revocation = m_revocations->unfinished(service, m_token);
+    std::optional<PrimaryRevocation> revocation = m_revocations->unfinished(service, m_token);
     if (!revocation)
         return std::nullopt;
     // Any other server may lead by an order before the last one.
--- a/src/revocation_record.cpp
+++ b/src/revocation_record.cpp
@@ -42,7 +42,7 @@
     return recorded;
 }
 
-void RevocationRecords::set(const std::string& service, std::optional<RecordedRevocation> wanted)
+void RevocationRecords::set(const std::string& service, const std::optional<RecordedRevocation>& wanted)
 {
     Record& record = m_records[service];
     if (record.wanted == wanted && !record.dirty)
--- a/src/revocation_record.h
+++ b/src/revocation_record.h
@@ -42,7 +42,7 @@
     static const std::string prefix; ///< Prefix of the keys; the name of the service follows.
 
     /// Sets what the store should hold for a service; nothing: no item. Called by the coordinator.
-    void set(const std::string& service, std::optional<RecordedRevocation>);
+    void set(const std::string& service, const std::optional<RecordedRevocation>&);
 
     /// Forgets what the store should hold, when this host is no longer the coordinator. Items remain for the next one.
     void reset() { m_records.clear(); }
