Write in the load report test before the primary is being replaced

No server of the test answers polls, so the coordinator begins to replace the primary after three seconds. The test wrote after four, and the write went to the primary whose term was not known yet.

The write now comes after two seconds. The checks are the same.

--- a/tests/unit_load_reports.cpp
+++ b/tests/unit_load_reports.cpp
@@ -116,7 +116,8 @@
 BOOST_AUTO_TEST_CASE(hosts_learn_each_others_load_and_forget_a_silent_host)
 {
     Fleet fleet;
-    fleet.passWithGateways(seconds(4));
+    // No server answers polls, so after three seconds the coordinator begins to replace the primary.
+    fleet.passWithGateways(seconds(2));
     FakeFleet::Host& first = *fleet.hosts[0];
     first.fixture.provePrimary({ 1, 10 });
     FakeCaller caller;
