Compare acknowledged commits of an earlier term with the logs, too

Cause: the last replica knew term 2 and still lacked the end of term 1. Its position 2.267 counted as later than the lost log's 1.307, and hosts' reports of acknowledged commits were compared only if they were of the newest term.

A report of an earlier term now counts, too: a log that is shorter than what callers were told of is not promoted while the primary may return, for 60 s.

unit.failover-plan (commit_of_an_earlier_term_is_waited_for) fails without the change: promoted at once.

--- a/src/failover_plan.cpp
+++ b/src/failover_plan.cpp
@@ -261,7 +261,7 @@
 }
 
 bool FailoverPlan::checkAcknowledged(Instant now, const Stopped& stopped, const std::vector<FailoverMember>& members,
-    uint64_t term, const FailoverKnowledge& knowledge, std::vector<ReplicaLogs::Missing>& missing) const
+    const FailoverKnowledge& knowledge, std::vector<ReplicaLogs::Missing>& missing) const
 {
     const NewestAcknowledged& acknowledged = knowledge.acknowledged;
     const bool mayAnswer = std::any_of(missing.begin(), missing.end(), [&](const ReplicaLogs::Missing& log) {
@@ -272,8 +272,8 @@
         missing.clear();
         return !reaches(stopped.longestButDemoted, *acknowledged.latest);
     }
-    // A later primary either has the commits of earlier terms or has replaced them.
-    if (acknowledged.earliest.term < term || reaches(stopped.longestButDemoted, acknowledged.earliest))
+    // Also for one of an earlier term: a replica may know the later term and still lack the end of the log before it.
+    if (reaches(stopped.longestButDemoted, acknowledged.earliest))
         return false;
     if (!reaches(stopped.longest, acknowledged.earliest) && now - knowledge.primarySeenAt < m_settings.acknowledgedWait)
         missing.push_back({ "", "a caller was told of a commit that no known log holds", true });
@@ -342,7 +342,7 @@
         ? std::nullopt
         : std::optional<Instant>(std::max(commitsEndedAt, m_demotedAt.value_or(commitsEndedAt)));
     std::vector<ReplicaLogs::Missing> missing = m_logs.missing(stopped.ids, stopped.longestButDemoted, unansweredSince);
-    const bool needsEnd = leader == nullptr && checkAcknowledged(now, stopped, members, term, knowledge, missing);
+    const bool needsEnd = leader == nullptr && checkAcknowledged(now, stopped, members, knowledge, missing);
     const FailoverMember* const target = chooseTarget(now, stopped, members, term, missing, needsEnd);
     const bool commitsEnded = m_revocation->scope == RevocationScope::NewCommits || m_revokedSince;
     if (target != nullptr && leader == nullptr && commitsEnded) {
--- a/src/failover_plan.h
+++ b/src/failover_plan.h
@@ -195,8 +195,8 @@
     /// Drops missing logs that are not needed, because the longest stopped one holds all that callers were told of, and
     /// adds one if it lacks something of that.
     /// @return Whether only the log of the demoted primary holds all of it, so that its successor needs the whole log.
-    bool checkAcknowledged(Instant, const Stopped&, const std::vector<FailoverMember>&, uint64_t term,
-        const FailoverKnowledge&, std::vector<ReplicaLogs::Missing>&) const;
+    bool checkAcknowledged(Instant, const Stopped&, const std::vector<FailoverMember>&, const FailoverKnowledge&,
+        std::vector<ReplicaLogs::Missing>&) const;
     /// Orders the promotion of a server, which then is the only one whose commits hosts acknowledge.
     Step order(const std::string& target);
     /// Ends an attempt without an order. The primary leads on.
--- a/tests/unit_failover_plan.cpp
+++ b/tests/unit_failover_plan.cpp
@@ -518,6 +518,40 @@
     BOOST_TEST((step().action == FailoverAction::Promote));
 }
 
+// Guards against lost commits of an earlier term that only the primary has, which is down: a replica that received the
+// others has lost its log, and the one that remains knows the newest term but lags behind the end of the earlier one.
+BOOST_AUTO_TEST_CASE(commit_of_an_earlier_term_is_waited_for)
+{
+    Fleet fleet;
+    fleet.term = 2;
+    fleet.members.clear();
+    fleet.add("p", true, { 2, 332 });
+    fleet.add("r1", false, { 2, 267 });
+    for (FailoverMember& member : fleet.members)
+        member.status->term = 2;
+    FailoverKnowledge knowledge;
+    knowledge.acknowledged.earliest = { 1, 316 };
+    knowledge.primarySeenAt = fleet.now;
+    fleet.step("p");
+    fleet.silence("p");
+    fleet.get("p").refused = true;
+    const Instant lostAt = fleet.now;
+    std::optional<Instant> promotedAt;
+    while (!promotedAt && fleet.now - lostAt < std::chrono::seconds(90)) {
+        fleet.now += std::chrono::milliseconds(50);
+        fleet.answer("r1");
+        fleet.get("p").failedAt = fleet.now;
+        const FailoverPlan::Step step = fleet.plan.step(fleet.now, "p", fleet.members, fleet.term, knowledge);
+        if (step.action == FailoverAction::StopReceiving)
+            fleet.stop("r1", step.term);
+        if (step.action == FailoverAction::Promote)
+            promotedAt = fleet.now;
+    }
+    // The primary is not waited for for ever.
+    BOOST_REQUIRE(promotedAt.has_value());
+    BOOST_TEST((*promotedAt - lostAt >= std::chrono::seconds(60)));
+}
+
 // Guards against lost commits in a planned replacement: a new replica that the coordinator does not know yet has
 // confirmed commits, which otherwise only the demoted primary has.
 BOOST_AUTO_TEST_CASE(successor_of_a_leaving_primary_has_its_whole_log)
