--- a/tests/unit_http_caller.cpp
+++ b/tests/unit_http_caller.cpp
@@ -286,8 +286,8 @@
     BOOST_TEST(fake.accepted == 2);
 }
 
-// Guards against an exception on a thread of the client library when it reads the body of a call whose deadline has
-// passed: it ended the process.
+// Guards against an exception on a thread of the client library, which does not catch it, when it reads the body of a
+// call whose deadline has passed.
 BOOST_AUTO_TEST_CASE(body_of_an_expired_call_is_not_read)
 {
     TcpFake fake([](tcp::socket& socket, int) { return send(socket, okAnswer); });
--- a/tests/unit_revocation_exchange.cpp
+++ b/tests/unit_revocation_exchange.cpp
@@ -397,16 +397,16 @@
             it.all[1]->exchange.itemsRead(items, true);
         } else
             it.pass(milliseconds(100));
-        RevocationExchange& heir = it.all[1]->exchange;
-        BOOST_TEST(!heir.unfinished("orders", token).has_value());
-        BOOST_REQUIRE(heir.unfinished("orders", token + 1).has_value());
-        BOOST_TEST(heir.unfinished("orders", token + 1)->term == 2U);
+        RevocationExchange& next = it.all[1]->exchange;
+        BOOST_TEST(!next.unfinished("orders", token).has_value());
+        BOOST_REQUIRE(next.unfinished("orders", token + 1).has_value());
+        BOOST_TEST(next.unfinished("orders", token + 1)->term == 2U);
         it.now += seconds(14);
-        BOOST_TEST(!heir.unfinished("orders", token + 1).has_value());
+        BOOST_TEST(!next.unfinished("orders", token + 1).has_value());
         it.now -= seconds(14);
-        heir.dismiss("orders", token + 1);
-        BOOST_TEST(!heir.unfinished("orders", token + 2).has_value());
-        const std::vector<StoreWrite> removals = heir.records().due(items, it.now);
+        next.dismiss("orders", token + 1);
+        BOOST_TEST(!next.unfinished("orders", token + 2).has_value());
+        const std::vector<StoreWrite> removals = next.records().due(items, it.now);
         BOOST_REQUIRE(removals.size() == 1U);
         BOOST_TEST(removals[0].removes);
         BOOST_TEST(removals[0].expectedRevision == 11U);
